Pass a flow's requests to the backend server and back

Cause: an agent had no HTTP path between a caller's flow and its backend server. Ruled out: keeping connections to the backend server open between requests; one that the server closed meanwhile shows it only after the request was written, and a request that nobody saw would be told as 'may have run'. Change: ramp_transport::requests serves HTTP/1.1 on a flow and streams each request over a connection of its own; requests of other agents are taken only with a tag over a fresh challenge of the receiver. hyper-util is added for its tokio adapter alone.

--- /dev/null
+++ b/crates/transport/src/requests/flow.rs
@@ -0,0 +1,54 @@
+//! One caller's flow: an HTTP/1.1 server connection.
+
+use std::convert::Infallible;
+use std::net::SocketAddrV4;
+use std::pin::pin;
+use std::rc::Rc;
+
+use hyper::rt::Read;
+use hyper::rt::Write;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use ramp_state::outcome::FlowEnd;
+
+use super::context::RequestContext;
+use super::serve::Origin;
+use super::serve::serve;
+
+/// Serves the requests of one flow until either side ends it. While the
+/// agent drains, the request in progress is the flow's last.
+pub async fn serve_flow<I>(cx: Rc<RequestContext>, caller: SocketAddrV4, io: I) -> FlowEnd
+where
+    I: Read + Write + Unpin + 'static,
+{
+    cx.flow_opened();
+    let end = converse(&cx, caller, io).await;
+    cx.flow_ended();
+    end
+}
+
+async fn converse<I>(cx: &Rc<RequestContext>, caller: SocketAddrV4, io: I) -> FlowEnd
+where
+    I: Read + Write + Unpin + 'static,
+{
+    let service = service_fn(|req| {
+        let cx = cx.clone();
+        async move { Ok::<_, Infallible>(serve(cx, Origin::Caller(caller), req).await) }
+    });
+    // An idle flow may stay open for hours, so no timeout on request heads.
+    let conn = http1::Builder::new()
+        .header_read_timeout(None)
+        .serve_connection(io, service);
+    let mut conn = pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = cx.draining() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    match ended {
+        Ok(()) => FlowEnd::Closed,
+        Err(_) => FlowEnd::CallerLeft,
+    }
+}
--- /dev/null
+++ b/crates/transport/src/requests/mod.rs
@@ -0,0 +1,21 @@
+//! Requests at an agent: from a caller's flow, or handed on by another agent,
+//! to the backend server and back.
+//!
+//! Everything here lives on the agent's traffic thread, a current-thread
+//! runtime with a `LocalSet`, so shared state needs no lock. The decisions
+//! themselves are in `ramp_coordination`; this module reads and writes HTTP.
+
+mod body;
+mod context;
+mod flow;
+pub mod handoff;
+mod head;
+mod peer;
+mod refusal;
+mod serve;
+mod upstream;
+
+pub use context::RequestConfig;
+pub use context::RequestContext;
+pub use flow::serve_flow;
+pub use peer::serve_peers;
--- /dev/null
+++ b/crates/transport/src/requests/refusal.rs
@@ -0,0 +1,64 @@
+//! Answers of our own: refusals and the verdict on requests that broke.
+
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use ramp_state::verdict::MayHaveRun;
+use ramp_state::verdict::NotRun;
+use ramp_state::verdict::REASON_HEADER;
+use ramp_state::verdict::VERDICT_HEADER;
+use ramp_state::verdict::Verdict;
+
+use super::body::AnswerBody;
+
+/// Answer that tells the caller the verdict. `retry_after` is told only with
+/// refusals that a later try may escape.
+pub fn refuse(verdict: Verdict, retry_after: Option<Duration>) -> Response<AnswerBody> {
+    let text = format!("{verdict}\n");
+    let mut res = Response::new(AnswerBody::Own(Full::from(text)));
+    *res.status_mut() = status(verdict);
+    let headers = res.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    headers.insert(
+        VERDICT_HEADER,
+        HeaderValue::from_static(verdict.as_header()),
+    );
+    if let Ok(reason) = HeaderValue::from_str(&reason(verdict)) {
+        headers.insert(REASON_HEADER, reason);
+    }
+    if let Some(after) = retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
+    }
+    res
+}
+
+fn status(verdict: Verdict) -> StatusCode {
+    match verdict {
+        Verdict::Served => StatusCode::OK,
+        Verdict::NotRun(NotRun::BadRequest) => StatusCode::BAD_REQUEST,
+        Verdict::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Verdict::MayHaveRun(MayHaveRun::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        Verdict::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn reason(verdict: Verdict) -> String {
+    match verdict {
+        Verdict::Served => String::new(),
+        Verdict::NotRun(reason) => reason.to_string(),
+        Verdict::MayHaveRun(reason) => reason.to_string(),
+    }
+}
+
+/// `Retry-After` knows whole seconds only; rounding down would bring callers
+/// back too early.
+fn whole_seconds(span: Duration) -> u64 {
+    span.as_millis().div_ceil(1000) as u64
+}
