Read settings, fleet document and instance list; the platform's client and stand-in

Cause: no text was read yet, so nothing could be configured, and there was no platform to read from.

Ruled out: one parse of the whole text by rust-ini, which stops at the first fault and forgets lines. Each line goes through the library on its own. Also hyper-util for its adapter of tokio's streams: a small one of our own keeps the dependencies as they are.

Change: ramp_state::{ini, fault, schema, policy, fleet_parse, document_kind}, Settings::parse, InstanceList::parse; tables of keys and sections that the pages can be tested against; ramp_coordination::published, the typed answers of the platform; ramp_transport::{platform, hyper_io}; `bramleyramp check`; `ramplab platform`. Policy and SetError moved to ramp_state::policy and are still found in ramp_state::fleet.

--- a/bramleyramp/src/cmd/mod.rs
+++ b/bramleyramp/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! The subcommands, one file each.
 
+mod check;
+
 use std::process::ExitCode;
 
 use crate::error::CliError;
@@ -15,7 +17,11 @@
     run: Run,
 }
 
-const COMMANDS: &[Command] = &[];
+const COMMANDS: &[Command] = &[Command {
+    name: "check",
+    about: "find every fault of settings and documents",
+    run: check::run,
+}];
 
 /// Runs the subcommand `name`.
 pub fn run(name: &str, args: lexopt::Parser) -> CliResult<ExitCode> {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod balancer;
 pub mod picture;
+pub mod published;
--- /dev/null
+++ b/crates/state/src/fleet_parse.rs
@@ -0,0 +1,379 @@
+//! Reading of the fleet document: every fault at once, or the typed fleet.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
+
+use crate::fault::Faults;
+use crate::fleet::Change;
+use crate::fleet::DataCentre;
+use crate::fleet::DataCentreState;
+use crate::fleet::Exception;
+use crate::fleet::Fleet;
+use crate::fleet::Policy;
+use crate::fleet::Scope;
+use crate::fleet::Server;
+use crate::fleet::ServerState;
+use crate::fleet::Service;
+use crate::ini;
+use crate::ini::Section;
+use crate::ini::quote;
+use crate::key::InstanceId;
+use crate::key::ServiceId;
+use crate::key::Version;
+use crate::policy::POLICY_KEYS;
+use crate::schema;
+use crate::schema::Form;
+use crate::schema::KeyInfo;
+use crate::schema::SectionInfo;
+
+/// Sections of a fleet document.
+pub const FLEET_SECTIONS: &[SectionInfo] = &[
+    SectionInfo {
+        kind: "defaults",
+        named: false,
+        mandatory: false,
+        keys: &[],
+        policy: true,
+        about: "settings of the whole fleet",
+    },
+    SectionInfo {
+        kind: "data-centre",
+        named: true,
+        mandatory: false,
+        keys: &[
+            KeyInfo {
+                name: "region",
+                form: Form::Name,
+                default: None,
+                about: "region that the data centre belongs to",
+            },
+            KeyInfo {
+                name: "state",
+                form: Form::OneOf(&["in", "out"]),
+                default: Some("in"),
+                about: "whether it takes traffic",
+            },
+        ],
+        policy: false,
+        about: "a data centre",
+    },
+    SectionInfo {
+        kind: "service",
+        named: true,
+        mandatory: true,
+        keys: &[KeyInfo {
+            name: "address",
+            form: Form::Address,
+            default: None,
+            about: "address and port that callers connect to",
+        }],
+        policy: false,
+        about: "a service that callers use",
+    },
+    SectionInfo {
+        kind: "server",
+        named: true,
+        mandatory: false,
+        keys: &[
+            KeyInfo {
+                name: "service",
+                form: Form::Name,
+                default: None,
+                about: "service that it serves",
+            },
+            KeyInfo {
+                name: "data_centre",
+                form: Form::Name,
+                default: None,
+                about: "data centre that it stands in",
+            },
+            KeyInfo {
+                name: "agent",
+                form: Form::Address,
+                default: None,
+                about: "where its agent takes packets (UDP) and requests of other agents (TCP)",
+            },
+            KeyInfo {
+                name: "control",
+                form: Form::Address,
+                default: None,
+                about: "where its agent takes control messages (UDP) and operator calls (TCP)",
+            },
+            KeyInfo {
+                name: "state",
+                form: Form::OneOf(&["in", "leaving"]),
+                default: Some("in"),
+                about: "whether it takes new work",
+            },
+        ],
+        policy: false,
+        about: "a backend server and the agent beside it",
+    },
+    SectionInfo {
+        kind: "exception",
+        named: true,
+        mandatory: false,
+        keys: &[
+            KeyInfo {
+                name: "covers",
+                form: Form::Scope,
+                default: None,
+                about: "what it applies to",
+            },
+            KeyInfo {
+                name: "reason",
+                form: Form::Reason,
+                default: None,
+                about: "why it exists",
+            },
+        ],
+        policy: true,
+        about: "a departure from the defaults; it changes at least one key",
+    },
+];
+
+impl Fleet {
+    /// Reads a fleet document that the platform gave `version`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the document, in order of lines. The same text has the
+    /// same faults everywhere.
+    pub fn parse(version: Version, text: &str) -> Result<Fleet, Faults> {
+        let (sections, mut faults) = ini::read(text);
+        schema::check(&sections, FLEET_SECTIONS, &mut faults);
+        check_collisions(&sections, &mut faults);
+        check_addresses(&sections, &mut faults);
+        check_servers(&sections, &mut faults);
+        check_exceptions(&sections, &mut faults);
+        let fleet = build(version, &sections);
+        faults.verdict(fleet)
+    }
+}
+
+/// Sections of one kind.
+fn of_kind<'a>(sections: &'a [Section], kind: &'a str) -> impl Iterator<Item = &'a Section> {
+    sections.iter().filter(move |s| s.kind() == kind)
+}
+
+fn names<'a>(sections: &'a [Section], kind: &'a str) -> HashSet<&'a str> {
+    of_kind(sections, kind).map(Section::name).collect()
+}
+
+/// Pairs of different names that `hash` does not tell apart: the later name
+/// and the earlier one.
+pub fn collisions<'a, H>(
+    names: impl Iterator<Item = &'a str>,
+    hash: impl Fn(&str) -> H,
+) -> Vec<(&'a str, &'a str)>
+where
+    H: Eq + std::hash::Hash,
+{
+    let mut first: HashMap<H, &str> = HashMap::new();
+    let mut found = Vec::new();
+    for name in names {
+        let earlier = *first.entry(hash(name)).or_insert(name);
+        if earlier != name {
+            found.push((name, earlier));
+        }
+    }
+    found
+}
+
+fn check_collisions(sections: &[Section], faults: &mut Faults) {
+    let servers = of_kind(sections, "server").map(Section::name);
+    for (name, earlier) in collisions(servers, InstanceId::of) {
+        tell_collision(sections, "server", name, earlier, faults);
+    }
+    let services = of_kind(sections, "service").map(Section::name);
+    for (name, earlier) in collisions(services, ServiceId::of) {
+        tell_collision(sections, "service", name, earlier, faults);
+    }
+}
+
+fn tell_collision(
+    sections: &[Section],
+    kind: &str,
+    name: &str,
+    earlier: &str,
+    faults: &mut Faults,
+) {
+    if let Some(section) = of_kind(sections, kind).find(|s| s.name() == name) {
+        let found = format!("a name with the same hash as {}", quote(earlier));
+        faults.push(section.fault(found, "names whose hashes differ"));
+    }
+}
+
+/// Services have an address each, and so has every socket of every agent.
+fn check_addresses(sections: &[Section], faults: &mut Faults) {
+    check_distinct(sections, "service", &["address"], faults);
+    check_distinct(sections, "server", &["agent", "control"], faults);
+}
+
+fn check_distinct(sections: &[Section], kind: &str, keys: &[&str], faults: &mut Faults) {
+    let mut first = HashMap::new();
+    for section in of_kind(sections, kind) {
+        for key in keys {
+            let Some(address) = section.value(key).and_then(schema::address) else {
+                continue;
+            };
+            let holder = format!("{key} of [{}]", section.heading);
+            if let Some(earlier) = first.get(&address) {
+                let found = format!("{address}, which is {earlier} too");
+                faults.push(section.fault_at(key, found, "an address of its own"));
+            } else {
+                first.insert(address, holder);
+            }
+        }
+    }
+}
+
+fn check_servers(sections: &[Section], faults: &mut Faults) {
+    let services = names(sections, "service");
+    let data_centres = names(sections, "data-centre");
+    for server in of_kind(sections, "server") {
+        check_known(server, "service", "service", &services, faults);
+        check_known(server, "data_centre", "data-centre", &data_centres, faults);
+    }
+}
+
+fn check_known(
+    section: &Section,
+    key: &str,
+    kind: &str,
+    known: &HashSet<&str>,
+    faults: &mut Faults,
+) {
+    let Some(name) = section.value(key).filter(|name| schema::is_name(name)) else {
+        return;
+    };
+    if !known.contains(name) {
+        let found = format!("{}, which the document does not have", quote(name));
+        faults.push(section.fault_at(key, found, format!("the name of a [{kind} NAME]")));
+    }
+}
+
+fn check_exceptions(sections: &[Section], faults: &mut Faults) {
+    let mut first: HashMap<(&str, &str, &str), &Section> = HashMap::new();
+    for exception in of_kind(sections, "exception") {
+        check_covers(sections, exception, faults);
+        let changes = exception.entries.iter().filter(|e| is_policy_key(&e.key));
+        if changes.clone().next().is_none() {
+            let keys: Vec<&str> = POLICY_KEYS.iter().map(|key| key.name).collect();
+            let allowed = format!("at least one of {}", keys.join(", "));
+            faults.push(exception.fault("an exception that changes nothing", allowed));
+        }
+        let Some((kind, name)) = exception.value("covers").and_then(schema::scope) else {
+            continue;
+        };
+        for change in changes {
+            let earlier = *first.entry((kind, name, &change.key)).or_insert(exception);
+            if earlier.heading != exception.heading {
+                let found = format!("a key that [{}] changes too", earlier.heading);
+                let allowed = "one exception for a key of what it covers";
+                faults.push(exception.fault_at(&change.key, found, allowed));
+            }
+        }
+    }
+}
+
+fn check_covers(sections: &[Section], exception: &Section, faults: &mut Faults) {
+    let Some((kind, name)) = exception.value("covers").and_then(schema::scope) else {
+        return;
+    };
+    if !names(sections, kind).contains(name) {
+        let found = format!("{kind} {}, which the document does not have", quote(name));
+        faults.push(exception.fault_at("covers", found, format!("the name of a [{kind} NAME]")));
+    }
+}
+
+fn is_policy_key(key: &str) -> bool {
+    POLICY_KEYS.iter().any(|known| known.name == key)
+}
+
+/// Typed form of a text; whatever has a fault is left out.
+fn build(version: Version, sections: &[Section]) -> Fleet {
+    let mut fleet = Fleet {
+        version,
+        ..Fleet::default()
+    };
+    for section in sections {
+        let name = section.name().to_string();
+        match section.kind() {
+            "defaults" => set_all(&mut fleet.defaults, section),
+            "data-centre" => insert(&mut fleet.data_centres, name, data_centre(section)),
+            "service" => insert(&mut fleet.services, name, service(section)),
+            "server" => insert(&mut fleet.servers, name, server(section)),
+            "exception" => insert(&mut fleet.exceptions, name, exception(section)),
+            _ => {}
+        }
+    }
+    fleet
+}
+
+fn insert<T>(all: &mut IndexMap<String, T>, name: String, one: Option<T>) {
+    if let Some(one) = one {
+        all.insert(name, one);
+    }
+}
+
+fn set_all(policy: &mut Policy, section: &Section) {
+    for entry in &section.entries {
+        let _ = policy.set(&entry.key, &entry.value);
+    }
+}
+
+fn data_centre(section: &Section) -> Option<DataCentre> {
+    Some(DataCentre {
+        region: section.value("region")?.to_string(),
+        state: match section.value("state") {
+            Some("out") => DataCentreState::Out,
+            _ => DataCentreState::In,
+        },
+    })
+}
+
+fn service(section: &Section) -> Option<Service> {
+    Some(Service {
+        address: section.value("address").and_then(schema::address)?,
+    })
+}
+
+fn server(section: &Section) -> Option<Server> {
+    Some(Server {
+        service: section.value("service")?.to_string(),
+        data_centre: section.value("data_centre")?.to_string(),
+        agent: section.value("agent").and_then(schema::address)?,
+        control: section.value("control").and_then(schema::address)?,
+        state: match section.value("state") {
+            Some("leaving") => ServerState::Leaving,
+            _ => ServerState::In,
+        },
+    })
+}
+
+fn exception(section: &Section) -> Option<Exception> {
+    let (kind, name) = section.value("covers").and_then(schema::scope)?;
+    let name = name.to_string();
+    let covers = match kind {
+        "service" => Scope::Service(name),
+        "data-centre" => Scope::DataCentre(name),
+        _ => Scope::Server(name),
+    };
+    let changes = section
+        .entries
+        .iter()
+        .filter(|entry| is_policy_key(&entry.key))
+        .map(|entry| Change {
+            key: entry.key.clone(),
+            value: entry.value.clone(),
+        })
+        .collect();
+    Some(Exception {
+        covers,
+        reason: section.value("reason")?.to_string(),
+        changes,
+    })
+}
--- a/crates/state/src/instances.rs
+++ b/crates/state/src/instances.rs
@@ -4,7 +4,14 @@
 
 use indexmap::IndexMap;
 
+use crate::fault::Faults;
+use crate::ini;
+use crate::ini::Section;
 use crate::key::Version;
+use crate::schema;
+use crate::schema::Form;
+use crate::schema::KeyInfo;
+use crate::schema::SectionInfo;
 
 /// What an instance of the system does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,3 +55,77 @@
     /// Instances by name.
     pub instances: IndexMap<String, Instance>,
 }
+
+/// Sections of the list.
+pub const INSTANCE_SECTIONS: &[SectionInfo] = &[SectionInfo {
+    kind: "instance",
+    named: true,
+    mandatory: false,
+    keys: &[
+        KeyInfo {
+            name: "role",
+            form: Form::OneOf(&["balancer", "agent"]),
+            default: None,
+            about: "what it does",
+        },
+        KeyInfo {
+            name: "data_centre",
+            form: Form::Name,
+            default: None,
+            about: "data centre that it stands in",
+        },
+        KeyInfo {
+            name: "address",
+            form: Form::Address,
+            default: None,
+            about: "where it takes packets (UDP)",
+        },
+        KeyInfo {
+            name: "control",
+            form: Form::Address,
+            default: None,
+            about: "where it takes control messages (UDP) and operator calls (TCP)",
+        },
+        KeyInfo {
+            name: "state",
+            form: Form::OneOf(&["live", "leaving"]),
+            default: Some("live"),
+            about: "whether the platform means to keep it",
+        },
+    ],
+    policy: false,
+    about: "an instance of the system",
+}];
+
+impl InstanceList {
+    /// Reads a list that the platform gave `version`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the list, in order of lines.
+    pub fn parse(version: Version, text: &str) -> Result<InstanceList, Faults> {
+        let (sections, mut faults) = ini::read(text);
+        schema::check(&sections, INSTANCE_SECTIONS, &mut faults);
+        let instances = sections
+            .iter()
+            .filter_map(|s| Some((s.name().to_string(), instance(s)?)))
+            .collect();
+        faults.verdict(InstanceList { version, instances })
+    }
+}
+
+fn instance(section: &Section) -> Option<Instance> {
+    Some(Instance {
+        role: match section.value("role")? {
+            "balancer" => Role::Balancer,
+            _ => Role::Agent,
+        },
+        data_centre: section.value("data_centre")?.to_string(),
+        address: section.value("address").and_then(schema::address)?,
+        control: section.value("control").and_then(schema::address)?,
+        presence: match section.value("state") {
+            Some("leaving") => Presence::Leaving,
+            _ => Presence::Live,
+        },
+    })
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,10 +3,16 @@
 //! Everything here is plain data. Nothing in this crate knows a socket, a
 //! clock or a thread; times are passed in as [`time::Millis`].
 
+pub mod document_kind;
+pub mod fault;
 pub mod fleet;
+pub mod fleet_parse;
+pub mod ini;
 pub mod instances;
 pub mod key;
 pub mod outcome;
+pub mod policy;
+pub mod schema;
 pub mod settings;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/crates/state/src/schema.rs
@@ -0,0 +1,256 @@
+//! What sections and keys a text may have, as tables, and the check against
+//! them. The pages that list the keys are tested against the same tables.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use crate::fault::Fault;
+use crate::fault::Faults;
+use crate::ini::Section;
+use crate::ini::quote;
+use crate::policy::POLICY_KEYS;
+use crate::policy::PolicyKey;
+use crate::settings::KEY_LEN_BYTES;
+
+/// Longest name of anything, in bytes.
+pub const NAME_LEN_BYTES: usize = 64;
+
+/// Form that a value must have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Address and port that others connect to.
+    Address,
+    /// Address and port to listen at; port 0 lets the kernel give one.
+    Listen,
+    /// Several addresses, parted by commas.
+    Addresses,
+    /// Name of something.
+    Name,
+    /// One of these words.
+    OneOf(&'static [&'static str]),
+    /// Words for people; not blank.
+    Reason,
+    /// What an exception covers.
+    Scope,
+    /// Key of the fleet in hexadecimal digits.
+    HexKey,
+}
+
+impl Form {
+    /// Whether `value` has this form.
+    pub fn accepts(&self, value: &str) -> bool {
+        match self {
+            Form::Address => address(value).is_some(),
+            Form::Listen => value.parse::<SocketAddrV4>().is_ok(),
+            Form::Addresses => addresses(value).is_some(),
+            Form::Name => is_name(value),
+            Form::OneOf(words) => words.contains(&value),
+            Form::Reason => value.chars().any(char::is_alphanumeric),
+            Form::Scope => scope(value).is_some(),
+            Form::HexKey => hex_key(value).is_some(),
+        }
+    }
+
+    /// What is allowed, in words.
+    pub fn allowed(&self) -> String {
+        match self {
+            Form::Address => "IPv4:PORT, not 0.0.0.0, port 1 to 65535".to_string(),
+            Form::Listen => "IPv4:PORT, port 0 to 65535 (0: the kernel gives one)".to_string(),
+            Form::Addresses => "IPv4:PORT, IPv4:PORT, ..., each once".to_string(),
+            Form::Name => {
+                format!("a name of 1 to {NAME_LEN_BYTES} letters, digits, `-`, `_` or `.`")
+            }
+            Form::OneOf(words) => words.join(" or "),
+            Form::Reason => "a reason in words, not blank".to_string(),
+            Form::Scope => "service NAME, data-centre NAME or server NAME".to_string(),
+            Form::HexKey => format!("{} hexadecimal digits", 2 * KEY_LEN_BYTES),
+        }
+    }
+}
+
+/// One key of a section.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyInfo {
+    /// The key.
+    pub name: &'static str,
+    /// Form of its value.
+    pub form: Form,
+    /// Value without an entry; none when an entry is mandatory.
+    pub default: Option<&'static str>,
+    /// What it is.
+    pub about: &'static str,
+}
+
+/// One kind of section.
+#[derive(Clone, Copy, Debug)]
+pub struct SectionInfo {
+    /// First word of the heading.
+    pub kind: &'static str,
+    /// Whether a name follows in the heading.
+    pub named: bool,
+    /// Whether the text must have one.
+    pub mandatory: bool,
+    /// Keys that it may have.
+    pub keys: &'static [KeyInfo],
+    /// Whether it may also have the keys of [`POLICY_KEYS`].
+    pub policy: bool,
+    /// What it is.
+    pub about: &'static str,
+}
+
+impl SectionInfo {
+    /// Heading as a page shows it.
+    pub fn heading(&self) -> String {
+        match self.named {
+            true => format!("[{} NAME]", self.kind),
+            false => format!("[{}]", self.kind),
+        }
+    }
+
+    fn key(&self, name: &str) -> Option<&'static KeyInfo> {
+        self.keys.iter().find(|key| key.name == name)
+    }
+
+    fn policy_key(&self, name: &str) -> Option<&'static PolicyKey> {
+        POLICY_KEYS
+            .iter()
+            .find(|key| self.policy && key.name == name)
+    }
+
+    /// Whether the heading of `section` is of this kind.
+    pub fn matches(&self, section: &Section) -> bool {
+        self.kind == section.kind() && self.named != section.name().is_empty()
+    }
+
+    fn key_names(&self) -> String {
+        let own = self.keys.iter().map(|key| key.name);
+        let policy = POLICY_KEYS.iter().map(|key| key.name);
+        own.chain(policy.filter(|_| self.policy))
+            .collect::<Vec<&str>>()
+            .join(", ")
+    }
+}
+
+/// Adds each fault of `sections` that the tables alone can tell: unknown or
+/// repeated sections and keys, missing ones, values without their form.
+pub fn check(sections: &[Section], table: &'static [SectionInfo], faults: &mut Faults) {
+    let mut first: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
+        let Some(info) = table.iter().find(|info| info.matches(section)) else {
+            let heading = quote(&format!("[{}]", section.heading));
+            faults.push(section.fault(format!("section {heading}"), headings(table)));
+            continue;
+        };
+        if let Some(line) = first.insert(&section.heading, section.line) {
+            let found = format!("the section again, first in line {line}");
+            faults.push(section.fault(found, "each section once"));
+        }
+        if info.named && !is_name(section.name()) {
+            faults.push(section.fault(quote(section.name()), Form::Name.allowed()));
+        }
+        check_keys(section, info, faults);
+    }
+    for info in table.iter().filter(|info| info.mandatory) {
+        if !sections.iter().any(|section| info.matches(section)) {
+            faults.push(missing_section(info));
+        }
+    }
+}
+
+fn check_keys(section: &Section, info: &SectionInfo, faults: &mut Faults) {
+    let mut first: HashMap<&str, usize> = HashMap::new();
+    for entry in &section.entries {
+        let mut tell = |found: String, allowed: String| {
+            let mut fault = section.fault_at(&entry.key, found, allowed);
+            fault.line = entry.line;
+            faults.push(fault);
+        };
+        if let Some(line) = first.insert(&entry.key, entry.line) {
+            tell(
+                format!("the key again, first in line {line}"),
+                "each key once in a section".to_string(),
+            );
+        }
+        if let Some(key) = info.key(&entry.key) {
+            if !key.form.accepts(&entry.value) {
+                tell(quote(&entry.value), key.form.allowed());
+            }
+        } else if let Some(key) = info.policy_key(&entry.key) {
+            if key.parse(&entry.value).is_none() {
+                tell(quote(&entry.value), key.allowed());
+            }
+        } else {
+            tell("an unknown key".to_string(), info.key_names());
+        }
+    }
+    for key in info.keys.iter().filter(|key| key.default.is_none()) {
+        if section.entry(key.name).is_none() {
+            faults.push(section.fault_at(key.name, "no value", key.form.allowed()));
+        }
+    }
+}
+
+fn missing_section(info: &SectionInfo) -> Fault {
+    Fault {
+        file: None,
+        line: 1,
+        section: String::new(),
+        key: None,
+        found: format!("no section {}", info.heading()),
+        allowed: match info.named {
+            true => "at least one".to_string(),
+            false => "exactly one".to_string(),
+        },
+    }
+}
+
+fn headings(table: &[SectionInfo]) -> String {
+    table
+        .iter()
+        .map(SectionInfo::heading)
+        .collect::<Vec<String>>()
+        .join(", ")
+}
+
+/// Whether `value` can name something.
+pub fn is_name(value: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (1..=NAME_LEN_BYTES).contains(&value.len()) && value.bytes().all(allowed)
+}
+
+/// Address that others can connect to.
+pub fn address(value: &str) -> Option<SocketAddrV4> {
+    let address: SocketAddrV4 = value.parse().ok()?;
+    let usable = !address.ip().is_unspecified() && address.port() != 0;
+    usable.then_some(address)
+}
+
+/// Addresses parted by commas, none of them twice.
+pub fn addresses(value: &str) -> Option<Vec<SocketAddrV4>> {
+    let mut all = Vec::new();
+    for part in value.split(',') {
+        let one = address(part.trim())?;
+        if all.contains(&one) {
+            return None;
+        }
+        all.push(one);
+    }
+    Some(all)
+}
+
+/// Kind and name of what an exception covers.
+pub fn scope(value: &str) -> Option<(&str, &str)> {
+    let (kind, name) = value.split_once(char::is_whitespace)?;
+    let name = name.trim();
+    let known = ["service", "data-centre", "server"].contains(&kind);
+    (known && is_name(name)).then_some((kind, name))
+}
+
+/// Key of the fleet from its hexadecimal digits.
+pub fn hex_key(value: &str) -> Option<[u8; KEY_LEN_BYTES]> {
+    if value.len() != 2 * KEY_LEN_BYTES || !value.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let number = u128::from_str_radix(value, 16).ok()?;
+    Some(number.to_be_bytes())
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -2,6 +2,15 @@
 
 use std::net::SocketAddrV4;
 
+use crate::fault::Faults;
+use crate::ini;
+use crate::ini::Section;
+use crate::instances::Role;
+use crate::schema;
+use crate::schema::Form;
+use crate::schema::KeyInfo;
+use crate::schema::SectionInfo;
+
 /// Length of the key of the fleet, in bytes.
 pub const KEY_LEN_BYTES: usize = 16;
 
@@ -37,3 +46,181 @@
     /// Present for an agent, absent for a balancer.
     pub agent: Option<AgentSettings>,
 }
+
+const INSTANCE: SectionInfo = SectionInfo {
+    kind: "instance",
+    named: false,
+    mandatory: true,
+    keys: &[
+        KeyInfo {
+            name: "name",
+            form: Form::Name,
+            default: None,
+            about: "name of the instance; an agent has the name of its backend server",
+        },
+        KeyInfo {
+            name: "data_centre",
+            form: Form::Name,
+            default: None,
+            about: "name of its data centre",
+        },
+        KeyInfo {
+            name: "address",
+            form: Form::Address,
+            default: None,
+            about: "where it takes packets (UDP), an agent also requests of other agents (TCP)",
+        },
+        KeyInfo {
+            name: "control",
+            form: Form::Address,
+            default: None,
+            about: "where it takes control messages (UDP) and operator calls (TCP)",
+        },
+        KeyInfo {
+            name: "metrics",
+            form: Form::Listen,
+            default: None,
+            about: "where it shows its metrics (HTTP)",
+        },
+        KeyInfo {
+            name: "key",
+            form: Form::HexKey,
+            default: None,
+            about: "key shared by all processes of the system",
+        },
+    ],
+    policy: false,
+    about: "the process itself",
+};
+
+const PLATFORM: SectionInfo = SectionInfo {
+    kind: "platform",
+    named: false,
+    mandatory: true,
+    keys: &[KeyInfo {
+        name: "addresses",
+        form: Form::Addresses,
+        default: None,
+        about: "replicas of the platform's service, in order of preference",
+    }],
+    policy: false,
+    about: "the platform's configuration service",
+};
+
+const PEERS: SectionInfo = SectionInfo {
+    kind: "peers",
+    named: false,
+    mandatory: false,
+    keys: &[KeyInfo {
+        name: "control",
+        form: Form::Addresses,
+        default: None,
+        about: "control addresses of other processes, asked at start",
+    }],
+    policy: false,
+    about: "other processes of the system",
+};
+
+/// Sections of a balancer's settings.
+pub const BALANCER_SECTIONS: &[SectionInfo] = &[INSTANCE, PLATFORM, PEERS];
+
+/// Sections of an agent's settings.
+pub const AGENT_SECTIONS: &[SectionInfo] = &[
+    INSTANCE,
+    PLATFORM,
+    PEERS,
+    SectionInfo {
+        kind: "backend-server",
+        named: false,
+        mandatory: true,
+        keys: &[KeyInfo {
+            name: "address",
+            form: Form::Address,
+            default: None,
+            about: "backend server that the agent stands before",
+        }],
+        policy: false,
+        about: "the backend server",
+    },
+    SectionInfo {
+        kind: "fabric",
+        named: false,
+        mandatory: true,
+        keys: &[KeyInfo {
+            name: "address",
+            form: Form::Address,
+            default: None,
+            about: "where packets to callers go",
+        }],
+        policy: false,
+        about: "the fabric",
+    },
+];
+
+impl Settings {
+    /// Reads the settings of a process with this role.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text, in order of lines.
+    pub fn parse(text: &str, role: Role) -> Result<Settings, Faults> {
+        let (sections, mut faults) = ini::read(text);
+        let table = match role {
+            Role::Balancer => BALANCER_SECTIONS,
+            Role::Agent => AGENT_SECTIONS,
+        };
+        schema::check(&sections, table, &mut faults);
+        check_distinct(&sections, &mut faults);
+        let settings = build(&sections, role);
+        let settings = faults.verdict(settings)?;
+        Ok(settings.expect("a text without faults has every mandatory value"))
+    }
+}
+
+/// A process can't listen twice at one address.
+fn check_distinct(sections: &[Section], faults: &mut Faults) {
+    let Some(instance) = sections.iter().find(|s| s.heading == "instance") else {
+        return;
+    };
+    let mut taken: Vec<(&str, SocketAddrV4)> = Vec::new();
+    for key in ["address", "control", "metrics"] {
+        let Some(address) = instance.value(key).and_then(schema::address) else {
+            continue;
+        };
+        if let Some((earlier, _)) = taken.iter().find(|(_, other)| *other == address) {
+            let found = format!("{address}, which is {earlier} too");
+            faults.push(instance.fault_at(key, found, "an address of its own"));
+        }
+        taken.push((key, address));
+    }
+}
+
+fn build(sections: &[Section], role: Role) -> Option<Settings> {
+    let value = |heading: &str, key: &str| {
+        sections
+            .iter()
+            .find(|section| section.heading == heading)
+            .and_then(|section| section.value(key))
+    };
+    let address = |heading, key| value(heading, key).and_then(schema::address);
+    let agent = match role {
+        Role::Balancer => None,
+        Role::Agent => Some(AgentSettings {
+            backend_server: address("backend-server", "address")?,
+            fabric: address("fabric", "address")?,
+        }),
+    };
+    Some(Settings {
+        name: value("instance", "name")?.to_string(),
+        data_centre: value("instance", "data_centre")?.to_string(),
+        address: address("instance", "address")?,
+        control: address("instance", "control")?,
+        metrics: value("instance", "metrics")?.parse().ok()?,
+        key: value("instance", "key").and_then(schema::hex_key)?,
+        platforms: value("platform", "addresses").and_then(schema::addresses)?,
+        peers: value("peers", "control")
+            .and_then(schema::addresses)
+            .unwrap_or_default(),
+        agent,
+    })
+}
--- /dev/null
+++ b/crates/transport/src/platform.rs
@@ -0,0 +1,174 @@
+//! Client of the platform's configuration service: reads and watches, never
+//! writes. Each call is one request on a connection of its own, and counted.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header;
+use metrics::counter;
+use ramp_coordination::published::Failure;
+use ramp_coordination::published::Published;
+use ramp_coordination::published::Reply;
+use ramp_state::key::Version;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::hyper_io::HyperIo;
+
+/// Name of the header with the version of an answer.
+pub const VERSION_HEADER: &str = "x-version";
+
+/// Longest text that the platform holds.
+pub const TEXT_LIMIT_BYTES: usize = 1024 * 1024;
+
+/// Time a call may take beyond the wait that it asks for.
+pub const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Text that the platform publishes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The fleet document.
+    Fleet,
+    /// The list of live and leaving instances.
+    Instances,
+}
+
+impl Topic {
+    /// Name in paths and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Topic::Fleet => "fleet",
+            Topic::Instances => "instances",
+        }
+    }
+}
+
+/// Asks for a fleet document newer than `after`; the platform holds the answer
+/// for up to `wait` until there is one.
+///
+/// # Errors
+///
+/// [`Failure`], at the latest [`CALL_LIMIT`] after `wait`.
+pub async fn fetch_fleet(
+    addr: SocketAddrV4,
+    after: Version,
+    wait: Duration,
+) -> Result<Reply, Failure> {
+    fetch(addr, Topic::Fleet, after, wait).await
+}
+
+/// Asks for a list of instances newer than `after`, as [`fetch_fleet`].
+///
+/// # Errors
+///
+/// As [`fetch_fleet`].
+pub async fn fetch_instances(
+    addr: SocketAddrV4,
+    after: Version,
+    wait: Duration,
+) -> Result<Reply, Failure> {
+    fetch(addr, Topic::Instances, after, wait).await
+}
+
+/// Asks for a newer text of `topic`, as [`fetch_fleet`].
+///
+/// # Errors
+///
+/// As [`fetch_fleet`].
+pub async fn fetch(
+    addr: SocketAddrV4,
+    topic: Topic,
+    after: Version,
+    wait: Duration,
+) -> Result<Reply, Failure> {
+    let result = timeout(wait + CALL_LIMIT, call(addr, topic, after, wait))
+        .await
+        .unwrap_or(Err(Failure::TimedOut));
+    counter!(
+        "bramleyramp_platform_calls_total",
+        "topic" => topic.name(),
+        "result" => label(&result),
+    )
+    .increment(1);
+    result
+}
+
+fn label(result: &Result<Reply, Failure>) -> &'static str {
+    match result {
+        Ok(Reply::Newer(_)) => "newer",
+        Ok(Reply::Unchanged { .. }) => "unchanged",
+        Err(Failure::Unreachable(_)) => "unreachable",
+        Err(Failure::TimedOut) => "timed_out",
+        Err(Failure::Status(_)) => "status",
+        Err(Failure::NoVersion) => "no_version",
+        Err(Failure::Unreadable) => "unreadable",
+    }
+}
+
+async fn call(
+    addr: SocketAddrV4,
+    topic: Topic,
+    after: Version,
+    wait: Duration,
+) -> Result<Reply, Failure> {
+    let stream = TcpStream::connect(addr).await.map_err(unreachable)?;
+    let (mut tx, connection) = http1::handshake(HyperIo::new(stream))
+        .await
+        .map_err(unreachable)?;
+    // It ends when `tx` and the answer's body are dropped.
+    tokio::spawn(connection);
+    let path = format!(
+        "/{}?after={after}&wait_ms={}",
+        topic.name(),
+        wait.as_millis()
+    );
+    let req = Request::get(path)
+        .header(header::HOST, addr.to_string())
+        .body(Empty::<Bytes>::new())
+        .expect("the path has only letters, digits and marks of a query");
+    let response = tx.send_request(req).await.map_err(unreachable)?;
+    read(response).await
+}
+
+fn unreachable(err: impl std::error::Error) -> Failure {
+    Failure::Unreachable(err.to_string())
+}
+
+async fn read(response: Response<Incoming>) -> Result<Reply, Failure> {
+    let status = response.status();
+    if status != StatusCode::OK && status != StatusCode::NOT_MODIFIED {
+        return Err(Failure::Status(status.as_u16()));
+    }
+    let version = version(&response).ok_or(Failure::NoVersion)?;
+    if status == StatusCode::NOT_MODIFIED {
+        return Ok(Reply::Unchanged { version });
+    }
+    let body = Limited::new(response.into_body(), TEXT_LIMIT_BYTES);
+    let bytes = body.collect().await.map_err(body_failure)?.to_bytes();
+    let Ok(text) = String::from_utf8(bytes.to_vec()) else {
+        return Err(Failure::Unreadable);
+    };
+    Ok(Reply::Newer(Published { version, text }))
+}
+
+fn version(response: &Response<Incoming>) -> Option<Version> {
+    let value = response.headers().get(VERSION_HEADER)?;
+    value.to_str().ok()?.parse().ok().map(Version)
+}
+
+fn body_failure(err: Box<dyn std::error::Error + Send + Sync>) -> Failure {
+    match err.is::<LengthLimitError>() {
+        true => Failure::Unreadable,
+        false => Failure::Unreachable(err.to_string()),
+    }
+}
--- /dev/null
+++ b/ramplab/src/cmd/platform.rs
@@ -0,0 +1,70 @@
+//! Stand-in for the platform: publishes two texts over HTTP.
+
+use std::process::ExitCode;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::platform;
+use crate::platform::Config;
+
+const USAGE: &str = "\
+Stands in for the platform: publishes a fleet document and a list of instances.
+
+Usage:
+    ramplab platform --listen IP:PORT --fleet FILE --instances FILE [options]
+
+Editing a file, or PUT /fleet and PUT /instances, publishes a new version.
+PUT /mode takes `up`, `down` or `stale VERSION`; GET /calls counts the calls.
+
+Options:
+    --listen IP:PORT        Where to listen; port 0 lets the kernel give one.
+    --fleet FILE            The fleet document.
+    --instances FILE        The list of instances.
+    --ready-file FILE       Write the bound address there once bound.
+    --first-version NUMBER  Version of the first texts (default: 1).
+    -h, --help              Show this text.
+";
+
+/// Runs the subcommand.
+pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
+    let Some(config) = parse(args)? else {
+        print!("{USAGE}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, platform::serve(config))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn parse(mut args: lexopt::Parser) -> CliResult<Option<Config>> {
+    use lexopt::prelude::*;
+
+    let mut listen = None;
+    let mut fleet = None;
+    let mut instances = None;
+    let mut ready_file = None;
+    let mut first_version = 1;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("listen") => listen = Some(args.value()?.parse()?),
+            Long("fleet") => fleet = Some(args.value()?.into()),
+            Long("instances") => instances = Some(args.value()?.into()),
+            Long("ready-file") => ready_file = Some(args.value()?.into()),
+            Long("first-version") => first_version = args.value()?.parse()?,
+            Long("help") | Short('h') => return Ok(None),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let (Some(listen), Some(fleet), Some(instances)) = (listen, fleet, instances) else {
+        return Err(CliError::Usage(USAGE.to_string()));
+    };
+    Ok(Some(Config {
+        listen,
+        fleet,
+        instances,
+        ready_file,
+        first_version,
+    }))
+}
--- a/ramplab/src/main.rs
+++ b/ramplab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod error;
+mod platform;
 
 use std::process::ExitCode;
 
