--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod balancer;
 pub mod outgoing;
 pub mod picture;
+pub mod published;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,3 +1,6 @@
-//! Transport layer: sockets, threads and the HTTP glue around the decisions.
+//! Transport layer: sockets, threads, the platform client, and the glue to
+//! the TCP and HTTP libraries. All decisions are made in the coordination
+//! layer; this one carries them out.
 
+pub mod platform;
 pub mod requests;
