Decide for each packet of a flow where it goes

Cause: agents had no rule for where a flow lives; the traffic thread needs one to be written against. Ruled out: flow state at balancers (any balancer must do); opening on the first handshake packet alone (a doubled first packet would run twice); answering every question with "not mine" (a member that the asker does not know yet might own the flow, so members that see another home stay silent). GroupPicture gains `latest`, the highest configuration version heard of in the group. Conclusion: interface stands, behaviour is not yet proved.

--- /dev/null
+++ b/crates/coordination/src/flows/directory.rs
@@ -0,0 +1,84 @@
+//! Pointers from flows to owners, at their home.
+//!
+//! Bounded without a timer: two generations, of which the older is thrown
+//! away whole when the younger is full. A pointer that is used moves to the
+//! younger one. A lost pointer costs one question.
+
+use std::collections::HashMap;
+
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+
+use super::hash::SeededState;
+
+/// Pointers in one generation.
+const GENERATION_LEN: usize = 32_768;
+
+/// Where a flow lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Pointer {
+    /// Agent that owns the flow.
+    pub(super) owner: InstanceId,
+    /// Whether a caller has been told that the owner is gone.
+    pub(super) reset: bool,
+}
+
+/// Pointers by flow.
+#[derive(Debug)]
+pub(super) struct Directory {
+    young: HashMap<FlowKey, Pointer, SeededState>,
+    old: HashMap<FlowKey, Pointer, SeededState>,
+}
+
+impl Directory {
+    pub(super) fn new(seed: u64) -> Directory {
+        let state = SeededState::new(seed);
+        Directory {
+            young: HashMap::with_hasher(state),
+            old: HashMap::with_hasher(state),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    pub(super) fn get(&mut self, key: &FlowKey) -> Option<&mut Pointer> {
+        if self.young.contains_key(key) {
+            return self.young.get_mut(key);
+        }
+        let pointer = self.old.remove(key)?;
+        self.make_room();
+        Some(self.young.entry(*key).or_insert(pointer))
+    }
+
+    pub(super) fn insert(&mut self, key: FlowKey, owner: InstanceId) {
+        self.old.remove(&key);
+        self.make_room();
+        let pointer = Pointer {
+            owner,
+            reset: false,
+        };
+        self.young.insert(key, pointer);
+    }
+
+    pub(super) fn remove(&mut self, key: &FlowKey) {
+        self.young.remove(key);
+        self.old.remove(key);
+    }
+
+    /// Removes the pointer if it leads to `owner`.
+    pub(super) fn remove_if(&mut self, key: &FlowKey, owner: InstanceId) {
+        if self.get(key).is_some_and(|p| p.owner == owner) {
+            self.young.remove(key);
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.young.len() < GENERATION_LEN {
+            return;
+        }
+        std::mem::swap(&mut self.young, &mut self.old);
+        self.young.clear();
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/flows/hash.rs
@@ -0,0 +1,29 @@
+//! Keyed hashing for tables whose keys callers choose.
+
+use std::hash::BuildHasher;
+
+use ramp_state::key::mix;
+use siphasher::sip::SipHasher13;
+
+/// Builds hashers keyed by a seed, so that callers can't aim at one bucket
+/// and a run with the same seed is repeatable.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeededState {
+    keys: (u64, u64),
+}
+
+impl SeededState {
+    pub(super) fn new(seed: u64) -> SeededState {
+        SeededState {
+            keys: (mix(seed), mix(seed ^ 1)),
+        }
+    }
+}
+
+impl BuildHasher for SeededState {
+    type Hasher = SipHasher13;
+
+    fn build_hasher(&self) -> SipHasher13 {
+        SipHasher13::new_with_keys(self.keys.0, self.keys.1)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/flows/registration.rs
@@ -0,0 +1,159 @@
+//! Registration of displaced flows with their new home, and their release.
+//!
+//! After a change of the view the owner walks over its flows a few at a time
+//! and tells each new home, in batches, which of its flows live here. The
+//! pace keeps the control traffic of an agent bounded.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ramp_protocol::message::Message;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+
+use super::Outgoing;
+use super::bucket::TokenBucket;
+use super::table::FlowId;
+
+/// Flows in one datagram.
+pub(super) const BATCH_FLOWS: usize = 80;
+
+/// Time between two batches of registrations or releases.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Flows looked at in one period.
+pub(super) const WALK_FLOWS: usize = 512;
+
+/// What a datagram costs beside its flows, in flows.
+const DATAGRAM_FLOWS: u64 = 6;
+
+/// Flows that may be told to others, a second.
+const FLOWS_PER_S: u64 = 320;
+
+/// Flows that may be told to others at once.
+const FLOWS_BURST: u64 = 640;
+
+/// Flows whose end may wait to be told; the home finds out by itself
+/// about those beyond.
+const RELEASES_MAX: usize = 4096;
+
+/// Flows to be told to other members.
+#[derive(Debug)]
+pub(super) struct Registration {
+    /// Flows whose home may have changed.
+    walk: VecDeque<FlowId>,
+    registers: IndexMap<InstanceId, Vec<FlowKey>>,
+    releases: IndexMap<InstanceId, Vec<FlowKey>>,
+    waiting_releases: usize,
+    next_at: Option<Millis>,
+    flows: TokenBucket,
+}
+
+impl Registration {
+    pub(super) fn new() -> Registration {
+        Registration {
+            walk: VecDeque::new(),
+            registers: IndexMap::new(),
+            releases: IndexMap::new(),
+            waiting_releases: 0,
+            next_at: None,
+            flows: TokenBucket::new(FLOWS_PER_S, FLOWS_BURST),
+        }
+    }
+
+    /// Starts a walk over `flows`, in place of one that has not ended.
+    pub(super) fn restart(&mut self, now: Millis, flows: impl Iterator<Item = FlowId>) {
+        self.walk.clear();
+        self.registers.clear();
+        self.walk.extend(flows);
+        self.arm(now);
+    }
+
+    /// Adds one flow to the walk.
+    pub(super) fn add(&mut self, now: Millis, flow: FlowId) {
+        self.walk.push_back(flow);
+        self.arm(now);
+    }
+
+    /// Notes that `flow`, to which `home` has a pointer, has ended.
+    pub(super) fn release(&mut self, now: Millis, home: InstanceId, flow: FlowKey) {
+        if self.waiting_releases >= RELEASES_MAX {
+            return;
+        }
+        self.releases.entry(home).or_default().push(flow);
+        self.waiting_releases += 1;
+        self.arm(now);
+    }
+
+    /// Whether a period has passed; begins the next one.
+    pub(super) fn begin(&mut self, now: Millis) -> bool {
+        if self.next_at.is_none_or(|at| at > now) {
+            return false;
+        }
+        self.next_at = None;
+        true
+    }
+
+    /// Next flow of the walk.
+    pub(super) fn next_flow(&mut self) -> Option<FlowId> {
+        self.walk.pop_front()
+    }
+
+    /// Adds a displaced flow to the batch for `home`.
+    pub(super) fn register(&mut self, home: InstanceId, flow: FlowKey) {
+        self.registers.entry(home).or_default().push(flow);
+    }
+
+    /// Sends batches as far as the pace allows; returns flows registered.
+    pub(super) fn send(&mut self, now: Millis, outbox: &mut Vec<Outgoing>) -> usize {
+        let (registers, bucket) = (&mut self.registers, &mut self.flows);
+        let registered = send_batches(now, registers, bucket, outbox, |flows| Message::Register {
+            flows,
+        });
+        let released = send_batches(now, &mut self.releases, bucket, outbox, |flows| {
+            Message::Release { flows }
+        });
+        self.waiting_releases -= released;
+        if !self.walk.is_empty() || !self.registers.is_empty() || !self.releases.is_empty() {
+            self.arm(now);
+        }
+        registered
+    }
+
+    /// When the next batch is due.
+    pub(super) fn next_timer(&self) -> Option<Millis> {
+        self.next_at
+    }
+
+    fn arm(&mut self, now: Millis) {
+        self.next_at.get_or_insert(now + PERIOD);
+    }
+}
+
+fn send_batches(
+    now: Millis,
+    waiting: &mut IndexMap<InstanceId, Vec<FlowKey>>,
+    bucket: &mut TokenBucket,
+    outbox: &mut Vec<Outgoing>,
+    message: impl Fn(Vec<FlowKey>) -> Message,
+) -> usize {
+    let mut sent = 0;
+    for (home, flows) in waiting.iter_mut() {
+        while !flows.is_empty() {
+            let len = flows.len().min(BATCH_FLOWS);
+            if !bucket.take(now, len as u64 + DATAGRAM_FLOWS) {
+                break;
+            }
+            let batch = flows.split_off(flows.len() - len);
+            sent += len;
+            outbox.push(Outgoing {
+                to: *home,
+                message: message(batch),
+            });
+        }
+    }
+    waiting.retain(|_, flows| !flows.is_empty());
+    sent
+}
--- /dev/null
+++ b/crates/coordination/src/flows/table.rs
@@ -0,0 +1,176 @@
+//! The flows that this agent owns.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::hash::SeededState;
+
+/// Time after which a half-open flow fades.
+pub(super) const HALF_OPEN_LIMIT: Duration = Duration::from_secs(15);
+
+new_key_type! {
+    /// Place of a flow in the arena; never reused for another flow.
+    pub(super) struct FlowId;
+}
+
+/// How far the handshake of a flow is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Handshake {
+    /// Opened; the initial sequence number is not known yet.
+    Opened,
+    /// Our SYN-ACK left with this initial sequence number.
+    Accepted(u32),
+    /// The caller acknowledged our SYN-ACK.
+    Done,
+}
+
+/// One flow that this agent owns.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Flow {
+    pub(super) key: FlowKey,
+    pub(super) handshake: Handshake,
+    /// Member that holds a pointer to it, as far as known.
+    pub(super) pointer_at: Option<InstanceId>,
+}
+
+impl Flow {
+    /// Whether a segment with this acknowledgement number belongs to the flow.
+    pub(super) fn is_proved_by(&self, ack: u32) -> bool {
+        match self.handshake {
+            Handshake::Opened => false,
+            Handshake::Accepted(isn) => ack == isn.wrapping_add(1),
+            Handshake::Done => true,
+        }
+    }
+}
+
+/// Table of the flows that this agent owns, by key.
+#[derive(Debug)]
+pub(super) struct FlowTable {
+    ids: HashMap<FlowKey, FlowId, SeededState>,
+    flows: SlotMap<FlowId, Flow>,
+    /// Half-open flows in the order in which they fade; some may be gone.
+    fading: VecDeque<(Millis, FlowId)>,
+    half_open: usize,
+}
+
+impl FlowTable {
+    pub(super) fn new(seed: u64) -> FlowTable {
+        FlowTable {
+            ids: HashMap::with_hasher(SeededState::new(seed)),
+            flows: SlotMap::with_key(),
+            fading: VecDeque::new(),
+            half_open: 0,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(super) fn half_open(&self) -> usize {
+        self.half_open
+    }
+
+    pub(super) fn id(&self, key: &FlowKey) -> Option<FlowId> {
+        self.ids.get(key).copied()
+    }
+
+    pub(super) fn get(&self, id: FlowId) -> Option<&Flow> {
+        self.flows.get(id)
+    }
+
+    pub(super) fn find(&self, key: &FlowKey) -> Option<&Flow> {
+        self.flows.get(self.id(key)?)
+    }
+
+    pub(super) fn find_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
+        let id = self.id(key)?;
+        self.flows.get_mut(id)
+    }
+
+    /// Adds a half-open flow.
+    pub(super) fn open(&mut self, now: Millis, key: FlowKey, pointer_at: Option<InstanceId>) {
+        let id = self.flows.insert(Flow {
+            key,
+            handshake: Handshake::Opened,
+            pointer_at,
+        });
+        self.ids.insert(key, id);
+        self.fading.push_back((now + HALF_OPEN_LIMIT, id));
+        self.half_open += 1;
+    }
+
+    /// Marks a half-open flow as established.
+    pub(super) fn establish(&mut self, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(id) else {
+            return;
+        };
+        if flow.handshake != Handshake::Done {
+            flow.handshake = Handshake::Done;
+            self.half_open -= 1;
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        let id = self.ids.remove(key)?;
+        let flow = self.flows.remove(id)?;
+        if flow.handshake != Handshake::Done {
+            self.half_open -= 1;
+        }
+        Some(flow)
+    }
+
+    /// Removes the next half-open flow whose time is up.
+    pub(super) fn fade(&mut self, now: Millis) -> Option<Flow> {
+        self.settle_fading();
+        let (at, id) = *self.fading.front()?;
+        if at > now {
+            return None;
+        }
+        let key = self.flows.get(id)?.key;
+        self.fading.pop_front();
+        self.remove(&key)
+    }
+
+    /// Removes the oldest half-open flow.
+    pub(super) fn fade_oldest(&mut self) -> Option<Flow> {
+        self.settle_fading();
+        let (_, id) = self.fading.pop_front()?;
+        let key = self.flows.get(id)?.key;
+        self.remove(&key)
+    }
+
+    /// When the next half-open flow may fade.
+    pub(super) fn next_fade(&self) -> Option<Millis> {
+        self.fading.front().map(|(at, _)| *at)
+    }
+
+    pub(super) fn established(&self) -> impl Iterator<Item = FlowId> {
+        self.flows
+            .iter()
+            .filter(|(_, flow)| flow.handshake == Handshake::Done)
+            .map(|(id, _)| id)
+    }
+
+    /// Drops flows from the front of the queue that are no longer half-open.
+    fn settle_fading(&mut self) {
+        while let Some((_, id)) = self.fading.front() {
+            let half_open = self
+                .flows
+                .get(*id)
+                .is_some_and(|flow| flow.handshake != Handshake::Done);
+            if half_open {
+                return;
+            }
+            self.fading.pop_front();
+        }
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,4 +5,5 @@
 //! seeds and times are passed in, messages go out as typed values.
 
 pub mod balancer;
+pub mod flows;
 pub mod picture;
--- a/crates/coordination/src/picture.rs
+++ b/crates/coordination/src/picture.rs
@@ -15,6 +15,9 @@
 pub struct GroupPicture {
     /// Configuration version that the picture was made from.
     pub version: Version,
+    /// Highest configuration version heard of in the group. While it is above
+    /// `version`, there may be members that are not known here yet.
+    pub latest: Version,
     /// The group, with who is alive, leaving or in a data centre taken out.
     pub group: Arc<Group>,
     /// Last known load of each member.
