--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! seeds and times are passed in, messages go out as typed values.
 
 pub mod balancer;
+pub mod flows;
 pub mod outgoing;
 pub mod picture;
 pub mod published;
