Stand in for the fabric: callers' streams as sprayed packets

Cause: no caller can reach a balancer without a fabric to spray packets. Ruled out: a tun device, since it needs privileges; one interface for all connections, since its work a packet grows with them. Change: ramplab fabric, with loss, duplication, reordering and delay drawn by seed, the platform's instance list followed, and a tap of what went where.

--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -1,7 +1,13 @@
 //! The subcommands, one file each.
 
+mod fabric;
+
 use std::process::ExitCode;
 
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+
 use crate::error::CliError;
 use crate::error::CliResult;
 
@@ -15,7 +21,11 @@
     run: Run,
 }
 
-const COMMANDS: &[Command] = &[];
+const COMMANDS: &[Command] = &[Command {
+    name: "fabric",
+    about: "spray callers' packets over the balancers",
+    run: fabric::run,
+}];
 
 /// Runs the subcommand `name`.
 pub fn run(name: &str, args: lexopt::Parser) -> CliResult<ExitCode> {
@@ -35,3 +45,22 @@
         .map(|c| format!("    {:<14} {}\n", c.name, c.about))
         .collect()
 }
+
+/// Runs `work` on one thread, with local tasks.
+fn on_local_runtime(work: impl Future<Output = CliResult<ExitCode>>) -> CliResult<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, work)
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn until_terminated() -> CliResult<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/ramplab/src/fabric/tap.rs
@@ -0,0 +1,95 @@
+//! Counts of the packets that passed the fabric, by where they went.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fabric::link::Fate;
+
+/// Packets of one destination or source.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Passed {
+    /// Packets.
+    pub packets: u64,
+    /// Bytes.
+    pub bytes: u64,
+    /// Wall-clock time of the last one, in milliseconds.
+    pub last_ms: u64,
+}
+
+/// Counts of all packets.
+#[derive(Debug, Default)]
+pub struct Tap {
+    to_balancers: IndexMap<SocketAddrV4, Passed>,
+    from_agents: IndexMap<SocketAddr, Passed>,
+    lost: u64,
+    duplicated: u64,
+    reordered: u64,
+    /// Dropped because no balancer was known.
+    pub no_balancer: u64,
+    /// Dropped at a full socket.
+    pub full: u64,
+    /// Dropped because sending failed.
+    pub failed: u64,
+    /// Returned packets that can't be read.
+    pub malformed: u64,
+    /// Returned packets of no connection.
+    pub unknown: u64,
+}
+
+impl Tap {
+    /// Counts a packet sent to a balancer.
+    pub fn sent(&mut self, to: SocketAddrV4, len: usize) {
+        self.to_balancers.entry(to).or_default().count(len);
+    }
+
+    /// Counts a packet that an agent sent back.
+    pub fn returned(&mut self, from: SocketAddr, len: usize) {
+        self.from_agents.entry(from).or_default().count(len);
+    }
+
+    /// Counts what the link did to a packet.
+    pub fn count_fate(&mut self, fate: &Fate) {
+        self.lost += u64::from(fate.lost);
+        self.duplicated += u64::from(fate.duplicate_delay.is_some());
+        self.reordered += u64::from(fate.reordered);
+    }
+
+    /// All counts as JSON.
+    pub fn to_json(&self, connections: usize) -> Value {
+        json!({
+            "connections": connections,
+            "lost": self.lost,
+            "duplicated": self.duplicated,
+            "reordered": self.reordered,
+            "no_balancer": self.no_balancer,
+            "full": self.full,
+            "failed": self.failed,
+            "malformed": self.malformed,
+            "unknown": self.unknown,
+            "to_balancers": self.to_balancers,
+            "from_agents": self.from_agents,
+        })
+    }
+}
+
+impl Passed {
+    fn count(&mut self, len: usize) {
+        self.packets += 1;
+        self.bytes += len as u64;
+        self.last_ms = wall_ms();
+    }
+}
+
+/// Wall-clock time, in milliseconds since the epoch.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64)
+}
--- /dev/null
+++ b/ramplab/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins, load and checks for trying bramleyramp on one machine.
+//!
+//! The subcommands of the `ramplab` binary are thin shells over these modules.
+
+pub mod fabric;
+pub mod http;
+pub mod rng;
