Let operators ask a process: status, ledger and document by capnp-rpc

Cause: reports and status need one typed way to ask any live process. Ruled out: JSON over HTTP on the metrics port (a second set of types, no bound on nesting); one connection for each question (a report asks six). Change: schema operator.capnp with its generated code, typed values and codecs; the bounded ledger (three rings of time buckets, space-saving callers, answer times) whose summaries travel in them; server and calls in ramp_transport::operator, bounded in connections, message size and time.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,8 +9,20 @@
 )]
 #[rustfmt::skip]
 pub mod control_capnp;
+#[allow(
+    missing_docs,
+    unsafe_code,
+    clippy::all,
+    clippy::pedantic,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod operator_capnp;
 pub mod codec;
 pub mod header;
 pub mod message;
+pub mod operator;
+pub mod operator_codec;
 pub mod packet;
 pub mod seal;
+pub mod summary_codec;
--- /dev/null
+++ b/crates/state/src/ledger/counts.rs
@@ -0,0 +1,140 @@
+//! Counters of events: by kind with answer times, and by class.
+
+use std::time::Duration;
+
+use crate::ledger::kind;
+use crate::ledger::kind::KINDS;
+use crate::ledger::kind::Kind;
+use crate::ledger::times::AnswerTimes;
+use crate::outcome::FlowEnd;
+use crate::outcome::Outcome;
+use crate::verdict::Verdict;
+
+/// Events by kind, with the answer times of served requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    by_kind: [u64; KINDS],
+    /// Answer times of served requests.
+    pub times: AnswerTimes,
+}
+
+impl Counts {
+    /// Counts one event.
+    pub fn add(&mut self, outcome: &Outcome) {
+        self.add_many(Kind::of(outcome), 1);
+        if let Outcome::Request {
+            verdict: Verdict::Served,
+            took,
+        } = outcome
+        {
+            self.times.add(*took);
+        }
+    }
+
+    /// Counts `n` events of one kind, without answer times.
+    pub fn add_many(&mut self, kind: Kind, n: u64) {
+        let count = &mut self.by_kind[kind.index()];
+        *count = count.saturating_add(n);
+    }
+
+    /// Adds the counts of `other`.
+    pub fn merge(&mut self, other: &Counts) {
+        for (x, y) in self.by_kind.iter_mut().zip(other.by_kind) {
+            *x = x.saturating_add(y);
+        }
+        self.times.merge(&other.times);
+    }
+
+    /// Number of events of one kind.
+    pub fn of(&self, kind: Kind) -> u64 {
+        self.by_kind[kind.index()]
+    }
+
+    /// Kinds that happened, with their numbers.
+    pub fn kinds(&self) -> impl Iterator<Item = (Kind, u64)> {
+        kind::ALL
+            .into_iter()
+            .zip(self.by_kind)
+            .filter(|(_, n)| *n > 0)
+    }
+
+    /// The same events by class.
+    pub fn classes(&self) -> Classes {
+        let mut classes = Classes::default();
+        for (kind, n) in self.kinds() {
+            classes.add(kind, n);
+        }
+        classes
+    }
+
+    /// Served requests answered within `limit`.
+    pub fn answered_within(&self, limit: Duration) -> u64 {
+        self.times.within(limit)
+    }
+}
+
+/// Events by class: what became of requests and flows, without the reasons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Classes {
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused: not run.
+    pub not_run: u64,
+    /// Requests cut: may have run.
+    pub may_have_run: u64,
+    /// Flows opened.
+    pub flows: u64,
+    /// Flows given up with their data centre.
+    pub given_up: u64,
+    /// Flows broken: cut at the drain limit, or reset because nobody knew them.
+    pub broken: u64,
+    /// Flows ended by their caller or backend server.
+    pub ended: u64,
+}
+
+impl Classes {
+    /// Counts `n` events of one kind.
+    pub fn add(&mut self, kind: Kind, n: u64) {
+        let count = self.class_mut(kind);
+        *count = count.saturating_add(n);
+    }
+
+    /// Adds the counts of `other`.
+    pub fn merge(&mut self, other: &Classes) {
+        self.served = self.served.saturating_add(other.served);
+        self.not_run = self.not_run.saturating_add(other.not_run);
+        self.may_have_run = self.may_have_run.saturating_add(other.may_have_run);
+        self.flows = self.flows.saturating_add(other.flows);
+        self.given_up = self.given_up.saturating_add(other.given_up);
+        self.broken = self.broken.saturating_add(other.broken);
+        self.ended = self.ended.saturating_add(other.ended);
+    }
+
+    /// Number of requests, whatever became of them.
+    pub fn requests(&self) -> u64 {
+        self.served
+            .saturating_add(self.not_run)
+            .saturating_add(self.may_have_run)
+    }
+
+    /// Number of events of all classes.
+    pub fn events(&self) -> u64 {
+        self.requests()
+            .saturating_add(self.flows)
+            .saturating_add(self.given_up)
+            .saturating_add(self.broken)
+            .saturating_add(self.ended)
+    }
+
+    fn class_mut(&mut self, kind: Kind) -> &mut u64 {
+        match kind {
+            Kind::Request(Verdict::Served) => &mut self.served,
+            Kind::Request(Verdict::NotRun(_)) => &mut self.not_run,
+            Kind::Request(Verdict::MayHaveRun(_)) => &mut self.may_have_run,
+            Kind::FlowOpened => &mut self.flows,
+            Kind::FlowEnded(FlowEnd::GivenUp) => &mut self.given_up,
+            Kind::FlowEnded(FlowEnd::DrainLimitPassed | FlowEnd::OwnerLost) => &mut self.broken,
+            Kind::FlowEnded(FlowEnd::Closed | FlowEnd::CallerLeft) => &mut self.ended,
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/ledger/mod.rs
@@ -0,0 +1,98 @@
+//! Ledger of one process: who got what, over bounded time and memory.
+//!
+//! Three rings of time buckets see every event: a fine one for minutes, a
+//! middle one for hours, a coarse one for days. A window is answered from the
+//! finest ring that is long enough. Memory is bounded by the sizes of the
+//! rings, whatever callers, services and servers there are; what finds no
+//! room is still counted in sums.
+
+pub mod callers;
+pub mod counts;
+pub mod kind;
+pub mod ring;
+pub mod summary;
+pub mod times;
+
+use std::time::Duration;
+
+use crate::ledger::ring::Ring;
+use crate::ledger::ring::RingSize;
+use crate::ledger::summary::Summary;
+use crate::ledger::summary::Window;
+use crate::outcome::Record;
+use crate::time::Millis;
+
+/// Rows a bucket holds: the members of the largest groups and more.
+const ROWS: usize = 32;
+
+/// Callers that a bucket counts singly.
+pub const CALLERS: usize = 128;
+
+const RINGS: [RingSize; 3] = [
+    RingSize {
+        width: Duration::from_secs(10),
+        buckets: 60,
+        rows: ROWS,
+        callers: CALLERS,
+    },
+    RingSize {
+        width: Duration::from_secs(5 * 60),
+        buckets: 72,
+        rows: ROWS,
+        callers: CALLERS,
+    },
+    RingSize {
+        width: Duration::from_secs(3_600),
+        buckets: 72,
+        rows: ROWS,
+        callers: CALLERS,
+    },
+];
+
+/// Bounded ledger of one process.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    started: Millis,
+    rings: [Ring; RINGS.len()],
+}
+
+impl Ledger {
+    /// Empty ledger of a process that starts at `now`.
+    pub fn new(now: Millis) -> Ledger {
+        Ledger {
+            started: now,
+            rings: RINGS.map(Ring::new),
+        }
+    }
+
+    /// Counts one event.
+    pub fn add(&mut self, now: Millis, record: &Record) {
+        for ring in &mut self.rings {
+            ring.add(now, record);
+        }
+    }
+
+    /// Counts over `window`, from the finest ring that is long enough. Says
+    /// how much it covers when the process is younger than that, or when no
+    /// ring is that long.
+    pub fn summary(&self, now: Millis, window: Window) -> Summary {
+        let coarsest = &self.rings[RINGS.len() - 1];
+        let ring = self
+            .rings
+            .iter()
+            .find(|r| r.span() >= window.back)
+            .unwrap_or(coarsest);
+        let age = now.since(self.started);
+        let mut summary = ring.summary(now, window.back, window.callers);
+        summary.asked = window.back;
+        summary.ledgers = 1;
+        summary.started_within = u64::from(age < window.back);
+        summary.covered = summary.covered.map(|covered| covered.min(age));
+        summary
+    }
+
+    /// Heap bytes held, from the sizes of the tables.
+    pub fn heap_bytes(&self) -> usize {
+        self.rings.iter().map(Ring::heap_bytes).sum()
+    }
+}
--- /dev/null
+++ b/crates/state/src/ledger/ring.rs
@@ -0,0 +1,175 @@
+//! Time buckets of one width, the newest few kept.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ledger::callers::CallerSketch;
+use crate::ledger::counts::Classes;
+use crate::ledger::counts::Counts;
+use crate::ledger::kind::Kind;
+use crate::ledger::summary::RowKey;
+use crate::ledger::summary::Summary;
+use crate::outcome::Record;
+use crate::time::Millis;
+
+/// Size of a ring and of its buckets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingSize {
+    /// Time that one bucket covers.
+    pub width: Duration,
+    /// Whole buckets kept beside the one being filled.
+    pub buckets: u64,
+    /// Rows a bucket holds; further ones are summed.
+    pub rows: usize,
+    /// Callers that a bucket counts singly.
+    pub callers: usize,
+}
+
+impl RingSize {
+    /// Longest window that the ring can answer.
+    pub fn span(&self) -> Duration {
+        self.width * self.buckets as u32
+    }
+}
+
+/// Ring of time buckets.
+#[derive(Clone, Debug)]
+pub struct Ring {
+    size: RingSize,
+    /// Buckets with events, oldest first; quiet ones have none.
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    index: u64,
+    rows: IndexMap<RowKey, Counts>,
+    other: Counts,
+    without_detail: u64,
+    callers: CallerSketch,
+    classes: Classes,
+}
+
+impl Ring {
+    /// Empty ring.
+    pub fn new(size: RingSize) -> Ring {
+        Ring {
+            size,
+            buckets: VecDeque::new(),
+        }
+    }
+
+    /// Longest window that the ring can answer.
+    pub fn span(&self) -> Duration {
+        self.size.span()
+    }
+
+    /// Counts one event.
+    pub fn add(&mut self, now: Millis, record: &Record) {
+        let size = self.size;
+        self.bucket(now).add(&size, record);
+    }
+
+    /// Counts of the last `back`, rounded up to whole buckets.
+    pub fn summary(&self, now: Millis, back: Duration, callers: bool) -> Summary {
+        let newest = self.index(now);
+        let oldest = self.index(now - back).max(self.oldest_kept(newest));
+        let mut summary = Summary {
+            step: self.size.width,
+            slices: vec![Classes::default(); (newest - oldest + 1) as usize],
+            covered: Some(now.since(self.start(oldest))),
+            ..Summary::default()
+        };
+        for bucket in self.buckets.iter().filter(|b| b.index >= oldest) {
+            bucket.add_to(&mut summary, callers);
+            let age = newest.saturating_sub(bucket.index) as usize;
+            summary.slices[age].merge(&bucket.classes);
+        }
+        summary
+    }
+
+    /// Heap bytes held, from the sizes of the tables.
+    pub fn heap_bytes(&self) -> usize {
+        let buckets = self.buckets.capacity() * size_of::<Bucket>();
+        let tables: usize = self.buckets.iter().map(Bucket::heap_bytes).sum();
+        buckets + tables
+    }
+
+    /// Bucket of `now`. A moment before the newest bucket counts there: the
+    /// past is closed.
+    fn bucket(&mut self, now: Millis) -> &mut Bucket {
+        let index = self.index(now);
+        let has_it = self.buckets.back().is_some_and(|b| b.index >= index);
+        if !has_it {
+            let oldest = self.oldest_kept(index);
+            while self.buckets.front().is_some_and(|b| b.index < oldest) {
+                self.buckets.pop_front();
+            }
+            self.buckets.push_back(Bucket::new(index, &self.size));
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+
+    fn index(&self, at: Millis) -> u64 {
+        at.0 / self.size.width.as_millis() as u64
+    }
+
+    fn start(&self, index: u64) -> Millis {
+        Millis(index * self.size.width.as_millis() as u64)
+    }
+
+    fn oldest_kept(&self, newest: u64) -> u64 {
+        newest.saturating_sub(self.size.buckets)
+    }
+}
+
+impl Bucket {
+    fn new(index: u64, size: &RingSize) -> Bucket {
+        Bucket {
+            index,
+            rows: IndexMap::new(),
+            other: Counts::default(),
+            without_detail: 0,
+            callers: CallerSketch::new(size.callers),
+            classes: Classes::default(),
+        }
+    }
+
+    fn add(&mut self, size: &RingSize, record: &Record) {
+        let kind = Kind::of(&record.outcome);
+        self.classes.add(kind, 1);
+        self.callers.add(*record.caller.ip(), kind);
+        let key = RowKey {
+            service: record.service,
+            server: record.server,
+        };
+        if let Some(counts) = self.rows.get_mut(&key) {
+            counts.add(&record.outcome);
+        } else if self.rows.len() < size.rows {
+            self.rows.entry(key).or_default().add(&record.outcome);
+        } else {
+            self.other.add(&record.outcome);
+            self.without_detail += 1;
+        }
+    }
+
+    fn add_to(&self, summary: &mut Summary, callers: bool) {
+        for (key, counts) in &self.rows {
+            summary.rows.entry(*key).or_default().merge(counts);
+        }
+        summary.other.merge(&self.other);
+        summary.without_detail += self.without_detail;
+        if callers {
+            summary.callers.merge(&self.callers.callers());
+        }
+    }
+
+    fn heap_bytes(&self) -> usize {
+        let row = size_of::<RowKey>() + size_of::<Counts>() + size_of::<u64>();
+        let index = (size_of::<usize>() + 1) * 2;
+        self.rows.capacity() * (row + index) + self.callers.heap_bytes()
+    }
+}
--- /dev/null
+++ b/crates/state/src/ledger/times.rs
@@ -0,0 +1,77 @@
+//! Answer times of served requests, in fixed buckets.
+
+use std::time::Duration;
+
+/// Upper bounds of the buckets in milliseconds; one more bucket takes the rest.
+pub const BOUNDS_MS: [u64; 31] = [
+    1, 2, 3, 5, 7, 10, 15, 20, 30, 50, 70, 100, 150, 200, 300, 500, 700, 1_000, 1_500, 2_000,
+    3_000, 5_000, 7_000, 10_000, 15_000, 20_000, 30_000, 60_000, 300_000, 1_800_000, 3_600_000,
+];
+
+/// Number of buckets.
+pub const BUCKETS: usize = BOUNDS_MS.len() + 1;
+
+/// Number of answers by the time they took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerTimes {
+    buckets: [u64; BUCKETS],
+}
+
+impl AnswerTimes {
+    /// Histogram with these numbers of answers; missing ones are zero.
+    pub fn from_buckets(counts: impl IntoIterator<Item = u64>) -> AnswerTimes {
+        let mut times = AnswerTimes::default();
+        for (bucket, count) in times.buckets.iter_mut().zip(counts) {
+            *bucket = count;
+        }
+        times
+    }
+
+    /// Counts one answer.
+    pub fn add(&mut self, took: Duration) {
+        // A bound belongs to its bucket: whole milliseconds, rounded up.
+        let ms = took.as_micros().div_ceil(1_000) as u64;
+        let at = BOUNDS_MS.partition_point(|bound| *bound < ms);
+        self.buckets[at] += 1;
+    }
+
+    /// Adds the counts of `other`.
+    pub fn merge(&mut self, other: &AnswerTimes) {
+        for (x, y) in self.buckets.iter_mut().zip(other.buckets) {
+            *x = x.saturating_add(y);
+        }
+    }
+
+    /// Number of answers.
+    pub fn total(&self) -> u64 {
+        self.buckets.iter().sum()
+    }
+
+    /// Number of answers that surely took at most `limit`. Exact when `limit`
+    /// is one of [`BOUNDS_MS`], too low otherwise.
+    pub fn within(&self, limit: Duration) -> u64 {
+        let ms = limit.as_millis() as u64;
+        let whole = BOUNDS_MS.partition_point(|bound| *bound <= ms);
+        self.buckets[..whole].iter().sum()
+    }
+
+    /// Upper bound of the bucket in which the share `ppm` of answers ends;
+    /// none without answers or when it is in the last, unbounded bucket.
+    pub fn quantile(&self, ppm: u32) -> Option<Duration> {
+        let total = self.total();
+        let rank = (u128::from(total) * u128::from(ppm)).div_ceil(1_000_000) as u64;
+        let mut seen = 0;
+        for (bound, count) in BOUNDS_MS.iter().zip(self.buckets) {
+            seen += count;
+            if total > 0 && seen >= rank {
+                return Some(Duration::from_millis(*bound));
+            }
+        }
+        None
+    }
+
+    /// Numbers of answers by bucket.
+    pub fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod instances;
 pub mod key;
+pub mod ledger;
 pub mod outcome;
 pub mod settings;
 pub mod time;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Transport layer: sockets, threads and the operator calls.
+
+pub mod operator;
