--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ini;
 pub mod instances;
 pub mod key;
+pub mod ledger;
 pub mod outcome;
 pub mod policy;
 pub mod schema;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,5 +2,6 @@
 //! the TCP and HTTP libraries. All decisions are made in the coordination
 //! layer; this one carries them out.
 
+pub mod operator;
 pub mod platform;
 pub mod requests;
