Bring one request from end to end through separate processes

Cause: the parts stood side by side; no packet had passed all of them. Ruled out: a bare relay of packets to the server's kernel (would need privileges for foreign addresses, and would see no requests); one smoltcp interface for all flows (work for a packet grows with the flows). Change: traffic threads of balancer and agent, one user-space TCP stack a flow under hyper, the control thread's core with effects, operator status, the two daemons' subcommands, refusal of replayed control messages, hold of traffic after a late wake. A balancer that is asked to end forwards for 3 s more and then ends (it first never ended: its drain was empty).

--- a/bramleyramp/src/cmd/mod.rs
+++ b/bramleyramp/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! The subcommands, one file each.
 
+mod agent;
+mod balancer;
 mod check;
 
 use std::process::ExitCode;
@@ -17,11 +19,23 @@
     run: Run,
 }
 
-const COMMANDS: &[Command] = &[Command {
-    name: "check",
-    about: "find every fault of settings and documents",
-    run: check::run,
-}];
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "agent",
+        about: "run beside a backend server",
+        run: agent::run,
+    },
+    Command {
+        name: "balancer",
+        about: "route callers' packets to agents",
+        run: balancer::run,
+    },
+    Command {
+        name: "check",
+        about: "find every fault of settings and documents",
+        run: check::run,
+    },
+];
 
 /// Runs the subcommand `name`.
 pub fn run(name: &str, args: lexopt::Parser) -> CliResult<ExitCode> {
--- a/bramleyramp/src/main.rs
+++ b/bramleyramp/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line of `bramleyramp`: picks the subcommand and nothing else.
 
 mod cmd;
+mod daemon;
 mod error;
 
 use std::process::ExitCode;
--- a/crates/coordination/src/flows/step.rs
+++ b/crates/coordination/src/flows/step.rs
@@ -1,10 +1,11 @@
 //! What goes into the router with a packet, and what comes out.
 
 use quick_error::quick_error;
-use ramp_protocol::message::Message;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::InstanceId;
 
+pub use crate::outgoing::Outgoing;
+
 /// How a packet came to this agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Arrival {
@@ -107,11 +108,18 @@
     pub reason: ResetReason,
 }
 
-/// A control message to another agent of the group.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Outgoing {
-    /// Agent that gets it.
-    pub to: InstanceId,
-    /// What it says.
-    pub message: Message,
+impl DropReason {
+    /// Short name, for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            DropReason::NoPicture => "no_picture",
+            DropReason::ForeignService => "foreign_service",
+            DropReason::NoHome => "no_home",
+            DropReason::HopLimit => "hop_limit",
+            DropReason::Asked => "asked",
+            DropReason::QuestionLimited => "question_limited",
+            DropReason::NotOwner => "not_owner",
+            DropReason::ResetOfGone => "reset_of_gone",
+        }
+    }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod outgoing;
 pub mod picture;
 pub mod published;
+pub mod replay;
+pub mod wake;
--- /dev/null
+++ b/crates/transport/src/agent/mod.rs
@@ -0,0 +1,9 @@
+//! Agent: ends callers' flows in user space and brings their requests to the
+//! backend server beside it.
+
+pub mod device;
+pub mod flows;
+pub mod io;
+pub mod stack;
+pub mod timers;
+pub mod traffic;
--- /dev/null
+++ b/crates/transport/src/balancer.rs
@@ -0,0 +1,196 @@
+//! Traffic thread of a balancer: reads callers' packets, asks the decision
+//! logic where each goes, and sends it on.
+//!
+//! The thread holds an immutable view that control replaces; it takes no lock
+//! and allocates nothing for a packet.
+
+use std::io;
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+use flume::Receiver;
+use flume::Sender;
+use flume::TryRecvError;
+use metrics::Counter;
+use metrics::counter;
+use ramp_coordination::balancer::DropReason;
+use ramp_coordination::balancer::route;
+use ramp_coordination::wake::Wake;
+use ramp_coordination::wake::WakeGuard;
+use ramp_protocol::header::HEADER_LEN_BYTES;
+use ramp_protocol::header::Header;
+use ramp_protocol::seal::FleetKey;
+use ramp_state::key::InstanceId;
+use ramp_state::view::View;
+
+use crate::clock::Clock;
+use crate::udp;
+
+/// Packets handled before updates from control are looked for again.
+const BATCH_PACKETS: usize = 64;
+
+/// What control tells the traffic thread.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// A new view is in force.
+    View(Arc<View>),
+    /// The configuration was confirmed after this wake.
+    Confirm(Wake),
+}
+
+/// What the traffic thread tells control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The thread was paused and holds traffic.
+    WokeLate(Wake),
+}
+
+/// What a balancer's traffic thread needs.
+pub struct Traffic {
+    /// Identity of this instance.
+    pub me: InstanceId,
+    /// Key of the fleet.
+    pub key: FleetKey,
+    /// Socket for packets, with a read timeout of [`udp::IDLE_TURN`].
+    pub socket: UdpSocket,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// News from control; the thread ends when control is gone.
+    pub updates: Receiver<Update>,
+    /// News to control.
+    pub events: Sender<Event>,
+}
+
+/// Counters of the packets of one thread.
+struct Counters {
+    forwarded: Counter,
+    malformed: Counter,
+    unknown_service: Counter,
+    no_member: Counter,
+    held: Counter,
+    send_failed: Counter,
+}
+
+/// State of the running thread.
+struct Worker {
+    traffic: Traffic,
+    view: Option<Arc<View>>,
+    guard: WakeGuard,
+    counters: Counters,
+    out: Vec<u8>,
+}
+
+impl Traffic {
+    /// Runs until control is gone.
+    ///
+    /// # Errors
+    ///
+    /// The socket failed.
+    pub fn run(self) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(udp::IDLE_TURN))?;
+        let guard = WakeGuard::new(self.clock.now());
+        let mut worker = Worker {
+            traffic: self,
+            view: None,
+            guard,
+            counters: Counters::new(),
+            out: Vec::with_capacity(HEADER_LEN_BYTES + udp::DATAGRAM_LIMIT_BYTES),
+        };
+        let mut buf = vec![0; udp::DATAGRAM_LIMIT_BYTES];
+        while worker.take_updates() {
+            worker.handle_batch(&mut buf)?;
+        }
+        Ok(())
+    }
+}
+
+impl Worker {
+    /// Takes what control sent; false when control is gone.
+    fn take_updates(&mut self) -> bool {
+        loop {
+            match self.traffic.updates.try_recv() {
+                Ok(Update::View(view)) => self.view = Some(view),
+                Ok(Update::Confirm(wake)) => self.guard.confirm(wake),
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Disconnected) => return false,
+            }
+        }
+    }
+
+    fn handle_batch(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        let mut next = udp::receive(&self.traffic.socket, buf)?;
+        self.note_turn();
+        for _ in 0..BATCH_PACKETS {
+            let Some(len) = next else {
+                return Ok(());
+            };
+            self.handle(&buf[..len]);
+            next = udp::receive_ready(&self.traffic.socket, buf)?;
+            self.note_turn();
+        }
+        let Some(len) = next else {
+            return Ok(());
+        };
+        self.handle(&buf[..len]);
+        Ok(())
+    }
+
+    fn note_turn(&mut self) {
+        let Some(wake) = self.guard.turn(self.traffic.clock.now()) else {
+            return;
+        };
+        // Control outlives this thread; if it is gone, the next turn ends.
+        let _ = self.traffic.events.send(Event::WokeLate(wake));
+    }
+
+    fn handle(&mut self, packet: &[u8]) {
+        let Some(view) = &self.view else {
+            return self.counters.held.increment(1);
+        };
+        if self.guard.is_holding() {
+            return self.counters.held.increment(1);
+        }
+        let member = match route(view, packet) {
+            Ok(member) => member,
+            Err(reason) => return self.counters.drop(reason),
+        };
+        let header = Header {
+            sender: self.traffic.me,
+            config: view.version,
+            hops: 1,
+            to_owner: false,
+        };
+        self.out.clear();
+        header.write(&self.traffic.key, packet, &mut self.out);
+        match self.traffic.socket.send_to(&self.out, member.agent) {
+            Ok(_) => self.counters.forwarded.increment(1),
+            // TCP sends a lost packet again.
+            Err(_) => self.counters.send_failed.increment(1),
+        }
+    }
+}
+
+impl Counters {
+    fn new() -> Counters {
+        Counters {
+            forwarded: counter!("balancer_packets_forwarded_total"),
+            malformed: dropped("malformed"),
+            unknown_service: dropped("unknown_service"),
+            no_member: dropped("no_member"),
+            held: dropped("held"),
+            send_failed: dropped("send_failed"),
+        }
+    }
+
+    fn drop(&self, reason: DropReason) {
+        match reason {
+            DropReason::Malformed(_) => self.malformed.increment(1),
+            DropReason::UnknownService => self.unknown_service.increment(1),
+            DropReason::NoMember => self.no_member.increment(1),
+        }
+    }
+}
+
+fn dropped(reason: &'static str) -> Counter {
+    counter!("balancer_packets_dropped_total", "reason" => reason)
+}
--- /dev/null
+++ b/crates/transport/src/control/balancer.rs
@@ -0,0 +1,103 @@
+//! Control state of a balancer: the view by which packets are routed.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Sender;
+use indexmap::IndexMap;
+use ramp_coordination::wake::Wake;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::operator::ServiceStatus;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::InstanceList;
+use ramp_state::time::Millis;
+use ramp_state::view::View;
+
+use crate::balancer::Event;
+use crate::balancer::Update;
+use crate::control::role::Dispatch;
+use crate::control::role::News;
+use crate::control::role::Role;
+use crate::control::role::service_status;
+
+/// Time for which a balancer that was asked to end still forwards: the fabric
+/// hears late that it leaves.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Control state of a balancer.
+pub struct BalancerRole {
+    updates: Sender<Update>,
+    wake: Wake,
+    view: Arc<View>,
+    end_at: Option<Millis>,
+}
+
+impl BalancerRole {
+    /// Role that hands its views to the traffic thread behind `updates`.
+    pub fn new(updates: Sender<Update>) -> BalancerRole {
+        BalancerRole {
+            updates,
+            wake: Wake::default(),
+            view: Arc::default(),
+            end_at: None,
+        }
+    }
+
+    fn tell(&self, update: Update) {
+        // A traffic thread that is gone has ended the process already.
+        let _ = self.updates.send(update);
+    }
+}
+
+impl Role for BalancerRole {
+    type Event = Event;
+
+    fn install(&mut self, _now: Millis, fleet: Arc<Fleet>) {
+        self.view = Arc::new(View::compile(&fleet, &HashSet::new()));
+        self.tell(Update::View(Arc::clone(&self.view)));
+    }
+
+    fn instances(&mut self, _now: Millis, _list: &InstanceList) {}
+
+    fn receive(&mut self, _now: Millis, _envelope: &Envelope) {}
+
+    fn event(&mut self, _now: Millis, event: Event) -> News {
+        let Event::WokeLate(wake) = event;
+        self.wake = wake;
+        News::WokeLate
+    }
+
+    fn confirm(&mut self) {
+        self.tell(Update::Confirm(self.wake));
+    }
+
+    fn drain(&mut self, now: Millis) {
+        self.end_at = Some(now + LINGER);
+    }
+
+    fn tick(&mut self, _now: Millis) {}
+
+    fn is_done(&self, now: Millis) -> bool {
+        self.end_at.is_some_and(|at| now >= at)
+    }
+
+    fn kind(&self) -> ramp_state::instances::Role {
+        ramp_state::instances::Role::Balancer
+    }
+
+    fn services(&self) -> Vec<ServiceStatus> {
+        let groups = self.view.groups();
+        groups
+            .map(|group| service_status(group, &IndexMap::new()))
+            .collect()
+    }
+
+    fn flows(&self) -> u32 {
+        0
+    }
+
+    fn take_sends(&mut self) -> Vec<Dispatch> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/control/socket.rs
@@ -0,0 +1,157 @@
+//! Socket for control messages: seals, numbers, and refuses what is forged,
+//! late or replayed.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use metrics::counter;
+use quick_error::quick_error;
+use ramp_coordination::replay::ReplayError;
+use ramp_coordination::replay::ReplayGuard;
+use ramp_protocol::codec;
+use ramp_protocol::codec::CodecError;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Message;
+use ramp_protocol::seal::FleetKey;
+use ramp_protocol::seal::SealError;
+use ramp_state::key::Incarnation;
+use ramp_state::key::InstanceId;
+use tokio::net::UdpSocket;
+
+use crate::udp;
+
+quick_error! {
+    /// Why a datagram on the control socket was dropped.
+    #[derive(Debug)]
+    pub enum Refusal {
+        /// Not sealed with the fleet's key.
+        Seal(err: SealError) {
+            display("{}", err)
+            from()
+        }
+        /// Not a control message.
+        Codec(err: CodecError) {
+            display("{}", err)
+            from()
+        }
+        /// Late, repeated or replayed.
+        Replay(err: ReplayError) {
+            display("{}", err)
+            from()
+        }
+        /// From this process itself.
+        Own {
+            display("from this process itself")
+        }
+    }
+}
+
+/// An accepted message and the address it came from.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Address of the sender's control socket.
+    pub from: SocketAddrV4,
+    /// The message with its sender.
+    pub envelope: Envelope,
+}
+
+/// The control socket of one process.
+pub struct ControlSocket {
+    socket: UdpSocket,
+    key: FleetKey,
+    me: InstanceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    guard: ReplayGuard,
+    buf: Vec<u8>,
+}
+
+impl ControlSocket {
+    /// Binds the socket of instance `me`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub fn bind(
+        address: SocketAddrV4,
+        key: FleetKey,
+        me: InstanceId,
+        incarnation: Incarnation,
+    ) -> io::Result<ControlSocket> {
+        let socket = udp::bind(address)?;
+        socket.set_nonblocking(true)?;
+        Ok(ControlSocket {
+            socket: UdpSocket::from_std(socket)?,
+            key,
+            me,
+            incarnation,
+            sequence: 0,
+            guard: ReplayGuard::default(),
+            buf: vec![0; udp::DATAGRAM_LIMIT_BYTES],
+        })
+    }
+
+    /// Sends a message. A datagram that can't be sent is lost like any other.
+    pub fn send(&mut self, to: SocketAddrV4, message: Message) {
+        self.sequence += 1;
+        let envelope = Envelope {
+            sender: self.me,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            message,
+        };
+        let mut buf = codec::encode(&envelope);
+        self.key.seal(&mut buf);
+        counter!("control_messages_sent_total").increment(1);
+        counter!("control_bytes_sent_total").increment(buf.len() as u64);
+        let _ = self.socket.try_send_to(&buf, to.into());
+    }
+
+    /// Waits for the next datagram; none when it was refused.
+    ///
+    /// # Errors
+    ///
+    /// The socket failed.
+    pub async fn receive(&mut self) -> io::Result<Option<Received>> {
+        let (len, from) = match self.socket.recv_from(&mut self.buf).await {
+            Ok(got) => got,
+            // A refusal told by an earlier destination.
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return Ok(None),
+            Err(err) => return Err(err),
+        };
+        counter!("control_bytes_received_total").increment(len as u64);
+        let SocketAddr::V4(from) = from else {
+            return Ok(None);
+        };
+        match self.open(len) {
+            Ok(envelope) => Ok(Some(Received { from, envelope })),
+            Err(refusal) => {
+                count_refusal(&refusal);
+                Ok(None)
+            }
+        }
+    }
+
+    fn open(&mut self, len: usize) -> Result<Envelope, Refusal> {
+        let body = self.key.open(&self.buf[..len])?;
+        let envelope = codec::decode(body)?;
+        if envelope.sender == self.me {
+            return Err(Refusal::Own);
+        }
+        self.guard
+            .accept(envelope.sender, envelope.incarnation, envelope.sequence)?;
+        Ok(envelope)
+    }
+}
+
+fn count_refusal(refusal: &Refusal) {
+    let reason = match refusal {
+        Refusal::Seal(_) => "forged",
+        Refusal::Codec(_) => "malformed",
+        Refusal::Replay(_) => "replayed",
+        Refusal::Own => "own",
+    };
+    counter!("control_messages_refused_total", "reason" => reason).increment(1);
+    log::debug!("control message refused: {refusal}");
+}
--- /dev/null
+++ b/crates/transport/src/control/status.rs
@@ -0,0 +1,59 @@
+//! What a process answers to operators, from the state of its control thread.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use ramp_protocol::operator::Document;
+use ramp_protocol::operator::Readiness;
+use ramp_protocol::operator::Status;
+use ramp_state::ledger::summary::Summary;
+use ramp_state::ledger::summary::Window;
+
+use crate::control::core::Core;
+use crate::control::role::Role;
+use crate::operator::OperatorSource;
+
+impl<R: Role> OperatorSource for Rc<RefCell<Core<R>>> {
+    fn status(&self) -> Status {
+        self.borrow().status()
+    }
+
+    fn ledger(&self, window: Window) -> Summary {
+        let core = self.borrow();
+        core.ledger.summary(core.now, window)
+    }
+
+    fn document(&self) -> Option<Document> {
+        None
+    }
+}
+
+impl<R: Role> Core<R> {
+    fn status(&self) -> Status {
+        Status {
+            name: self.settings.name.clone(),
+            role: self.role.kind(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            uptime: self.now.since(self.started_at),
+            config: self.version(),
+            readiness: self.readiness(),
+            services: self.role.services(),
+            flows: u64::from(self.role.flows()),
+            drains: Vec::new(),
+            platform_calls: self.platform_calls,
+            platform_silent: self.platform_heard.map(|at| self.now.since(at)),
+            refused: None,
+        }
+    }
+
+    fn readiness(&self) -> Readiness {
+        if self.draining {
+            return Readiness::Draining;
+        }
+        if self.fleet.is_none() {
+            return Readiness::Held;
+        }
+        Readiness::Serving
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,15 @@
 //! the TCP and HTTP libraries. All decisions are made in the coordination
 //! layer; this one carries them out.
 
+pub mod agent;
+pub mod balancer;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod logging;
+pub mod metrics_http;
 pub mod operator;
 pub mod platform;
 pub mod requests;
+pub mod signal;
+pub mod udp;
--- /dev/null
+++ b/crates/transport/src/metrics_http.rs
@@ -0,0 +1,59 @@
+//! Metrics of the process over HTTP, in the text form of Prometheus.
+
+use std::convert::Infallible;
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Content type of the text form.
+const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Makes the process count its metrics.
+///
+/// # Errors
+///
+/// Metrics were set up before.
+pub fn install() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new().install_recorder()
+}
+
+/// Answers every request with the metrics. Must run inside a `LocalSet`.
+///
+/// # Errors
+///
+/// The listener failed.
+pub async fn serve(listener: TcpListener, handle: PrometheusHandle) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let handle = handle.clone();
+        spawn_local(async move {
+            let service = service_fn(move |_: hyper::Request<Incoming>| {
+                let text = handle.render();
+                async move { Ok::<_, Infallible>(answer(text)) }
+            });
+            // A reader that goes away early loses only its own answer.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(text: String) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(text)));
+    answer.headers_mut().insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static(CONTENT_TYPE),
+    );
+    answer
+}
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header;
+use hyper_util::rt::TokioIo;
 use metrics::counter;
 use ramp_coordination::published::Failure;
 use ramp_coordination::published::Published;
@@ -23,8 +24,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::hyper_io::HyperIo;
-
 /// Name of the header with the version of an answer.
 pub const VERSION_HEADER: &str = "x-version";
 
@@ -122,7 +121,7 @@
     wait: Duration,
 ) -> Result<Reply, Failure> {
     let stream = TcpStream::connect(addr).await.map_err(unreachable)?;
-    let (mut tx, connection) = http1::handshake(HyperIo::new(stream))
+    let (mut tx, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(unreachable)?;
     // It ends when `tx` and the answer's body are dropped.
--- a/ramplab/src/platform/mod.rs
+++ b/ramplab/src/platform/mod.rs
@@ -14,7 +14,7 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use ramp_transport::hyper_io::HyperIo;
+use hyper_util::rt::TokioIo;
 use ramp_transport::platform::Topic;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -69,7 +69,7 @@
     let service = service_fn(move |req| service::answer(shared.clone(), req));
     // An error here is a caller that left, or an answer withheld on purpose.
     let _ = http1::Builder::new()
-        .serve_connection(HyperIo::new(stream), service)
+        .serve_connection(TokioIo::new(stream), service)
         .await;
 }
 
