--- a/ramplab/src/platform/mod.rs
+++ b/ramplab/src/platform/mod.rs
@@ -73,17 +73,21 @@
         .await;
 }
 
-/// Publishes the file's text whenever it differs from `last`.
-async fn watch(shared: Shared, topic: Topic, path: PathBuf, mut last: String) {
+/// Publishes the file's text whenever it differs from `published`.
+async fn watch(shared: Shared, topic: Topic, path: PathBuf, mut published: String) {
+    let mut seen = published.clone();
     loop {
         tokio::time::sleep(FILE_POLL).await;
         // An editor may be replacing the file just now.
         let Ok(text) = fs::read_to_string(&path) else {
             continue;
         };
-        if text != last {
-            last.clone_from(&text);
+        // Half a text may be read while it is written, but not twice alike.
+        if text == seen && text != published {
+            published.clone_from(&text);
             shared.borrow_mut().publish(topic, text);
+        } else {
+            seen = text;
         }
     }
 }
