Tell who is in a group and who is alive

Cause: agents need a picture of their group, balancers a view without dead members, and neither may take its own pause or a lagging list for a death. Ruled out: dead by the platform's list alone (it lags); digests that may mark their own recent senders dead (two agents that don't hear each other would make every balancer's view flap). Group::compile, Group::with_dead and View::with_group let one group be replaced without compiling the fleet. Conclusion: interface stands, behaviour is not yet proved.

--- a/crates/coordination/src/flows/counts.rs
+++ b/crates/coordination/src/flows/counts.rs
@@ -8,6 +8,8 @@
 pub struct DropCounts {
     /// See [`DropReason::NoPicture`].
     pub no_picture: u64,
+    /// See [`DropReason::DataCentreOut`].
+    pub data_centre_out: u64,
     /// See [`DropReason::ForeignService`].
     pub foreign_service: u64,
     /// See [`DropReason::NoHome`].
@@ -82,6 +84,7 @@
     pub(super) fn add(&mut self, reason: DropReason) {
         let count = match reason {
             DropReason::NoPicture => &mut self.no_picture,
+            DropReason::DataCentreOut => &mut self.data_centre_out,
             DropReason::ForeignService => &mut self.foreign_service,
             DropReason::NoHome => &mut self.no_home,
             DropReason::HopLimit => &mut self.hop_limit,
--- a/crates/coordination/src/flows/registration.rs
+++ b/crates/coordination/src/flows/registration.rs
@@ -106,6 +106,13 @@
         self.registers.entry(home).or_default().push(flow);
     }
 
+    /// Forgets what was meant for members that get no messages any more.
+    pub(super) fn retain(&mut self, keep: impl Fn(InstanceId) -> bool) {
+        self.registers.retain(|home, _| keep(*home));
+        self.releases.retain(|home, _| keep(*home));
+        self.waiting_releases = self.releases.values().map(Vec::len).sum();
+    }
+
     /// Sends batches as far as the pace allows; returns flows registered.
     pub(super) fn send(&mut self, now: Millis, outbox: &mut Vec<Outgoing>) -> usize {
         let (registers, bucket) = (&mut self.registers, &mut self.flows);
--- a/crates/coordination/src/flows/router.rs
+++ b/crates/coordination/src/flows/router.rs
@@ -46,6 +46,8 @@
 pub struct FlowRouter {
     me: InstanceId,
     picture: Option<Arc<GroupPicture>>,
+    /// Whether this agent's own data centre was taken out.
+    is_out: bool,
     table: FlowTable,
     directory: Directory,
     questions: Questions,
@@ -65,6 +67,7 @@
         FlowRouter {
             me,
             picture: None,
+            is_out: false,
             table: FlowTable::new(mix(seed)),
             directory: Directory::new(mix(seed ^ 1)),
             questions: Questions::new(mix(seed ^ 2)),
@@ -81,8 +84,9 @@
     /// Takes a new picture of the group into force.
     pub fn install(&mut self, now: Millis, picture: Arc<GroupPicture>) {
         let old = self.picture.replace(picture.clone());
-        self.answers
-            .retain(|id, _| picture.group.member(*id).is_some());
+        self.is_out = picture.group.member(self.me).is_some_and(|m| !m.reachable);
+        self.answers.retain(|id, _| hears(&picture, *id));
+        self.registration.retain(|id| hears(&picture, id));
         if let Some(old) = &old {
             self.placement.report(old, &picture);
         }
@@ -144,7 +148,7 @@
         let Some(picture) = self.picture.clone() else {
             return;
         };
-        if from == self.me || picture.group.member(from).is_none() {
+        if from == self.me || self.is_out || !hears(&picture, from) {
             return;
         }
         match message {
@@ -173,7 +177,7 @@
             self.abandon(flow.key);
         }
         self.questions.forget(now);
-        if self.registration.begin(now) {
+        if self.registration.begin(now) && !self.is_out {
             self.walk();
             self.counts.registered += self.registration.send(now, &mut self.outbox) as u64;
         }
@@ -219,6 +223,9 @@
     }
 
     fn decide(&mut self, now: Millis, arrival: Arrival, segment: &Segment) -> Step {
+        if self.is_out {
+            return Step::Drop(DropReason::DataCentreOut);
+        }
         if let Some(id) = self.table.id(&segment.key) {
             let flow = self.table.get(id).expect("the table is consistent");
             if flow.handshake == Handshake::Done || segment.opens || segment.rst {
@@ -409,7 +416,7 @@
         key: FlowKey,
     ) -> Step {
         if let Some(sender) = arrival.sender
-            && picture.group.member(sender).is_some()
+            && hears(picture, sender)
         {
             self.tell(now, sender, key, Answer::NotMine);
         }
@@ -618,6 +625,11 @@
     }
 }
 
+/// Whether `id` is a member that may be sent messages.
+fn hears(picture: &GroupPicture, id: InstanceId) -> bool {
+    picture.group.member(id).is_some_and(|m| m.reachable)
+}
+
 /// Members beside `me` that could own a flow.
 fn owners(picture: &GroupPicture, me: InstanceId) -> impl Iterator<Item = &Member> {
     picture
--- a/crates/coordination/src/flows/step.rs
+++ b/crates/coordination/src/flows/step.rs
@@ -44,6 +44,10 @@
         NoPicture {
             display("the group is not known yet")
         }
+        /// This agent's own data centre was taken out.
+        DataCentreOut {
+            display("the data centre was taken out")
+        }
         /// It is for another service than this agent's.
         ForeignService {
             display("the packet is for another service")
--- /dev/null
+++ b/crates/coordination/src/group/balancer.rs
@@ -0,0 +1,232 @@
+//! Membership of all groups as a balancer sees it.
+
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Message;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::InstanceList;
+use ramp_state::instances::Role;
+use ramp_state::key::InstanceId;
+use ramp_state::key::ServiceId;
+use ramp_state::time::Millis;
+use ramp_state::view::Group;
+use ramp_state::view::View;
+
+use super::digests::DIGEST_PERIOD;
+use super::pause::PauseGuard;
+use super::sequence::Sequences;
+
+/// Silence after which a member that sent digests may be reported dead by
+/// another: the two may just not hear each other.
+const SENDER_TRUST: Duration = Duration::from_millis(4600);
+
+/// Silence of a group's digests after which the platform's list counts.
+const DIGEST_SILENCE: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the clock.
+const TICK_PERIOD: Duration = Duration::from_secs(1);
+
+/// What digests say of one group.
+#[derive(Clone, Debug)]
+struct GroupState {
+    address: SocketAddrV4,
+    /// Members reported dead by the newest digest.
+    reported: HashSet<InstanceId>,
+    /// When the newest digest came.
+    heard_at: Option<Millis>,
+    /// When each sender's newest digest came.
+    senders: IndexMap<InstanceId, Millis>,
+}
+
+/// Membership of all groups at one balancer.
+#[derive(Debug)]
+pub struct BalancerMembership {
+    fleet: Option<Arc<Fleet>>,
+    /// All groups as configured, all members alive.
+    base: View,
+    view: Arc<View>,
+    changed: bool,
+    groups: IndexMap<ServiceId, GroupState>,
+    list: InstanceList,
+    listed: HashSet<InstanceId>,
+    sequences: Sequences,
+    pause: PauseGuard,
+    tick_at: Millis,
+}
+
+impl Default for BalancerMembership {
+    fn default() -> BalancerMembership {
+        BalancerMembership::new()
+    }
+}
+
+impl BalancerMembership {
+    /// Membership that knows no group yet.
+    pub fn new() -> BalancerMembership {
+        BalancerMembership {
+            fleet: None,
+            base: View::default(),
+            view: Arc::new(View::default()),
+            changed: false,
+            groups: IndexMap::new(),
+            list: InstanceList::default(),
+            listed: HashSet::new(),
+            sequences: Sequences::default(),
+            pause: PauseGuard::default(),
+            tick_at: Millis(0),
+        }
+    }
+
+    /// Takes a configuration into force, unless it is an older one.
+    pub fn install(&mut self, now: Millis, fleet: Arc<Fleet>) {
+        if self
+            .fleet
+            .as_ref()
+            .is_some_and(|f| f.version >= fleet.version)
+        {
+            return;
+        }
+        self.base = View::compile(&fleet, &HashSet::new());
+        self.fleet = Some(fleet);
+        let mut old = std::mem::take(&mut self.groups);
+        for group in self.base.groups() {
+            let state = old.swap_remove(&group.service).unwrap_or(GroupState {
+                address: group.address,
+                reported: HashSet::new(),
+                heard_at: None,
+                senders: IndexMap::new(),
+            });
+            let address = group.address;
+            self.groups
+                .insert(group.service, GroupState { address, ..state });
+        }
+        self.view = Arc::new(self.base.clone());
+        self.changed = true;
+        self.refresh(now);
+    }
+
+    /// Takes the platform's list of instances, unless it is an older one.
+    pub fn instances(&mut self, now: Millis, list: &InstanceList) {
+        if list.version < self.list.version {
+            return;
+        }
+        self.list = list.clone();
+        self.listed = list
+            .instances
+            .iter()
+            .filter(|(_, instance)| instance.role == Role::Agent)
+            .map(|(name, _)| InstanceId::of(name))
+            .collect();
+        self.refresh(now);
+    }
+
+    /// Takes a control message. False when it is late, repeated or reordered,
+    /// or a digest of a group by a process outside it.
+    pub fn receive(&mut self, now: Millis, envelope: &Envelope) -> bool {
+        self.forgive_own_pause(now);
+        let Message::Digest { service, dead, .. } = &envelope.message else {
+            return self.sequences.accept(envelope);
+        };
+        let Some(state) = self.groups.get_mut(service) else {
+            return false;
+        };
+        let group = self.base.group(state.address);
+        let sender = group.and_then(|g| g.member(envelope.sender));
+        if !sender.is_some_and(|m| m.reachable) || !self.sequences.accept(envelope) {
+            return false;
+        }
+        state.heard_at = Some(now);
+        state.senders.insert(envelope.sender, now);
+        state.reported = dead.iter().copied().collect();
+        let (service, address) = (*service, state.address);
+        self.refresh_group(now, service, address);
+        true
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: Millis) {
+        if self.tick_at > now {
+            return;
+        }
+        self.tick_at = now + TICK_PERIOD;
+        self.refresh(now);
+    }
+
+    /// Moment of the next [`BalancerMembership::tick`].
+    pub fn next_timer(&self) -> Option<Millis> {
+        Some(self.tick_at)
+    }
+
+    /// The view for the traffic threads, if it has changed since last asked.
+    pub fn take_view(&mut self) -> Option<Arc<View>> {
+        std::mem::take(&mut self.changed).then(|| self.view.clone())
+    }
+
+    fn refresh(&mut self, now: Millis) {
+        self.forgive_own_pause(now);
+        let groups: Vec<(ServiceId, SocketAddrV4)> =
+            self.groups.iter().map(|(id, s)| (*id, s.address)).collect();
+        for (service, address) in groups {
+            self.refresh_group(now, service, address);
+        }
+    }
+
+    /// A pause of this process is not the silence of the groups.
+    fn forgive_own_pause(&mut self, now: Millis) {
+        let Some(overslept) = self.pause.overslept(now) else {
+            return;
+        };
+        for state in self.groups.values_mut() {
+            let heard = state.heard_at.iter_mut().chain(state.senders.values_mut());
+            for at in heard {
+                *at = (*at + overslept).min(now);
+            }
+        }
+    }
+
+    fn refresh_group(&mut self, now: Millis, service: ServiceId, address: SocketAddrV4) {
+        let Some(base) = self.base.group(address) else {
+            return;
+        };
+        let state = &self.groups[&service];
+        let group = base.with_dead(&self.dead(now, base, state));
+        if self.view.group(address).is_some_and(|old| **old == group) {
+            return;
+        }
+        self.view = Arc::new(self.view.with_group(Arc::new(group)));
+        self.changed = true;
+    }
+
+    /// Members of a group that get no packets.
+    fn dead(&self, now: Millis, group: &Group, state: &GroupState) -> HashSet<InstanceId> {
+        let is_fresh = state
+            .heard_at
+            .is_some_and(|at| now.since(at) < DIGEST_SILENCE);
+        let ids = || group.members.iter().filter(|m| m.reachable).map(|m| m.id);
+        let dead: HashSet<InstanceId> = if is_fresh {
+            ids()
+                .filter(|id| self.is_reported(now, state, *id))
+                .collect()
+        } else {
+            ids().filter(|id| !self.listed.contains(id)).collect()
+        };
+        // Nobody left means that the source is wrong, not that all are dead.
+        if ids().all(|id| dead.contains(&id)) {
+            return HashSet::new();
+        }
+        dead
+    }
+
+    fn is_reported(&self, now: Millis, state: &GroupState, id: InstanceId) -> bool {
+        let spoke = state.senders.get(&id);
+        let speaks = spoke.is_some_and(|at| now.since(*at) < SENDER_TRUST);
+        state.reported.contains(&id) && !speaks
+    }
+}
+
+const _: () = assert!(SENDER_TRUST.as_millis() > DIGEST_PERIOD.as_millis());
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod balancer;
 pub mod flows;
+pub mod group;
 pub mod picture;
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -69,6 +69,24 @@
 }
 
 impl Group {
+    /// Compiles the group of the service `name` alone, all members believed
+    /// alive. None when `fleet` has no such service.
+    pub fn compile(fleet: &Fleet, name: &str) -> Option<Group> {
+        fleet
+            .services
+            .contains_key(name)
+            .then(|| group(fleet, name, &HashSet::new()))
+    }
+
+    /// The same group, with exactly the members in `dead` not believed alive.
+    pub fn with_dead(&self, dead: &HashSet<InstanceId>) -> Group {
+        let mut group = self.clone();
+        for member in &mut group.members {
+            member.alive = !dead.contains(&member.id);
+        }
+        group
+    }
+
     /// Member with this identity.
     pub fn member(&self, id: InstanceId) -> Option<&Member> {
         let at = self.members.binary_search_by_key(&id, |m| m.id).ok()?;
@@ -106,6 +124,13 @@
         }
     }
 
+    /// The same view with `group` in place of the one at its address.
+    pub fn with_group(&self, group: Arc<Group>) -> View {
+        let mut view = self.clone();
+        view.groups.insert(group.address, group);
+        view
+    }
+
     /// Group that serves `address`.
     pub fn group(&self, address: SocketAddrV4) -> Option<&Arc<Group>> {
         self.groups.get(&address)
