Compare loads of the same moment when placing a flow

Cause: a home holds its own exact load against reports up to a heartbeat old, so in a growing group every home sees itself above the mean and gives its flows away. Change: reports are carried forward at the rate by which they have changed, or by growth here beyond 4 standard deviations where that is more; flows given away go to members below their share first.

--- a/crates/coordination/src/flows/placement.rs
+++ b/crates/coordination/src/flows/placement.rs
@@ -8,14 +8,19 @@
 //! Loads of others are as old as their last heartbeat, while one's own is
 //! exact. Compared as they are, each home would find itself above the mean
 //! whenever the group grows, and give every flow away. So each report is
-//! carried forward by what happened here since: homes get equal shares of the
-//! new flows, so the others have grown about as much.
+//! carried forward at the rate by which reports have changed, or, where a
+//! burst begins, by what happened here since: homes get equal shares of the
+//! new flows, so the others have grown about as much. Growth here counts as
+//! far as it stands out of the noise of as many random events.
+
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Warmth;
 use ramp_state::key::InstanceId;
 use ramp_state::key::mix;
+use ramp_state::time::Millis;
 use ramp_state::view::Member;
 
 use crate::picture::GroupPicture;
@@ -23,9 +28,14 @@
 /// Load above its share at which a home gives flows away, in percent.
 const BOUND_PERCENT: u64 = 105;
 
-/// Flows above the bound that a home still keeps, so that small groups of
-/// flows aren't sent around for the sake of a single one.
-const SLACK_FLOWS: u64 = 1;
+/// Standard deviations of a count of random events that are taken for noise.
+const NOISE_SIGMAS: u64 = 4;
+
+/// Time after which a load that has not changed counts as reported again.
+const REPORT_LIMIT: Duration = Duration::from_millis(1100);
+
+/// Time over which a report is carried forward.
+const CARRY_LIMIT: Duration = Duration::from_secs(3);
 
 /// Parts that a member's weight is counted in.
 const WEIGHT_PARTS: u64 = 64;
@@ -37,14 +47,25 @@
     random: u64,
     /// New flows placed by this home less flows that ended here, since the start.
     growth: i64,
+    /// New flows placed by this home and flows that ended here, since the start.
+    events: u64,
     reports: IndexMap<InstanceId, Report>,
 }
 
 /// What happened since another member's last report.
 #[derive(Clone, Copy, Debug, Default)]
 struct Report {
-    /// Growth when it came.
+    at: Millis,
+    /// Flows that it reports.
+    flows: i64,
+    /// Change of flows since the report before.
+    change: i64,
+    /// Time since the report before, in milliseconds.
+    span_ms: i64,
+    /// Growth here when it came.
     growth: i64,
+    /// Events here when it came.
+    events: u64,
     /// Flows granted to the member since.
     grants: u64,
 }
@@ -53,9 +74,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     id: InstanceId,
-    /// Flows as far as known; with `grown`, the estimate for this moment.
+    /// Flows as last reported, or as counted if this agent's own.
     flows: u64,
+    /// Growth since.
     grown: i64,
+    /// Flows granted since.
     granted: u64,
     weight: u64,
 }
@@ -67,18 +90,33 @@
             me,
             random: seed,
             growth: 0,
+            events: 0,
             reports: IndexMap::new(),
         }
     }
 
     /// Notes which members have reported between two pictures.
-    pub fn report(&mut self, old: Option<&GroupPicture>, new: &GroupPicture) {
+    pub fn report(&mut self, now: Millis, old: Option<&GroupPicture>, new: &GroupPicture) {
         self.reports.retain(|id, _| new.loads.contains_key(id));
         for (id, load) in &new.loads {
-            if old.and_then(|old| old.loads.get(id)) != Some(load) {
-                let growth = self.growth;
-                self.reports.insert(*id, Report { growth, grants: 0 });
+            let last = self.reports.get(id).copied();
+            let age = last.map_or(Duration::MAX, |last| now.since(last.at));
+            // A member that reports the same load again has reported as well.
+            let same = old.and_then(|old| old.loads.get(id)) == Some(load);
+            if same && age < REPORT_LIMIT {
+                continue;
             }
+            let flows = i64::from(load.flows);
+            let report = Report {
+                at: now,
+                flows,
+                change: last.map_or(0, |last| flows - last.flows),
+                span_ms: last.map_or(0, |last| now.since(last.at).as_millis() as i64),
+                growth: self.growth,
+                events: self.events,
+                grants: 0,
+            };
+            self.reports.insert(*id, report);
         }
     }
 
@@ -90,55 +128,70 @@
     /// Counts a flow of this agent that has ended.
     pub fn ended(&mut self) {
         self.growth -= 1;
+        self.events += 1;
     }
 
     /// Owner of a new flow whose home this agent is, with `own_flows` open
     /// flows here. None when no member may be given work.
-    pub fn choose(&mut self, picture: &GroupPicture, own_flows: usize) -> Option<InstanceId> {
-        let mine = self.candidate(picture, own_flows, self.me);
-        let keeps = mine.is_some_and(|own| self.keeps(picture, own_flows, own));
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        own_flows: usize,
+    ) -> Option<InstanceId> {
+        let share = self.share(now, picture, own_flows);
+        let mine = self.candidate(now, picture, own_flows, self.me);
         self.growth += 1;
-        if keeps {
+        self.events += 1;
+        if mine.is_some_and(|own| share.bears(own, BOUND_PERCENT)) {
             return Some(self.me);
         }
-        self.better_of_two(picture, own_flows, |_| true)
+        self.better_of_two(now, picture, own_flows, |c| share.bears(c, 100))
+            .or_else(|| self.better_of_two(now, picture, own_flows, |_| true))
     }
 
     /// Another member for a flow that this agent may not open, not `sender`.
     pub fn choose_other(
         &mut self,
+        now: Millis,
         picture: &GroupPicture,
         own_flows: usize,
         sender: Option<InstanceId>,
     ) -> Option<InstanceId> {
         let me = self.me;
-        self.better_of_two(picture, own_flows, |id| id != me && Some(id) != sender)
+        self.better_of_two(now, picture, own_flows, |c| {
+            c.id != me && Some(c.id) != sender
+        })
     }
 
     /// Whether this agent may open a flow that another member gave it.
-    pub fn may_open(&self, picture: &GroupPicture, own_flows: usize) -> bool {
-        self.candidate(picture, own_flows, self.me).is_some()
+    pub fn may_open(&self, now: Millis, picture: &GroupPicture, own_flows: usize) -> bool {
+        self.candidate(now, picture, own_flows, self.me).is_some()
     }
 
-    fn keeps(&self, picture: &GroupPicture, own_flows: usize, own: Candidate) -> bool {
-        let (mut flows, mut weight) = (1, 0);
-        for other in self.candidates(picture, own_flows) {
-            flows += other.estimate();
-            weight += other.weight;
+    /// What the whole group bears once it has one flow more.
+    fn share(&self, now: Millis, picture: &GroupPicture, own_flows: usize) -> Share {
+        let mut share = Share {
+            flows: 1,
+            weight: 0,
+        };
+        for member in self.candidates(now, picture, own_flows) {
+            share.flows += member.estimate();
+            share.weight += member.weight;
         }
-        let load = (own.flows + 1).saturating_sub(SLACK_FLOWS);
-        load * weight * 100 <= flows * own.weight * BOUND_PERCENT
+        share
     }
 
     fn better_of_two(
         &mut self,
+        now: Millis,
         picture: &GroupPicture,
         own_flows: usize,
-        allowed: impl Fn(InstanceId) -> bool,
+        allowed: impl Fn(Candidate) -> bool,
     ) -> Option<InstanceId> {
         let candidates = || {
-            self.candidates(picture, own_flows)
-                .filter(|c| allowed(c.id))
+            self.candidates(now, picture, own_flows)
+                .filter(|c| allowed(*c))
         };
         let (first, second) = match candidates().count() {
             0 => return None,
@@ -147,22 +200,35 @@
         };
         let (a, b) = (candidates().nth(first)?, candidates().nth(second)?);
         self.random = mix(self.random);
-        let load = |c: Candidate| c.estimate() + c.granted + 1;
-        let a_is_better = load(a) * b.weight <= load(b) * a.weight;
+        let a_is_better = (a.load() + 1) * b.weight <= (b.load() + 1) * a.weight;
         Some(if a_is_better { a.id } else { b.id })
     }
 
     fn candidates(
         &self,
+        now: Millis,
         picture: &GroupPicture,
         own_flows: usize,
     ) -> impl Iterator<Item = Candidate> {
         let members = picture.group.members.iter();
-        members.filter_map(move |m| self.candidate(picture, own_flows, m.id))
+        members.filter_map(move |m| self.candidate(now, picture, own_flows, m.id))
+    }
+
+    /// Growth of a member since its report.
+    fn grown_since(&self, now: Millis, report: &Report) -> i64 {
+        let age_ms = now.since(report.at).min(CARRY_LIMIT).as_millis() as i64;
+        let others = || self.reports.iter().filter(|(id, _)| **id != self.me);
+        let change: i64 = others().map(|(_, r)| r.change).sum();
+        let span_ms: i64 = others().map(|(_, r)| r.span_ms).sum();
+        let steady = change * age_ms / span_ms.max(1);
+        let here = self.growth - report.growth;
+        let noise = NOISE_SIGMAS * (self.events - report.events).isqrt();
+        steady.max(here.saturating_sub_unsigned(noise))
     }
 
     fn candidate(
         &self,
+        now: Millis,
         picture: &GroupPicture,
         own_flows: usize,
         id: InstanceId,
@@ -179,7 +245,7 @@
             (own_flows as u64, 0, 0)
         } else {
             let flows = load.map_or(0, |l| u64::from(l.flows));
-            (flows, self.growth - report.growth, report.grants)
+            (flows, self.grown_since(now, &report), report.grants)
         };
         let weight = weight(member, load);
         let open = load.is_none_or(|l| !l.leaving);
@@ -194,11 +260,30 @@
     }
 }
 
+/// Flows of the members that take work, and their weight.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    flows: u64,
+    weight: u64,
+}
+
+impl Share {
+    /// Whether the load of `c` is within `percent` of its share.
+    fn bears(&self, c: Candidate, percent: u64) -> bool {
+        c.load() * self.weight * 100 <= self.flows * c.weight * percent
+    }
+}
+
 impl Candidate {
     /// Flows open by now.
     fn estimate(&self) -> u64 {
         self.flows.saturating_add_signed(self.grown)
     }
+
+    /// The estimate, with what was granted.
+    fn load(&self) -> u64 {
+        self.estimate() + self.granted
+    }
 }
 
 /// Weight of a member in parts; in cold start that which its slots bear.
--- a/crates/coordination/src/flows/router.rs
+++ b/crates/coordination/src/flows/router.rs
@@ -88,7 +88,7 @@
         self.is_out = picture.group.member(self.me).is_some_and(|m| !m.reachable);
         self.answers.retain(|id, _| hears(&picture, *id));
         self.registration.retain(|id| hears(&picture, id));
-        self.placement.report(old.as_deref(), &picture);
+        self.placement.report(now, old.as_deref(), &picture);
         let homes_changed = old.is_none_or(|old| homes_differ(&old.group, &picture.group));
         if homes_changed {
             self.registration.restart(now, self.table.established());
@@ -280,7 +280,7 @@
     /// Places a new flow whose home this agent is.
     fn place(&mut self, now: Millis, picture: &GroupPicture, key: FlowKey) -> Step {
         let own_flows = self.table.len();
-        match self.placement.choose(picture, own_flows) {
+        match self.placement.choose(now, picture, own_flows) {
             Some(to) if to != self.me => {
                 self.counts.placed_elsewhere += 1;
                 self.give(key, to)
@@ -299,10 +299,10 @@
         may_forward: bool,
     ) -> Step {
         let own_flows = self.table.len();
-        if !self.placement.may_open(picture, own_flows) && may_forward {
+        if !self.placement.may_open(now, picture, own_flows) && may_forward {
             let other = self
                 .placement
-                .choose_other(picture, own_flows, arrival.sender);
+                .choose_other(now, picture, own_flows, arrival.sender);
             if let Some(to) = other {
                 self.counts.passed_on += 1;
                 return self.give(key, to);
--- /dev/null
+++ b/crates/coordination/tests/placement.rs
@@ -0,0 +1,283 @@
+//! Imbalance against extra hops, of the router's bounded loads and of the
+//! other ways to place a flow. Counts only; `--nocapture` prints the table.
+
+mod common;
+
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use ramp_coordination::flows::Arrival;
+use ramp_coordination::flows::FlowRouter;
+use ramp_coordination::flows::Step;
+use ramp_coordination::picture::GroupPicture;
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Warmth;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+use ramp_state::view::Group;
+
+use common::Rng;
+use common::SERVICE;
+use common::World;
+use common::fleet;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Bounded,
+    HomeOnly,
+    TwoChoices,
+    LeastLoaded,
+}
+
+/// Most over mean: average and worst; flows not at their home, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    average: f64,
+    worst: f64,
+    hops_percent: f64,
+}
+
+struct Bench {
+    way: Way,
+    group: Arc<Group>,
+    routers: Vec<FlowRouter>,
+    open: Vec<u32>,
+    /// What each member knows of the others.
+    views: Vec<Vec<u32>>,
+    live: Vec<(FlowKey, usize, bool)>,
+    rng: Rng,
+    now: Millis,
+}
+
+impl Bench {
+    fn new(way: Way, members: usize, seed: u64) -> Bench {
+        let group = Group::compile(&fleet(members), "ledger").expect("the service exists");
+        let routers = group
+            .members
+            .iter()
+            .map(|m| FlowRouter::new(m.id, seed ^ m.id.0))
+            .collect();
+        let mut bench = Bench {
+            way,
+            group: Arc::new(group),
+            routers,
+            open: vec![0; members],
+            views: vec![vec![0; members]; members],
+            live: Vec::new(),
+            rng: Rng::new(seed),
+            now: Millis(0),
+        };
+        (0..members).for_each(|m| bench.report(m));
+        bench
+    }
+
+    /// Member `m` tells all how many flows it has.
+    fn report(&mut self, m: usize) {
+        for at in 0..self.open.len() {
+            self.views[at][m] = self.open[m];
+            if self.way != Way::Bounded {
+                continue;
+            }
+            let loads: IndexMap<InstanceId, Load> = self
+                .group
+                .members
+                .iter()
+                .zip(&self.views[at])
+                .map(|(member, flows)| (member.id, load(*flows)))
+                .collect();
+            let picture = GroupPicture {
+                version: Version(1),
+                latest: Version(1),
+                group: self.group.clone(),
+                loads,
+                gone: HashSet::new(),
+            };
+            self.routers[at].install(self.now, Arc::new(picture));
+        }
+    }
+
+    fn place(&mut self, home: usize, key: FlowKey) -> usize {
+        let count = self.open.len() as u64;
+        let mut view = self.views[home].clone();
+        view[home] = self.open[home];
+        let owner = match self.way {
+            Way::Bounded => self.step(home, first(key)),
+            Way::HomeOnly => home,
+            Way::TwoChoices => {
+                let a = self.rng.below(count) as usize;
+                let b = (a + 1 + self.rng.below(count - 1) as usize) % count as usize;
+                if view[a] <= view[b] { a } else { b }
+            }
+            Way::LeastLoaded => {
+                let least = view.iter().enumerate().min_by_key(|(_, flows)| **flows);
+                least.map_or(home, |(at, _)| at)
+            }
+        };
+        if owner != home && self.way != Way::Bounded {
+            self.views[home][owner] += 1;
+        }
+        owner
+    }
+
+    /// Owner to which the router of `home` leads a first packet.
+    fn step(&mut self, home: usize, segment: Segment) -> usize {
+        let arrival = Arrival {
+            hops: 1,
+            ..Arrival::default()
+        };
+        match self.routers[home].packet(self.now, arrival, &segment) {
+            Step::Open => home,
+            Step::Forward { to, to_owner: true } => {
+                let owner = self.at(to);
+                let arrival = Arrival {
+                    sender: Some(self.group.members[home].id),
+                    hops: 2,
+                    to_owner: true,
+                };
+                let step = self.routers[owner].packet(self.now, arrival, &segment);
+                assert_eq!(step, Step::Open);
+                owner
+            }
+            step => panic!("a first packet led to {step:?}"),
+        }
+    }
+
+    fn at(&self, id: InstanceId) -> usize {
+        let found = self.group.members.iter().position(|m| m.id == id);
+        found.expect("the member exists")
+    }
+
+    fn run(&mut self, flows: usize, beat: usize) -> Outcome {
+        let members = self.open.len();
+        let mut ratios = Vec::new();
+        let mut moved = 0;
+        for i in 0..4 * flows {
+            self.now = Millis((i * 1_000 / beat) as u64);
+            if i % beat < members {
+                self.report(i % beat);
+            }
+            let key = FlowKey {
+                caller: SocketAddrV4::new(
+                    Ipv4Addr::from(self.rng.next() as u32),
+                    1 + (i % 60_000) as u16,
+                ),
+                service: SERVICE,
+            };
+            let home = self.group.home(key.hash64()).expect("a home exists").id;
+            let home = self.at(home);
+            let owner = self.place(home, key);
+            self.open[owner] += 1;
+            self.live.push((key, owner, owner != home));
+            if self.live.len() <= flows {
+                continue;
+            }
+            let at = self.rng.below(self.live.len() as u64) as usize;
+            let (key, owner, _) = self.live.swap_remove(at);
+            self.open[owner] -= 1;
+            if self.way == Way::Bounded {
+                self.routers[owner].closed(self.now, key);
+            }
+            if i > 2 * flows {
+                let most = f64::from(*self.open.iter().max().expect("members exist"));
+                ratios.push(most * members as f64 / flows as f64);
+                moved += self.live.iter().filter(|(_, _, moved)| *moved).count();
+            }
+        }
+        Outcome {
+            average: ratios.iter().sum::<f64>() / ratios.len() as f64,
+            worst: ratios.iter().copied().fold(0.0, f64::max),
+            hops_percent: 100.0 * moved as f64 / (ratios.len() * flows) as f64,
+        }
+    }
+}
+
+fn load(flows: u32) -> Load {
+    Load {
+        flows,
+        slots: 5,
+        warmth: Warmth::Warm,
+        ..Load::default()
+    }
+}
+
+fn first(key: FlowKey) -> Segment {
+    Segment {
+        key,
+        seq: 1,
+        ack: 0,
+        len: 0,
+        opens: true,
+        syn: true,
+        has_ack: false,
+        rst: false,
+        fin: false,
+    }
+}
+
+/// Worst outcome over some seeds.
+fn worst(way: Way, members: usize, flows: usize, beat: usize, seeds: u64) -> Outcome {
+    let mut all = Outcome::default();
+    for seed in 0..seeds {
+        let outcome = Bench::new(way, members, seed).run(flows, beat);
+        all.average += outcome.average / seeds as f64;
+        all.hops_percent += outcome.hops_percent / seeds as f64;
+        all.worst = all.worst.max(outcome.worst);
+    }
+    println!(
+        "{members:2} members {flows:6} flows, report every {beat:3} flows, {way:?}: most/mean \
+         average {:.3} worst {:.3}, extra hops {:.1}%",
+        all.average, all.worst, all.hops_percent
+    );
+    all
+}
+
+const WAYS: [Way; 4] = [
+    Way::Bounded,
+    Way::HomeOnly,
+    Way::TwoChoices,
+    Way::LeastLoaded,
+];
+
+#[test]
+fn bounded_loads_keep_the_balance_with_few_extra_hops() {
+    let [bounded, ..] = WAYS.map(|way| worst(way, 7, 1_000, 25, 10));
+    assert!(bounded.worst <= 1.07, "{bounded:?}");
+    assert!(bounded.hops_percent <= 10.0, "{bounded:?}");
+}
+
+#[test]
+fn bounded_loads_keep_the_balance_of_twelve_members() {
+    let [bounded, ..] = WAYS.map(|way| worst(way, 12, 12_000, 100, 1));
+    assert!(bounded.worst <= 1.07, "{bounded:?}");
+    assert!(bounded.hops_percent <= 10.0, "{bounded:?}");
+}
+
+#[test]
+fn a_tenth_of_the_flows_replaced_between_two_reports() {
+    let [bounded, home, ..] = WAYS.map(|way| worst(way, 7, 1_000, 100, 10));
+    assert!(bounded.worst < home.worst, "{bounded:?}");
+}
+
+#[test]
+fn a_group_that_grows_keeps_its_flows_at_home() {
+    let mut world = World::new(0, 9, 3);
+    for i in 0..2_000 {
+        world.call(i);
+        if i % 10 == 0 {
+            world.run_for(20);
+        }
+    }
+    world.run_for(2_000);
+    let counts = || world.agents.values().map(|a| a.router.counts());
+    let moved: u64 = counts().map(|c| c.placed_elsewhere).sum();
+    let most = counts().map(|c| c.flows).max().unwrap_or(0);
+    println!("2000 flows opened in 4 s on 9 members: {moved} placed elsewhere, most {most}");
+    assert!(moved < 600, "{moved}");
+    assert!(most * 9 < 2_000 * 107 / 100, "{most}");
+}
