--- a/crates/coordination/src/flows/registration.rs
+++ b/crates/coordination/src/flows/registration.rs
@@ -77,7 +77,9 @@
         self.repeats.clear();
         self.registers.clear();
         self.walk.extend(flows);
-        self.arm(now);
+        if !self.walk.is_empty() {
+            self.arm(now);
+        }
     }
 
     /// Adds one flow to the walk.
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -136,6 +136,8 @@
     pub findings: Findings,
     /// Agents that packets and messages reached.
     pub heard: IndexSet<String>,
+    /// Digests that reached balancers.
+    pub digests: usize,
     events: BinaryHeap<Reverse<(u64, u64)>>,
     bodies: IndexMap<u64, Event>,
     number: u64,
@@ -159,6 +161,7 @@
             list: InstanceList::default(),
             findings: Findings::default(),
             heard: IndexSet::new(),
+            digests: 0,
             events: BinaryHeap::new(),
             bodies: IndexMap::new(),
             number: 0,
--- a/crates/coordination/tests/common/node.rs
+++ b/crates/coordination/tests/common/node.rs
@@ -1,6 +1,7 @@
 //! Agents and balancers as a driver of the decision logic would run them.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use ramp_coordination::flows::Arrival;
@@ -10,6 +11,7 @@
 use ramp_coordination::group::BalancerMembership;
 use ramp_coordination::group::Membership;
 use ramp_coordination::group::Output;
+use ramp_coordination::picture::GroupPicture;
 use ramp_protocol::message::Envelope;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
@@ -42,6 +44,8 @@
     pub router: FlowRouter,
     pub membership: Membership,
     pub frozen: Option<Vec<Event>>,
+    /// Pictures shown to its router, the newest last.
+    pub pictures: Vec<Arc<GroupPicture>>,
     incarnation: u64,
     sequence: u64,
     endpoints: IndexMap<FlowKey, Endpoint>,
@@ -51,7 +55,7 @@
 pub struct Balancer {
     pub control: SocketAddrV4,
     pub membership: BalancerMembership,
-    pub view: std::sync::Arc<View>,
+    pub view: Arc<View>,
 }
 
 impl Agent {
@@ -63,6 +67,7 @@
             router: FlowRouter::new(id, seed),
             membership: Membership::new(name),
             frozen: None,
+            pictures: Vec::new(),
             incarnation,
             sequence: 0,
             endpoints: IndexMap::new(),
@@ -174,6 +179,7 @@
             Event::List(_, list) => balancer.membership.instances(now, &list),
             Event::Control(_, envelope) => {
                 balancer.membership.receive(now, &envelope);
+                self.digests += 1;
             }
             _ => {}
         }
@@ -263,7 +269,10 @@
         for output in outputs {
             match output {
                 Output::Send { to, message } => sends.push((to, message)),
-                Output::Picture(picture) => agent.router.install(now, picture),
+                Output::Picture(picture) => {
+                    agent.pictures.push(picture.clone());
+                    agent.router.install(now, picture);
+                }
             }
         }
         let outgoing: Vec<_> = agent.router.take_outbox().collect();
--- /dev/null
+++ b/crates/coordination/tests/group.rs
@@ -0,0 +1,308 @@
+//! Who is in a group: heartbeats, suspicion, lists that lag, digests.
+
+mod common;
+
+use std::sync::Arc;
+
+use ramp_coordination::group::BalancerMembership;
+use ramp_coordination::group::Membership;
+use ramp_coordination::group::Output;
+use ramp_coordination::group::SUSPECT_AFTER;
+use ramp_coordination::picture::GroupPicture;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Message;
+use ramp_state::fleet::DataCentreState;
+use ramp_state::key::Incarnation;
+use ramp_state::key::InstanceId;
+use ramp_state::key::ServiceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+use ramp_state::view::View;
+
+use common::SERVICE;
+use common::World;
+
+fn heartbeat(from: &str, incarnation: u64, sequence: u64, flows: u32) -> Envelope {
+    let load = Load {
+        flows,
+        ..Load::default()
+    };
+    let config = Version(1);
+    envelope(
+        from,
+        incarnation,
+        sequence,
+        Message::Heartbeat { config, load },
+    )
+}
+
+fn digest(from: &str, sequence: u64, dead: &[&str]) -> Envelope {
+    let message = Message::Digest {
+        service: ServiceId::of("ledger"),
+        config: Version(1),
+        dead: dead.iter().map(|name| InstanceId::of(name)).collect(),
+    };
+    envelope(from, 1, sequence, message)
+}
+
+fn envelope(from: &str, incarnation: u64, sequence: u64, message: Message) -> Envelope {
+    Envelope {
+        sender: InstanceId::of(from),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        message,
+    }
+}
+
+/// Membership of `s0` among three, which has just started.
+fn started() -> (World, Membership) {
+    let world = World::new(1, 3, 1);
+    let mut membership = Membership::new("s0");
+    membership.install(Millis(0), Arc::new(world.fleet.clone()));
+    membership.instances(Millis(0), &world.list);
+    (world, membership)
+}
+
+fn picture(membership: &mut Membership) -> Arc<GroupPicture> {
+    let pictures = membership.take_outputs().filter_map(|output| match output {
+        Output::Picture(picture) => Some(picture),
+        Output::Send { .. } => None,
+    });
+    pictures.last().expect("a picture was put out")
+}
+
+fn is_alive(picture: &GroupPicture, name: &str) -> bool {
+    let member = picture.group.member(InstanceId::of(name));
+    member.is_some_and(|m| m.alive)
+}
+
+/// Ticks every 100 ms until `end`, with `s1` heard each second.
+fn hear_s1(membership: &mut Membership, from: u64, end: u64) {
+    for ms in (from..end).step_by(100) {
+        if ms % 1_000 == 0 {
+            let beat = heartbeat("s1", 1, 100 + ms, 7);
+            assert!(membership.receive(Millis(ms), &beat));
+        }
+        membership.tick(Millis(ms));
+    }
+}
+
+fn dead(view: &View) -> Vec<String> {
+    let group = view.group(SERVICE).expect("the group exists");
+    let dead = group.members.iter().filter(|m| !m.alive);
+    dead.map(|m| m.name.to_string()).collect()
+}
+
+#[test]
+fn late_repeated_and_reordered_heartbeats_change_nothing() {
+    let (_, mut membership) = started();
+    let flows = |membership: &mut Membership| {
+        membership.tick(Millis(1_000));
+        let picture = picture(membership);
+        picture.loads[&InstanceId::of("s1")].flows
+    };
+    let now = Millis(10);
+    assert!(membership.receive(now, &heartbeat("s1", 2, 10, 5)));
+    assert!(!membership.receive(now, &heartbeat("s1", 2, 10, 6)));
+    membership.receive(now, &heartbeat("s1", 2, 9, 7));
+    assert!(!membership.receive(now, &heartbeat("s1", 2, 9, 7)));
+    assert!(!membership.receive(now, &heartbeat("s1", 1, 99, 8)));
+    assert_eq!(flows(&mut membership), 5);
+    assert!(membership.receive(now, &heartbeat("s1", 2, 1_000, 9)));
+    assert!(!membership.receive(now, &heartbeat("s1", 2, 11, 1)));
+    assert!(membership.receive(now, &heartbeat("s1", 3, 1, 11)));
+    let last = picture(&mut membership);
+    assert_eq!(last.loads[&InstanceId::of("s1")].flows, 11);
+}
+
+#[test]
+fn a_silent_member_is_suspected_and_gone_only_when_unlisted() {
+    let (mut world, mut membership) = started();
+    let suspect_ms = SUSPECT_AFTER.as_millis() as u64;
+    hear_s1(&mut membership, 0, suspect_ms);
+    assert!(is_alive(&picture(&mut membership), "s2"));
+    hear_s1(&mut membership, suspect_ms, 20_000);
+    let suspected = picture(&mut membership);
+    assert!(!is_alive(&suspected, "s2") && is_alive(&suspected, "s1"));
+    assert!(suspected.gone.is_empty());
+    world.list.instances.swap_remove("s2");
+    world.list.version = Version(world.list.version.0 + 1);
+    membership.instances(Millis(20_000), &world.list);
+    hear_s1(&mut membership, 20_000, 23_000);
+    let gone = picture(&mut membership);
+    assert!(gone.gone.contains(&InstanceId::of("s2")) && gone.gone.len() == 1);
+    membership.receive(Millis(23_000), &heartbeat("s2", 1, 1, 0));
+    let back = picture(&mut membership);
+    assert!(is_alive(&back, "s2") && back.gone.is_empty());
+}
+
+#[test]
+fn a_list_that_lags_ends_no_member_that_is_heard() {
+    let (mut world, mut membership) = started();
+    world.list.instances.swap_remove("s1");
+    world.list.version = Version(world.list.version.0 + 1);
+    membership.instances(Millis(0), &world.list);
+    hear_s1(&mut membership, 0, 30_000);
+    let seen = picture(&mut membership);
+    assert!(is_alive(&seen, "s1") && !seen.gone.contains(&InstanceId::of("s1")));
+}
+
+#[test]
+fn a_list_without_this_agent_is_not_believed() {
+    let (mut world, mut membership) = started();
+    world.list.instances.clear();
+    world.list.version = Version(world.list.version.0 + 1);
+    membership.instances(Millis(0), &world.list);
+    hear_s1(&mut membership, 0, 30_000);
+    let seen = picture(&mut membership);
+    assert!(!is_alive(&seen, "s2") && seen.gone.is_empty());
+}
+
+#[test]
+fn news_of_a_newer_configuration_is_shown() {
+    let (world, mut membership) = started();
+    let config = Version(world.fleet.version.0 + 1);
+    let load = Load::default();
+    let message = Message::Heartbeat { config, load };
+    membership.receive(Millis(5), &envelope("s99", 1, 1, message));
+    let seen = picture(&mut membership);
+    assert!(seen.latest == config && seen.version < config);
+}
+
+#[test]
+fn an_own_pause_is_not_the_silence_of_others() {
+    let mut world = World::new(2, 7, 3);
+    world.freeze("s1", 12_000);
+    world.run_for(12_000);
+    // The wake: what waited at its socket, then its clock.
+    let mut news = 0;
+    for _ in 0..100 {
+        world.run_for(10);
+        let seen = &world.agents["s1"].pictures;
+        news += seen.iter().filter(|p| !dead_of(p).is_empty()).count();
+        world.agents["s1"].pictures.clear();
+    }
+    assert_eq!(news, 0);
+}
+
+fn dead_of(picture: &GroupPicture) -> Vec<InstanceId> {
+    let dead = picture.group.members.iter().filter(|m| !m.alive);
+    dead.map(|m| m.id).collect()
+}
+
+#[test]
+fn one_agent_serves_each_balancer_and_another_replaces_it() {
+    let mut world = World::new(3, 12, 9);
+    world.digests = 0;
+    world.run_for(40_000);
+    let expected = 9 * 10;
+    assert!(world.digests.abs_diff(expected) <= 9, "{}", world.digests);
+    for victim in ["s3", "s7"] {
+        world.kill(victim);
+        world.run_for(7_000);
+        let unaware = world
+            .balancers
+            .values()
+            .filter(|b| !dead(&b.view).contains(&victim.to_string()));
+        assert_eq!(unaware.count(), 0, "{victim}");
+    }
+}
+
+#[test]
+fn a_death_reaches_balancers_at_once() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 7, 3);
+        let wait = world.rng.below(4_000);
+        world.run_for(wait);
+        world.kill("s4");
+        world.run_for(5_500);
+        for balancer in world.balancers.values() {
+            assert_eq!(dead(&balancer.view), ["s4"], "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn each_side_of_a_split_serves_its_own_and_both_heal() {
+    let mut world = World::new(4, 7, 4);
+    world.cut = ["s0", "s3", "s6", "b0", "b1"].map(String::from).to_vec();
+    world.run_for(16_000);
+    for (name, balancer) in &world.balancers {
+        let mut dead = dead(&balancer.view);
+        dead.sort();
+        let inside = name == "b0" || name == "b1";
+        let others: &[&str] = if inside {
+            &["s1", "s2", "s4", "s5"]
+        } else {
+            &["s0", "s3", "s6"]
+        };
+        assert_eq!(dead, others, "{name}");
+    }
+    for agent in world.agents.values() {
+        let last = agent.pictures.last().expect("a picture was shown");
+        assert!(last.gone.is_empty());
+    }
+    world.cut.clear();
+    world.run_for(6_000);
+    for balancer in world.balancers.values() {
+        assert!(dead(&balancer.view).is_empty());
+    }
+}
+
+#[test]
+fn digests_are_checked_and_can_not_end_those_who_send_them() {
+    let world = World::new(5, 4, 1);
+    let mut membership = BalancerMembership::new();
+    let now = Millis(1_000);
+    membership.install(now, Arc::new(world.fleet.clone()));
+    membership.instances(now, &world.list);
+    assert!(membership.receive(now, &digest("s0", 9, &["s1"])));
+    let seen = |membership: &mut BalancerMembership| {
+        membership.tick(Millis(1_000));
+        membership.take_view().map(|view| dead(&view))
+    };
+    assert_eq!(seen(&mut membership), Some(vec!["s1".to_string()]));
+    membership.receive(now, &digest("s0", 8, &["s2"]));
+    assert!(!membership.receive(now, &digest("s0", 9, &["s3"])));
+    assert!(!membership.receive(now, &digest("s77", 1, &["s3"])));
+    assert_eq!(seen(&mut membership), None);
+    // Two agents that don't hear each other: neither ends the other.
+    membership.receive(now, &digest("s2", 1, &["s0"]));
+    membership.receive(now, &digest("s0", 10, &["s2"]));
+    assert_eq!(seen(&mut membership), Some(Vec::new()));
+    // All dead is a fault of the source.
+    membership.receive(now, &digest("s3", 1, &["s0", "s1", "s2", "s3"]));
+    assert_eq!(seen(&mut membership), Some(vec!["s1".to_string()]));
+}
+
+#[test]
+fn a_group_that_falls_silent_is_served_by_the_list() {
+    let mut world = World::new(6, 4, 1);
+    let mut membership = BalancerMembership::new();
+    membership.install(Millis(0), Arc::new(world.fleet.clone()));
+    membership.receive(Millis(0), &digest("s0", 1, &["s1"]));
+    world.list.instances.swap_remove("s3");
+    membership.instances(Millis(0), &world.list);
+    assert_eq!(dead(&membership.take_view().expect("a view")), ["s1"]);
+    for ms in (0..20_000).step_by(500) {
+        membership.tick(Millis(ms));
+    }
+    assert_eq!(dead(&membership.take_view().expect("a view")), ["s3"]);
+}
+
+#[test]
+fn a_data_centre_taken_out_hears_and_says_nothing() {
+    let mut world = World::new(7, 9, 3);
+    world.fleet.data_centres["a"].state = DataCentreState::Out;
+    world.publish();
+    world.run_for(1_000);
+    world.heard.clear();
+    world.digests = 0;
+    world.findings.control_messages = 0;
+    world.run_for(10_000);
+    // Six agents remain, and all balancers stand in the data centre taken out.
+    assert_eq!(world.heard.len(), 6);
+    assert_eq!(world.digests, 0);
+    assert!(world.findings.control_messages.abs_diff(6 * 5 * 10) <= 6 * 5);
+}
--- /dev/null
+++ b/crates/coordination/tests/rules.rs
@@ -0,0 +1,352 @@
+//! The rules of one router, each by itself.
+
+mod common;
+
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use ramp_coordination::flows::Arrival;
+use ramp_coordination::flows::DropReason;
+use ramp_coordination::flows::FlowRouter;
+use ramp_coordination::flows::Outgoing;
+use ramp_coordination::flows::ResetReason;
+use ramp_coordination::flows::Step;
+use ramp_coordination::picture::GroupPicture;
+use ramp_protocol::header::HOP_LIMIT;
+use ramp_protocol::message::Answer;
+use ramp_protocol::message::Message;
+use ramp_protocol::packet::Segment;
+use ramp_state::fleet::DataCentreState;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+use ramp_state::view::Group;
+
+use common::SERVICE;
+use common::fleet;
+
+const NOW: Millis = Millis(1_000);
+const ISN: u32 = u32::MAX;
+const FROM_BALANCER: Arrival = Arrival {
+    sender: None,
+    hops: 1,
+    to_owner: false,
+};
+
+fn picture(change: impl FnOnce(&mut GroupPicture)) -> Arc<GroupPicture> {
+    let group = Group::compile(&fleet(4), "ledger").expect("the service exists");
+    let mut picture = GroupPicture {
+        version: Version(1),
+        latest: Version(1),
+        group: Arc::new(group),
+        loads: Default::default(),
+        gone: HashSet::new(),
+    };
+    change(&mut picture);
+    Arc::new(picture)
+}
+
+/// A router with the home of `key`, and the other members.
+fn home_of(key: FlowKey) -> (FlowRouter, Vec<InstanceId>) {
+    let picture = picture(|_| {});
+    let home = picture
+        .group
+        .home(key.hash64())
+        .expect("there is a home")
+        .id;
+    let others = picture.group.members.iter().map(|m| m.id);
+    let others = others.filter(|id| *id != home).collect();
+    let mut router = FlowRouter::new(home, 3);
+    router.install(NOW, picture);
+    (router, others)
+}
+
+fn key(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(11, 0, 0, 1), port),
+        service: SERVICE,
+    }
+}
+
+fn first(key: FlowKey) -> Segment {
+    Segment {
+        key,
+        seq: 100,
+        ack: 0,
+        len: 0,
+        opens: true,
+        syn: true,
+        has_ack: false,
+        rst: false,
+        fin: false,
+    }
+}
+
+fn later(key: FlowKey, ack: u32) -> Segment {
+    Segment {
+        seq: 101,
+        ack,
+        opens: false,
+        syn: false,
+        has_ack: true,
+        ..first(key)
+    }
+}
+
+fn not_mine(key: FlowKey) -> Message {
+    let answer = Answer::NotMine;
+    Message::OwnerIs { key, answer }
+}
+
+fn owns(key: FlowKey) -> Message {
+    let answer = Answer::Owns;
+    Message::OwnerIs { key, answer }
+}
+
+fn asked(router: &mut FlowRouter) -> Vec<InstanceId> {
+    let questions = router
+        .take_outbox()
+        .filter(|out| matches!(out.message, Message::WhoOwns { .. }));
+    questions.map(|out| out.to).collect()
+}
+
+#[test]
+fn only_its_own_acknowledgement_establishes_a_half_open_flow() {
+    let (mut router, others) = home_of(key(1));
+    assert_eq!(
+        router.packet(NOW, FROM_BALANCER, &first(key(1))),
+        Step::Open
+    );
+    router.accepted(NOW, key(1), ISN);
+    let wrong = later(key(1), 77);
+    let asks = Step::Drop(DropReason::Asked);
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &wrong), asks);
+    assert!(!router.established(key(1)));
+    assert_eq!(asked(&mut router), others);
+    let right = later(key(1), ISN.wrapping_add(1));
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &right), Step::Deliver);
+    assert!(router.established(key(1)));
+    // From now on acknowledgements move on, and first packets are challenged.
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &wrong), Step::Deliver);
+    let again = router.packet(NOW, FROM_BALANCER, &first(key(1)));
+    assert_eq!(again, Step::Deliver);
+}
+
+#[test]
+fn a_half_open_flow_fades_when_another_proves_to_own_it() {
+    let (mut router, others) = home_of(key(1));
+    router.packet(NOW, FROM_BALANCER, &first(key(1)));
+    router.accepted(NOW, key(1), ISN);
+    router.packet(NOW, FROM_BALANCER, &later(key(1), 77));
+    router.message(NOW, others[1], &owns(key(1)));
+    assert_eq!(router.take_abandoned().collect::<Vec<_>>(), [key(1)]);
+    let to = others[1];
+    let step = router.packet(NOW, FROM_BALANCER, &later(key(1), 77));
+    assert_eq!(step, Step::Forward { to, to_owner: true });
+    assert_eq!(router.take_resets().count(), 0);
+}
+
+#[test]
+fn a_half_open_flow_fades_by_itself() {
+    let (mut router, _) = home_of(key(1));
+    router.packet(NOW, FROM_BALANCER, &first(key(1)));
+    let due = router.next_timer().expect("the flow will fade");
+    router.tick(due);
+    assert_eq!(router.take_abandoned().collect::<Vec<_>>(), [key(1)]);
+    assert_eq!(router.counts().flows, 0);
+    assert_eq!(router.take_resets().count(), 0);
+}
+
+#[test]
+fn half_open_holders_answer_only_for_their_own_acknowledgement() {
+    let (mut router, others) = home_of(key(1));
+    router.packet(NOW, FROM_BALANCER, &first(key(1)));
+    router.accepted(NOW, key(1), ISN);
+    let key = key(1);
+    let ack = ISN.wrapping_add(1);
+    router.message(NOW, others[0], &Message::WhoOwns { key, ack: ack + 5 });
+    // The asker isn't the home by the view here, so a denial isn't due either.
+    assert_eq!(router.take_outbox().count(), 0);
+    router.message(NOW, others[0], &Message::WhoOwns { key, ack });
+    let answers: Vec<Outgoing> = router.take_outbox().collect();
+    assert_eq!(answers.len(), 1);
+    assert_eq!(answers[0].message, owns(key));
+}
+
+#[test]
+fn no_reset_before_the_last_member_has_denied() {
+    let (mut router, others) = home_of(key(2));
+    let segment = later(key(2), 9);
+    router.packet(NOW, FROM_BALANCER, &segment);
+    for other in &others[1..] {
+        router.message(NOW, *other, &not_mine(key(2)));
+        router.message(NOW, *other, &not_mine(key(2)));
+    }
+    assert_eq!(router.take_resets().count(), 0);
+    let asks = Step::Drop(DropReason::Asked);
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &segment), asks);
+    router.message(NOW, others[0], &not_mine(key(2)));
+    let resets: Vec<_> = router.take_resets().collect();
+    assert_eq!(resets.len(), 1);
+    assert_eq!(resets[0].segment, segment);
+    let unowned = Step::Reset(ResetReason::Unowned);
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &segment), unowned);
+    // Another acknowledgement may belong to a flow opened since.
+    let newer = later(key(2), 10);
+    assert_eq!(router.packet(NOW, FROM_BALANCER, &newer), asks);
+}
+
+#[test]
+fn no_reset_while_a_newer_configuration_is_on_its_way() {
+    let (mut router, others) = home_of(key(2));
+    let segment = later(key(2), 9);
+    router.install(NOW, picture(|p| p.latest = Version(2)));
+    router.packet(NOW, FROM_BALANCER, &segment);
+    for other in &others {
+        router.message(NOW, *other, &not_mine(key(2)));
+    }
+    assert_eq!(router.take_resets().count(), 0);
+    router.install(NOW, picture(|_| {}));
+    assert_eq!(router.take_resets().count(), 1);
+}
+
+#[test]
+fn members_taken_out_or_gone_are_not_asked_and_their_flows_are_reset() {
+    for (out, reason) in [
+        (true, ResetReason::GivenUp),
+        (false, ResetReason::OwnerLost),
+    ] {
+        let (mut router, others) = home_of(key(3));
+        let owner = others[0];
+        let flows = vec![key(3)];
+        router.message(NOW, owner, &Message::Register { flows });
+        let gone = picture(|p| {
+            p.gone.insert(owner);
+            let mut group = (*p.group).clone();
+            let member = group.members.iter_mut().find(|m| m.id == owner);
+            member.expect("it is a member").reachable = !out;
+            p.group = Arc::new(group);
+        });
+        router.install(NOW, gone);
+        let step = router.packet(NOW, FROM_BALANCER, &later(key(3), 5));
+        assert_eq!(step, Step::Reset(reason));
+        router.packet(NOW, FROM_BALANCER, &later(key(4), 5));
+        let asked = asked(&mut router);
+        assert!(!asked.contains(&owner));
+    }
+}
+
+#[test]
+fn a_repeated_first_packet_goes_to_the_same_owner() {
+    let (mut router, others) = home_of(key(5));
+    let loads = |p: &mut GroupPicture| {
+        for m in &p.group.members {
+            let busy = if others.contains(&m.id) { 0 } else { 500 };
+            let load = ramp_protocol::message::Load {
+                flows: busy,
+                slots: 5,
+                warmth: ramp_protocol::message::Warmth::Warm,
+                leaving: busy > 0,
+                ..Default::default()
+            };
+            p.loads.insert(m.id, load);
+        }
+    };
+    router.install(NOW, picture(loads));
+    let step = router.packet(NOW, FROM_BALANCER, &first(key(5)));
+    assert!(matches!(step, Step::Forward { to_owner: true, .. }));
+    for _ in 0..20 {
+        assert_eq!(router.packet(NOW, FROM_BALANCER, &first(key(5))), step);
+    }
+}
+
+#[test]
+fn foreign_services_far_travellers_and_resets_of_nothing_are_dropped() {
+    let (mut router, others) = home_of(key(6));
+    let mut foreign = first(key(6));
+    foreign.key.service.set_port(81);
+    let step = router.packet(NOW, FROM_BALANCER, &foreign);
+    assert_eq!(step, Step::Drop(DropReason::ForeignService));
+    let far = Arrival {
+        sender: Some(others[0]),
+        hops: HOP_LIMIT,
+        to_owner: false,
+    };
+    let picture = picture(|_| {});
+    let elsewhere = (7..100).map(key).find(|key| {
+        let home = picture.group.home(key.hash64());
+        home.is_some_and(|m| others.contains(&m.id))
+    });
+    let elsewhere = later(elsewhere.expect("some key has another home"), 1);
+    let step = router.packet(NOW, far, &elsewhere);
+    assert_eq!(step, Step::Drop(DropReason::HopLimit));
+    let mut rst = later(key(6), 1);
+    rst.rst = true;
+    router.packet(NOW, FROM_BALANCER, &rst);
+    for other in &others {
+        router.message(NOW, *other, &not_mine(key(6)));
+    }
+    assert_eq!(router.take_resets().count(), 0);
+    let step = router.packet(NOW, FROM_BALANCER, &rst);
+    assert_eq!(step, Step::Drop(DropReason::ResetOfGone));
+}
+
+#[test]
+fn a_pointer_out_of_date_is_told_and_dropped() {
+    let (mut router, others) = home_of(key(8));
+    let flows = vec![key(8)];
+    router.message(NOW, others[0], &Message::Register { flows });
+    let to = others[0];
+    let segment = later(key(8), 4);
+    let step = router.packet(NOW, FROM_BALANCER, &segment);
+    assert_eq!(step, Step::Forward { to, to_owner: true });
+    router.message(NOW, others[0], &not_mine(key(8)));
+    let step = router.packet(NOW, FROM_BALANCER, &segment);
+    assert_eq!(step, Step::Drop(DropReason::Asked));
+    // The other end: a packet for an owner that isn't one.
+    let arrival = Arrival {
+        sender: Some(others[1]),
+        hops: 2,
+        to_owner: true,
+    };
+    let step = router.packet(NOW, arrival, &later(key(9), 4));
+    assert_eq!(step, Step::Drop(DropReason::NotOwner));
+    let told: Vec<Outgoing> = router.take_outbox().collect();
+    let told = told.last().expect("the sender is told");
+    assert_eq!((told.to, &told.message), (others[1], &not_mine(key(9))));
+}
+
+#[test]
+fn a_full_server_refuses_and_an_agent_taken_out_is_silent() {
+    let (mut router, _) = home_of(key(10));
+    let small = picture(|p| {
+        let mut group = (*p.group).clone();
+        for member in &mut group.members {
+            let mut policy = (*member.policy).clone();
+            policy.connections = 1;
+            member.policy = Arc::new(policy);
+        }
+        p.group = Arc::new(group);
+    });
+    router.install(NOW, small);
+    router.packet(NOW, FROM_BALANCER, &first(key(10)));
+    router.accepted(NOW, key(10), ISN);
+    router.packet(NOW, FROM_BALANCER, &later(key(10), 0));
+    let here = Arrival {
+        hops: HOP_LIMIT,
+        ..FROM_BALANCER
+    };
+    let step = router.packet(NOW, here, &first(key(11)));
+    assert_eq!(step, Step::Reset(ResetReason::Full));
+    let mut out = fleet(4);
+    for dc in out.data_centres.values_mut() {
+        dc.state = DataCentreState::Out;
+    }
+    let group = Group::compile(&out, "ledger").expect("the service exists");
+    router.install(NOW, picture(|p| p.group = Arc::new(group)));
+    let step = router.packet(NOW, FROM_BALANCER, &later(key(10), 0));
+    assert_eq!(step, Step::Drop(DropReason::DataCentreOut));
+}
