--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod balancer;
 pub mod flows;
+pub mod group;
 pub mod outgoing;
 pub mod picture;
 pub mod published;
