--- /dev/null
+++ b/crates/coordination/src/cold_start.rs
@@ -0,0 +1,216 @@
+//! How many requests a backend server bears at this moment, learned from its
+//! answers.
+//!
+//! A server is cold when nothing is known of it: at the start, after its
+//! data centre returned, and when its answers say so. A cold one gets a few
+//! requests at once and one more for each handful that it finished well;
+//! time alone never gives it more. Answers to requests from before it was
+//! found cold say nothing about it now, which the era of a request tells.
+
+use std::time::Duration;
+
+use ramp_protocol::message::Warmth;
+use ramp_state::fleet::Policy;
+use ramp_state::time::Millis;
+
+/// An answer is slow when it takes this many times the baseline.
+const SLOW_FACTOR: u32 = 4;
+
+/// An answer faster than this is never slow, whatever the baseline.
+const SLOW_FLOOR: Duration = Duration::from_millis(50);
+
+/// Share of a faster answer in the baseline, one in so many.
+const BASELINE_FALL: u32 = 4;
+
+/// Share of a slower answer in the baseline, one in so many.
+const BASELINE_RISE: u32 = 64;
+
+/// A server without an answer for so long has to show with one request that
+/// it is still as it was.
+const TRUST_LIMIT: Duration = Duration::from_secs(10);
+
+/// First pause after a failed connect.
+const PAUSE_FIRST: Duration = Duration::from_millis(50);
+
+/// Longest pause after failed connects.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// What an answer, or the lack of one, says about the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// Answered in this time, counted from the end of the request.
+    Answered(Duration),
+    /// Not answered for this time, when it was given up.
+    Overdue(Duration),
+    /// Refused as too busy.
+    Refused,
+    /// The connection broke.
+    Broken,
+    /// No connection could be made.
+    Unreachable,
+    /// Nothing about the server, for instance because the caller left.
+    Nothing,
+}
+
+/// Which state of the server a request was sent to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Era(u32);
+
+/// What one backend server bears.
+#[derive(Clone, Debug)]
+pub struct ColdStart {
+    warmth: Warmth,
+    /// Requests that it may have in progress.
+    bears: u32,
+    /// Requests finished since `bears` last grew.
+    finished: u32,
+    era: Era,
+    baseline: Option<Duration>,
+    /// The last answer was slow, or nothing was heard for long.
+    suspect: bool,
+    /// Last answer, or the start of the present activity.
+    heard: Millis,
+    paused_until: Millis,
+    pause: Duration,
+}
+
+impl ColdStart {
+    /// A server of which nothing is known.
+    pub fn new(now: Millis, policy: &Policy) -> ColdStart {
+        ColdStart {
+            warmth: Warmth::Cold,
+            bears: policy.cold_slots.min(policy.slots).max(1),
+            finished: 0,
+            era: Era::default(),
+            baseline: None,
+            suspect: false,
+            heard: now,
+            paused_until: Millis::default(),
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// Requests that it may have in progress now. Zero only during the pause
+    /// after a failed connect, at most a second.
+    pub fn limit(&self, now: Millis, policy: &Policy) -> u32 {
+        if now < self.paused_until {
+            return 0;
+        }
+        let doubtful = self.suspect || now.since(self.heard) >= TRUST_LIMIT;
+        let most = if doubtful {
+            policy.cold_slots.max(1)
+        } else {
+            self.bears
+        };
+        most.min(self.bears).min(policy.slots).max(1)
+    }
+
+    /// Where it stands between cold start and full load.
+    pub fn warmth(&self) -> Warmth {
+        self.warmth
+    }
+
+    /// Era of a request that is sent now.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Takes the server for cold.
+    pub fn cool(&mut self, now: Millis, policy: &Policy) {
+        let next = Era(self.era.0.wrapping_add(1));
+        let (paused_until, pause) = (self.paused_until, self.pause);
+        *self = ColdStart::new(now, policy);
+        self.era = next;
+        self.paused_until = paused_until;
+        self.pause = pause;
+    }
+
+    /// Takes what a request sent in `era` showed.
+    pub fn learn(&mut self, now: Millis, policy: &Policy, era: Era, sign: Sign) {
+        if era != self.era {
+            return;
+        }
+        match sign {
+            Sign::Answered(took) => self.answered(now, policy, took),
+            Sign::Overdue(took) if self.is_slow(took) => self.lower(now, policy),
+            Sign::Refused => self.lower(now, policy),
+            Sign::Broken => self.cool(now, policy),
+            Sign::Unreachable => {
+                self.cool(now, policy);
+                self.pause = (self.pause * 2).clamp(PAUSE_FIRST, PAUSE_LIMIT);
+                self.paused_until = now + self.pause;
+            }
+            Sign::Overdue(_) | Sign::Nothing => {}
+        }
+    }
+
+    /// Counts a request sent in `era` that was answered and is over.
+    pub fn finished(&mut self, policy: &Policy, era: Era) {
+        if era == self.era && !self.suspect {
+            self.grow(policy);
+        }
+    }
+
+    fn answered(&mut self, now: Millis, policy: &Policy, took: Duration) {
+        self.heard = now;
+        self.pause = Duration::ZERO;
+        let slow = self.is_slow(took);
+        self.fold(took);
+        if !slow {
+            self.suspect = false;
+        } else if self.suspect {
+            self.lower(now, policy);
+        } else {
+            // One slow answer may be a slow question. The next tells.
+            self.suspect = true;
+        }
+    }
+
+    fn is_slow(&self, took: Duration) -> bool {
+        self.baseline
+            .is_some_and(|usual| took > (usual * SLOW_FACTOR).max(SLOW_FLOOR))
+    }
+
+    /// The baseline follows faster answers at once and slower ones late, so
+    /// that a server that falters does not become its own measure.
+    fn fold(&mut self, took: Duration) {
+        let usual = self.baseline.unwrap_or(took);
+        self.baseline = Some(if took < usual {
+            usual - (usual - took) / BASELINE_FALL
+        } else {
+            usual + (took - usual) / BASELINE_RISE
+        });
+    }
+
+    fn grow(&mut self, policy: &Policy) {
+        if self.bears >= policy.slots {
+            self.warmth = Warmth::Warm;
+            return;
+        }
+        self.finished += 1;
+        if self.finished < policy.cold_step {
+            return;
+        }
+        self.finished = 0;
+        self.bears += 1;
+        self.warmth = if self.bears >= policy.slots {
+            Warmth::Warm
+        } else {
+            Warmth::Warming
+        };
+    }
+
+    /// A warm one starts anew; one on the way up goes back by half.
+    fn lower(&mut self, now: Millis, policy: &Policy) {
+        let half = (self.bears / 2).max(1);
+        let was = self.warmth;
+        self.cool(now, policy);
+        if was == Warmth::Warming && half > self.bears {
+            self.bears = half;
+            self.warmth = Warmth::Warming;
+        }
+        if was == Warmth::Cold {
+            self.bears = half.min(self.bears);
+        }
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,12 @@
 //! return actions. No sockets, clocks, threads or global randomness inside:
 //! seeds and times are passed in, messages go out as typed values.
 
+pub mod admission;
 pub mod balancer;
+pub mod cold_start;
 pub mod outgoing;
+pub mod peers;
 pub mod picture;
+pub mod random;
+pub mod request;
+pub mod retry;
--- /dev/null
+++ b/crates/coordination/src/request.rs
@@ -0,0 +1,287 @@
+//! What happens to a request next: run it here, hand it to another agent,
+//! let it wait, or refuse it.
+//!
+//! The driver asks [`Requests::begin`] when a request's head has come and
+//! follows the [`Step`] that it returns. When the step ends without the
+//! request having run, it asks [`Requests::again`]. A request that another
+//! agent handed on is run or refused, never handed on once more, so there
+//! are no loops and the first agent always learns the truth.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_protocol::message::Load;
+use ramp_state::fleet::Policy;
+use ramp_state::fleet::ServerState;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+use ramp_state::verdict::NotRun;
+
+use crate::admission::Admission;
+use crate::admission::Admitted;
+use crate::admission::PermitKey;
+use crate::admission::TicketKey;
+use crate::admission::Waiting;
+use crate::cold_start::Sign;
+use crate::peers::Peers;
+use crate::picture::GroupPicture;
+use crate::random::Random;
+use crate::retry::RetryBudget;
+use crate::retry::retry_after;
+
+/// Agents to which one request may be handed, one after the other.
+const HAND_ON_LIMIT: usize = 3;
+
+/// A request that looks for a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// When it is of no use any more.
+    pub deadline: Millis,
+    /// Whether it needs a slot only until the head of its answer.
+    pub feed: bool,
+    /// Whether another agent handed it on.
+    pub handed_on: bool,
+    /// Agents that did not run it.
+    pub tried: Vec<InstanceId>,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send it to the backend server and return the permit at its end.
+    Run(PermitKey),
+    /// Hand it to this agent.
+    HandOn(InstanceId),
+    /// Wait until the ticket is admitted or its time is up.
+    Wait(Waiting),
+    /// Tell the caller that it did not run.
+    Refuse(Refusal),
+}
+
+/// A refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: NotRun,
+    /// When the caller should come back.
+    pub retry_after: Duration,
+}
+
+/// Decisions about requests at one agent.
+#[derive(Debug)]
+pub struct Requests {
+    me: InstanceId,
+    policy: Arc<Policy>,
+    admission: Admission,
+    peers: Peers,
+    budget: RetryBudget,
+    random: Random,
+    reachable: bool,
+    leaving: bool,
+    draining: bool,
+}
+
+impl Requests {
+    /// Decisions of `me`, whose server is cold until it has shown otherwise.
+    pub fn new(now: Millis, me: InstanceId, seed: u64) -> Requests {
+        let policy = Arc::<Policy>::default();
+        Requests {
+            me,
+            admission: Admission::new(now, policy.clone()),
+            policy,
+            peers: Peers::new(me, seed),
+            budget: RetryBudget::new(),
+            random: Random::new(!seed),
+            reachable: true,
+            leaving: false,
+            draining: false,
+        }
+    }
+
+    /// Takes a new picture of the group.
+    pub fn install(&mut self, now: Millis, picture: Arc<GroupPicture>) {
+        if let Some(m) = picture.group.member(self.me) {
+            if m.reachable && !self.reachable {
+                self.admission.cool(now);
+            }
+            self.reachable = m.reachable;
+            self.leaving = m.state == ServerState::Leaving;
+            if self.policy != m.policy {
+                self.policy = m.policy.clone();
+                self.admission.set_policy(now, m.policy.clone());
+            }
+        } else {
+            self.leaving = true;
+        }
+        self.peers.install(now, picture);
+    }
+
+    /// Takes no new request from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Settings that apply to the backend server.
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// Whether the agent's data centre takes traffic.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    /// Load of the backend server; the driver knows the flows.
+    pub fn load(&self, now: Millis, flows: u32) -> Load {
+        Load {
+            flows,
+            in_progress: self.admission.in_progress(),
+            waiting: self.admission.waiting(),
+            slots: self.admission.slots(now),
+            warmth: self.admission.warmth(),
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// Whether a request has any chance now. Asked before the group is asked
+    /// about an idempotency key, which costs messages.
+    pub fn has_room(&self, now: Millis, ask: &Ask) -> bool {
+        let here = !self.is_leaving() && self.admission.has_room(now, ask.deadline);
+        let elsewhere = !ask.handed_on && self.peers.has_room(now);
+        self.reachable && (here || elsewhere)
+    }
+
+    /// First step of a request.
+    pub fn begin(&mut self, now: Millis, ask: &Ask) -> Step {
+        if !ask.handed_on {
+            self.budget.first_try(&self.policy);
+        }
+        if let Some(reason) = self.is_barred(now, ask) {
+            return self.refuse(reason);
+        }
+        if let Some(to) = self.share(now, ask) {
+            return self.hand_on(now, to);
+        }
+        if !self.is_leaving()
+            && let Some(permit) = self.admission.admit(now)
+        {
+            return Step::Run(permit);
+        }
+        if let Some(to) = self.elsewhere(now, ask) {
+            return self.hand_on(now, to);
+        }
+        self.wait(now, ask)
+    }
+
+    /// Next step of a request that did not run where it was tried, and why.
+    pub fn again(&mut self, now: Millis, ask: &Ask, reason: NotRun) -> Step {
+        if let Some(reason) = self.is_barred(now, ask) {
+            return self.refuse(reason);
+        }
+        let Some(to) = self.elsewhere(now, ask) else {
+            return self.refuse(reason);
+        };
+        if !self.budget.take() {
+            return self.refuse(NotRun::RetryBudgetSpent);
+        }
+        self.hand_on(now, to)
+    }
+
+    /// Next step of a request whose time to wait is up.
+    pub fn waited(&mut self, now: Millis, ask: &Ask, ticket: TicketKey) -> Step {
+        self.admission.leave(ticket);
+        let reason = self.is_barred(now, ask);
+        let reason = reason.unwrap_or(self.admission.reason(now));
+        self.refuse(reason)
+    }
+
+    /// A refusal for this reason.
+    pub fn refuse(&mut self, reason: NotRun) -> Step {
+        Step::Refuse(Refusal {
+            reason,
+            retry_after: retry_after(&self.policy, &mut self.random),
+        })
+    }
+
+    /// The caller of a waiting request left.
+    pub fn leave(&mut self, ticket: TicketKey) {
+        self.admission.leave(ticket);
+    }
+
+    /// A request that runs here showed something about the server.
+    pub fn learn(&mut self, now: Millis, permit: PermitKey, sign: Sign) {
+        self.admission.learn(now, permit, sign);
+    }
+
+    /// The head of a feed's answer came.
+    pub fn feed_answered(&mut self, now: Millis, permit: PermitKey) {
+        self.admission.feed_answered(now, permit);
+    }
+
+    /// A request that ran here, or was about to, has ended.
+    pub fn release(&mut self, now: Millis, permit: PermitKey) {
+        self.admission.release(now, permit);
+    }
+
+    /// A request that was handed to `to` has ended there.
+    pub fn handed_on_ended(&mut self, now: Millis, to: InstanceId) {
+        self.peers.ended(now, to);
+    }
+
+    /// The agent `to` did not take a request.
+    pub fn handed_on_refused(&mut self, now: Millis, to: InstanceId) {
+        self.peers.refused(now, to);
+    }
+
+    /// Waiting requests that got a slot since the last call.
+    pub fn take_admitted(&mut self) -> Vec<Admitted> {
+        self.admission.take_admitted()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.draining
+    }
+
+    fn is_barred(&self, now: Millis, ask: &Ask) -> Option<NotRun> {
+        if !self.reachable {
+            return Some(NotRun::DataCentreOut);
+        }
+        (ask.deadline <= now).then_some(NotRun::DeadlinePassed)
+    }
+
+    /// Peer that should have the request although it could run here. A feed
+    /// stays: it needs a slot only for a moment, but two agents for hours.
+    fn share(&mut self, now: Millis, ask: &Ask) -> Option<InstanceId> {
+        if ask.handed_on || ask.feed {
+            return None;
+        }
+        let mine = self.admission.in_progress() + self.admission.waiting();
+        self.peers.emptier(now, mine)
+    }
+
+    fn elsewhere(&mut self, now: Millis, ask: &Ask) -> Option<InstanceId> {
+        if ask.handed_on || ask.tried.len() >= HAND_ON_LIMIT {
+            return None;
+        }
+        self.peers.choose(now, &ask.tried)
+    }
+
+    fn hand_on(&mut self, now: Millis, to: InstanceId) -> Step {
+        self.peers.handed(now, to);
+        Step::HandOn(to)
+    }
+
+    fn wait(&mut self, now: Millis, ask: &Ask) -> Step {
+        if self.is_leaving() {
+            return self.refuse(NotRun::Leaving);
+        }
+        // The agent that handed it on knows other agents with free slots.
+        if ask.handed_on {
+            return self.refuse(self.admission.reason(now));
+        }
+        match self.admission.wait(now, ask.deadline) {
+            Ok(waiting) => Step::Wait(waiting),
+            Err(reason) => self.refuse(reason),
+        }
+    }
+}
--- a/crates/state/src/verdict.rs
+++ b/crates/state/src/verdict.rs
@@ -48,6 +48,10 @@
         ServerRefused {
             display("the backend server refused it")
         }
+        /// The caller went away before it was sent.
+        CallerLeft {
+            display("the caller went away before the request was sent")
+        }
         /// The data centre was taken out before it was sent.
         DataCentreOut {
             display("the data centre was taken out")
@@ -83,6 +87,10 @@
         KeyUnknown {
             display("what became of the idempotency key is not known")
         }
+        /// Another request with the same idempotency key is still running.
+        KeyRunning {
+            display("a request with the same idempotency key is still running")
+        }
         /// The agent that handed it on lost the agent that took it.
         PeerLost {
             display("the connection to the other agent broke")
@@ -112,6 +120,59 @@
     }
 }
 
+impl NotRun {
+    /// Every reason.
+    pub const ALL: [NotRun; 11] = [
+        NotRun::Overloaded,
+        NotRun::Cold,
+        NotRun::Leaving,
+        NotRun::NoServer,
+        NotRun::DeadlinePassed,
+        NotRun::RetryBudgetSpent,
+        NotRun::BadRequest,
+        NotRun::KeyRunning,
+        NotRun::ServerRefused,
+        NotRun::CallerLeft,
+        NotRun::DataCentreOut,
+    ];
+}
+
+impl MayHaveRun {
+    /// Every reason.
+    pub const ALL: [MayHaveRun; 8] = [
+        MayHaveRun::ServerLost,
+        MayHaveRun::DeadlinePassed,
+        MayHaveRun::CallerLeft,
+        MayHaveRun::DrainLimitPassed,
+        MayHaveRun::DataCentreOut,
+        MayHaveRun::KeyUnknown,
+        MayHaveRun::KeyRunning,
+        MayHaveRun::PeerLost,
+    ];
+}
+
+impl Verdict {
+    /// Reads the verdict header and the reason header of an answer. A reason
+    /// that this program does not know is taken for the most general one of
+    /// its verdict; nothing when the verdict itself is not known.
+    pub fn from_headers(verdict: &str, reason: &str) -> Option<Verdict> {
+        match verdict {
+            "served" => Some(Verdict::Served),
+            "not-run" => {
+                let known = NotRun::ALL.into_iter().find(|r| r.to_string() == reason);
+                Some(Verdict::NotRun(known.unwrap_or(NotRun::NoServer)))
+            }
+            "may-have-run" => {
+                let known = MayHaveRun::ALL
+                    .into_iter()
+                    .find(|r| r.to_string() == reason);
+                Some(Verdict::MayHaveRun(known.unwrap_or(MayHaveRun::ServerLost)))
+            }
+            _ => None,
+        }
+    }
+}
+
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/transport/src/requests/body.rs
+++ b/crates/transport/src/requests/body.rs
@@ -11,12 +11,33 @@
 use http_body::SizeHint;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use quick_error::quick_error;
+use ramp_coordination::cold_start::Sign;
 use ramp_state::verdict::MayHaveRun;
 use ramp_state::verdict::Verdict;
+use tokio::time::Sleep;
 
-use super::serve::RequestInProgress;
+use super::hand_on::Visit;
+use super::progress::Held;
+use super::progress::Progress;
 use super::upstream::Upstream;
 
+quick_error! {
+    /// Why an answer was cut.
+    #[derive(Debug)]
+    pub enum CutError {
+        /// The connection to the backend server or the other agent broke.
+        Upstream(err: hyper::Error) {
+            display("the answer broke off: {}", err)
+            from()
+        }
+        /// The deadline passed.
+        DeadlinePassed {
+            display("the deadline passed during the answer")
+        }
+    }
+}
+
 /// Body of an answer.
 pub enum AnswerBody {
     /// Written by us.
@@ -27,30 +48,48 @@
 
 /// Body that comes from upstream, with what ends when it ends.
 pub struct Relay {
-    body: Incoming,
-    req: RequestInProgress,
+    /// The body.
+    pub body: Incoming,
+    /// The request that it answers.
+    pub progress: Progress,
+    /// What the request holds at the backend server, if it runs here.
+    pub held: Option<Held>,
+    /// What to tell when the body breaks off.
+    pub loss: MayHaveRun,
+    /// When the answer has to be over; never for a feed.
+    pub deadline: Option<Pin<Box<Sleep>>>,
+    /// The agent that runs the request, if it was handed on.
+    pub visit: Option<Visit>,
     /// Held so that dropping the answer drops the upstream connection.
-    _upstream: Upstream,
+    pub _upstream: Upstream,
 }
 
 impl Relay {
-    /// Streams `body`; the request ends when it does.
-    pub fn new(body: Incoming, req: RequestInProgress, upstream: Upstream) -> Box<Relay> {
-        Box::new(Relay {
-            body,
-            req,
-            _upstream: upstream,
-        })
-    }
-
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        if let Some(deadline) = &mut self.deadline
+            && deadline.as_mut().poll(cx).is_ready()
+        {
+            self.end(Verdict::MayHaveRun(MayHaveRun::DeadlinePassed));
+            return Poll::Ready(Some(Err(CutError::DeadlinePassed)));
+        }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         match &frame {
             Some(Ok(_)) => {}
-            Some(Err(_)) => self.req.end(Verdict::MayHaveRun(MayHaveRun::ServerLost)),
-            None => self.req.end(Verdict::Served),
+            Some(Err(_)) => {
+                if let Some(held) = &mut self.held {
+                    held.learn(Sign::Broken);
+                }
+                self.end(Verdict::MayHaveRun(self.loss));
+            }
+            None => self.end(Verdict::Served),
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|f| f.map_err(CutError::Upstream)))
+    }
+
+    fn end(&mut self, verdict: Verdict) {
+        self.held = None;
+        self.visit = None;
+        self.progress.end(verdict);
     }
 }
 
@@ -58,23 +97,20 @@
     fn drop(&mut self) {
         // A body of known length is dropped at its end without being polled
         // once more.
-        let verdict = if self.body.is_end_stream() {
-            Verdict::Served
-        } else {
-            Verdict::MayHaveRun(MayHaveRun::CallerLeft)
-        };
-        self.req.end(verdict);
+        if self.body.is_end_stream() {
+            self.end(Verdict::Served);
+        }
     }
 }
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = CutError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
         match self.get_mut() {
             AnswerBody::Own(body) => Pin::new(body)
                 .poll_frame(cx)
--- a/crates/transport/src/requests/context.rs
+++ b/crates/transport/src/requests/context.rs
@@ -5,22 +5,27 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use flume::Receiver;
 use flume::Sender;
 use metrics::counter;
+use ramp_coordination::admission::PermitKey;
+use ramp_coordination::admission::TicketKey;
 use ramp_coordination::outgoing::Outgoing;
 use ramp_coordination::picture::GroupPicture;
+use ramp_coordination::request::Requests;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
 use ramp_protocol::seal::FleetKey;
 use ramp_state::fleet::Policy;
-use ramp_state::fleet::ServerState;
 use ramp_state::key::InstanceId;
 use ramp_state::key::ServiceId;
 use ramp_state::outcome::Record;
 use ramp_state::time::Millis;
+use slotmap::SecondaryMap;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use super::handoff::Challenge;
@@ -29,6 +34,9 @@
 /// Records that may wait for the ledger.
 const RECORD_QUEUE_LIMIT: usize = 65_536;
 
+/// How often a drain looks whether all requests have ended.
+const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(10);
+
 /// What an agent needs to know to serve requests.
 pub struct RequestConfig {
     /// The agent.
@@ -45,45 +53,60 @@
     pub epoch: Instant,
 }
 
+/// How far a drain has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Drain {
+    /// Not begun.
+    Serving,
+    /// No new requests; those in progress go on.
+    Draining,
+    /// The drain limit has passed; what is left is cut.
+    Over,
+}
+
 /// State that all requests of one agent share.
 pub struct RequestContext {
     pub(super) cfg: RequestConfig,
+    /// The decisions. Never borrowed across an await.
+    pub(super) requests: RefCell<Requests>,
     picture: RefCell<Option<Arc<GroupPicture>>>,
-    flows: Cell<u32>,
-    in_progress: Cell<u32>,
+    waiters: RefCell<SecondaryMap<TicketKey, oneshot::Sender<PermitKey>>>,
     challenges: RefCell<Challenges>,
-    draining: watch::Sender<bool>,
+    flows: Cell<u32>,
+    /// Requests between head and end, wherever they run.
+    live: Cell<u32>,
+    drain: watch::Sender<Drain>,
     records: (Sender<Record>, Receiver<Record>),
 }
 
 impl RequestContext {
     /// State of an agent that has no picture of its group yet.
     pub fn new(cfg: RequestConfig) -> Rc<RequestContext> {
+        let now = millis_since(cfg.epoch);
         Rc::new(RequestContext {
+            requests: RefCell::new(Requests::new(now, cfg.me, cfg.seed)),
             cfg,
             picture: RefCell::new(None),
+            waiters: RefCell::default(),
+            challenges: RefCell::default(),
             flows: Cell::new(0),
-            in_progress: Cell::new(0),
-            challenges: RefCell::new(Challenges::new()),
-            draining: watch::Sender::new(false),
+            live: Cell::new(0),
+            drain: watch::Sender::new(Drain::Serving),
             records: flume::bounded(RECORD_QUEUE_LIMIT),
         })
     }
 
     /// Takes a new picture of the group.
     pub fn install(&self, picture: Arc<GroupPicture>) {
-        *self.picture.borrow_mut() = Some(picture);
+        let now = self.now();
+        self.requests.borrow_mut().install(now, picture.clone());
+        self.picture.replace(Some(picture));
+        self.wake();
     }
 
     /// Load of the backend server, for heartbeats.
     pub fn load(&self) -> Load {
-        Load {
-            flows: self.flows.get(),
-            in_progress: self.in_progress.get(),
-            slots: self.policy().slots,
-            leaving: self.leaving(),
-            ..Load::default()
-        }
+        self.requests.borrow().load(self.now(), self.flows.get())
     }
 
     /// Takes a message of another agent about an idempotency key.
@@ -100,36 +123,72 @@
     }
 
     /// Stops taking new requests. Completes when those in progress have
-    /// ended, or the drain limit has passed.
+    /// ended, or when the drain limit has passed and they have been cut.
     pub async fn drain(&self) {
-        self.draining.send_replace(true);
+        self.requests.borrow_mut().drain();
+        self.drain.send_replace(Drain::Draining);
         let limit = self.policy().drain_limit;
-        let _ = tokio::time::timeout(limit, self.idle()).await;
+        if tokio::time::timeout(limit, self.idle()).await.is_err() {
+            self.drain.send_replace(Drain::Over);
+            self.idle().await;
+        }
     }
 
-    /// Completes when the agent begins to drain.
-    pub(super) async fn draining(&self) {
-        let mut rx = self.draining.subscribe();
+    /// Completes when the drain has come to `stage`.
+    pub(super) async fn drained_to(&self, stage: Drain) {
+        let mut rx = self.drain.subscribe();
         // The sender lives in `self`, so waiting can't fail.
-        let _ = rx.wait_for(|draining| *draining).await;
+        let _ = rx.wait_for(|now| *now >= stage).await;
     }
 
-    /// Challenge for one more connection of another agent.
-    pub(super) fn next_challenge(&self) -> Challenge {
-        self.challenges.borrow_mut().draw()
+    /// Whether what is left of requests is being cut.
+    pub(super) fn is_cut(&self) -> bool {
+        *self.drain.borrow() == Drain::Over
     }
 
     /// The present moment on the agent's clock.
     pub(super) fn now(&self) -> Millis {
-        Millis(self.cfg.epoch.elapsed().as_millis() as u64)
+        millis_since(self.cfg.epoch)
     }
 
-    /// Settings of the agent's backend server; the defaults until a picture
-    /// came.
+    /// Settings of the agent's backend server.
     pub(super) fn policy(&self) -> Arc<Policy> {
+        self.requests.borrow().policy().clone()
+    }
+
+    /// Where another agent takes requests.
+    pub(super) fn address_of(&self, peer: InstanceId) -> Option<SocketAddrV4> {
         let picture = self.picture.borrow();
-        let member = picture.as_ref().and_then(|p| p.group.member(self.cfg.me));
-        member.map(|m| m.policy.clone()).unwrap_or_default()
+        picture.as_ref()?.group.member(peer).map(|m| m.agent)
+    }
+
+    /// Challenge for one more connection of another agent.
+    pub(super) fn next_challenge(&self) -> Challenge {
+        self.challenges.borrow_mut().draw()
+    }
+
+    /// Where the permit of a waiting request will come.
+    pub(super) fn wait_for(&self, ticket: TicketKey) -> oneshot::Receiver<PermitKey> {
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, tx);
+        rx
+    }
+
+    /// A request waits no longer.
+    pub(super) fn stop_waiting(&self, ticket: TicketKey) {
+        self.waiters.borrow_mut().remove(ticket);
+    }
+
+    /// Gives permits to the waiting requests that got one. Called after
+    /// whatever may free a slot.
+    pub(super) fn wake(&self) {
+        let admitted = self.requests.borrow_mut().take_admitted();
+        for found in admitted {
+            let waiter = self.waiters.borrow_mut().remove(found.ticket);
+            // A waiter that left has given up its ticket, so it is there.
+            let Some(tx) = waiter else { continue };
+            let _ = tx.send(found.permit);
+        }
     }
 
     pub(super) fn record(&self, record: Record) {
@@ -147,23 +206,20 @@
     }
 
     pub(super) fn request_began(&self) {
-        self.in_progress.set(self.in_progress.get() + 1);
+        self.live.set(self.live.get() + 1);
     }
 
     pub(super) fn request_ended(&self) {
-        self.in_progress.set(self.in_progress.get() - 1);
-    }
-
-    fn leaving(&self) -> bool {
-        let picture = self.picture.borrow();
-        let member = picture.as_ref().and_then(|p| p.group.member(self.cfg.me));
-        *self.draining.borrow() || member.is_some_and(|m| m.state == ServerState::Leaving)
+        self.live.set(self.live.get() - 1);
     }
 
     async fn idle(&self) {
-        const POLL_PERIOD: std::time::Duration = std::time::Duration::from_millis(10);
-        while self.in_progress.get() > 0 || self.flows.get() > 0 {
-            tokio::time::sleep(POLL_PERIOD).await;
+        while self.live.get() > 0 || self.flows.get() > 0 {
+            tokio::time::sleep(DRAIN_POLL_PERIOD).await;
         }
     }
 }
+
+fn millis_since(epoch: Instant) -> Millis {
+    Millis(epoch.elapsed().as_millis() as u64)
+}
--- a/crates/transport/src/requests/flow.rs
+++ b/crates/transport/src/requests/flow.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use ramp_state::outcome::FlowEnd;
 
+use super::context::Drain;
 use super::context::RequestContext;
 use super::serve::Origin;
 use super::serve::serve;
@@ -42,9 +43,12 @@
     let mut conn = pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
-        () = cx.draining() => {
+        () = cx.drained_to(Drain::Draining) => {
             conn.as_mut().graceful_shutdown();
-            conn.await
+            tokio::select! {
+                ended = conn => ended,
+                () = cx.drained_to(Drain::Over) => return FlowEnd::DrainLimitPassed,
+            }
         }
     };
     match ended {
--- a/crates/transport/src/requests/head.rs
+++ b/crates/transport/src/requests/head.rs
@@ -15,6 +15,8 @@
 use ramp_state::verdict::REASON_HEADER;
 use ramp_state::verdict::VERDICT_HEADER;
 
+use super::handoff;
+
 /// Media type of a feed.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -69,6 +71,7 @@
 /// Makes the head of a caller's request fit to be sent on.
 pub fn pass_on(parts: &mut Parts) {
     strip_hop_headers(&mut parts.headers);
+    handoff::strip(&mut parts.headers);
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
     parts.uri = Uri::from(path);
@@ -88,6 +91,13 @@
     headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
 }
 
+/// Whether an answer is a feed.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE);
+    let kind = kind.and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 fn strip_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
--- /dev/null
+++ b/crates/transport/src/requests/local.rs
@@ -0,0 +1,116 @@
+//! A request at the agent's own backend server.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use ramp_coordination::cold_start::Sign;
+use ramp_state::verdict::MayHaveRun;
+use ramp_state::verdict::NotRun;
+use ramp_state::verdict::Verdict;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
+
+use super::body::AnswerBody;
+use super::body::Relay;
+use super::head;
+use super::progress::Held;
+use super::send_body::Sent;
+use super::serve::Job;
+use super::serve::Tried;
+use super::upstream::Upstream;
+
+/// By this header a backend server says that it did not run what it refuses.
+const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// Longest time to connect to the backend server, which is near.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Sends the request to the agent's own backend server.
+pub async fn run_here(mut job: Job, mut held: Held) -> Tried {
+    let deadline = job.deadline();
+    let connect_by = deadline.min(Instant::now() + CONNECT_LIMIT);
+    let connect = Upstream::connect(job.cx.cfg.backend_server);
+    let Ok(Ok(stream)) = timeout_at(connect_by, connect).await else {
+        held.learn(Sign::Unreachable);
+        return Tried::not_run(job, NotRun::NoServer);
+    };
+    let head = job.head();
+    let Some((body, sent)) = job.payload.take() else {
+        return Tried::not_run(job, NotRun::NoServer);
+    };
+    if matches!(sent.get(), Sent::Whole(_)) {
+        held.awaits();
+    }
+    let written = job.progress.sending_to(job.cx.cfg.me);
+    let mut upstream = Upstream::new(written);
+    let req = Request::from_parts(head, body);
+    let res = match timeout_at(deadline, upstream.send(stream, req)).await {
+        Ok(Ok(res)) => res,
+        Ok(Err(_)) => {
+            held.learn(sign_of_loss(sent.get()));
+            return lost(job, MayHaveRun::ServerLost, NotRun::NoServer);
+        }
+        Err(_) => return lost(job, MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
+    };
+    held.learn(sign_of_answer(&res, sent.get()));
+    if did_not_run(&res) {
+        drop(held);
+        return Tried::not_run(job, NotRun::ServerRefused);
+    }
+    let is_feed = job.ask.feed && head::is_event_stream(res.headers());
+    let held = if is_feed { hold_connection(held) } else { held };
+    let (mut parts, body) = res.into_parts();
+    head::pass_back(&mut parts.headers);
+    let relay = Relay {
+        body,
+        progress: job.progress,
+        held: Some(held),
+        loss: MayHaveRun::ServerLost,
+        deadline: (!is_feed).then(|| Box::pin(sleep_until(deadline))),
+        visit: None,
+        _upstream: upstream,
+    };
+    let body = AnswerBody::Relayed(Box::new(relay));
+    Tried::Answered(Response::from_parts(parts, body))
+}
+
+/// What to do after a try without an answer: by whether a byte was written.
+pub fn lost(job: Job, written: MayHaveRun, unwritten: NotRun) -> Tried {
+    if job.progress.is_written() {
+        Tried::Answered(job.answer(Verdict::MayHaveRun(written)))
+    } else {
+        Tried::not_run(job, unwritten)
+    }
+}
+
+fn hold_connection(mut held: Held) -> Held {
+    held.feed_answered();
+    held
+}
+
+fn did_not_run(res: &Response<Incoming>) -> bool {
+    let says_so = |headers: &HeaderMap| headers.get(NOT_RUN_HEADER).is_some_and(|v| v == "1");
+    res.status() == StatusCode::SERVICE_UNAVAILABLE && says_so(res.headers())
+}
+
+fn sign_of_answer(res: &Response<Incoming>, sent: Sent) -> Sign {
+    match (res.status(), sent) {
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Sign::Refused,
+        (_, Sent::Whole(at)) => Sign::Answered(at.elapsed()),
+        // Answered before the request was over; its time says nothing.
+        (_, Sent::Partly | Sent::BrokenOff) => Sign::Nothing,
+    }
+}
+
+/// A request that its own sender broke off says nothing about the server.
+fn sign_of_loss(sent: Sent) -> Sign {
+    match sent {
+        Sent::BrokenOff => Sign::Nothing,
+        Sent::Partly | Sent::Whole(_) => Sign::Broken,
+    }
+}
--- a/crates/transport/src/requests/mod.rs
+++ b/crates/transport/src/requests/mod.rs
@@ -8,10 +8,14 @@
 mod body;
 mod context;
 mod flow;
-pub mod handoff;
+mod hand_on;
+mod handoff;
 mod head;
+mod local;
 mod peer;
+mod progress;
 mod refusal;
+mod send_body;
 mod serve;
 mod upstream;
 
--- /dev/null
+++ b/crates/transport/src/requests/progress.rs
@@ -0,0 +1,229 @@
+//! A request from its head to its end, and what it holds meanwhile.
+//!
+//! Each of these ends by itself when it is dropped, so that a caller who goes
+//! away, which drops the request's future, leaves nothing behind.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use hyper::Response;
+use ramp_coordination::admission::PermitKey;
+use ramp_coordination::admission::TicketKey;
+use ramp_coordination::admission::Waiting;
+use ramp_coordination::cold_start::Sign;
+use ramp_coordination::request::Refusal;
+use ramp_state::key::InstanceId;
+use ramp_state::outcome::Outcome;
+use ramp_state::outcome::Record;
+use ramp_state::time::Millis;
+use ramp_state::verdict::MayHaveRun;
+use ramp_state::verdict::NotRun;
+use ramp_state::verdict::Verdict;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::body::AnswerBody;
+use super::context::RequestContext;
+use super::refusal::refuse;
+use super::serve::Origin;
+
+/// A request that has begun and not ended.
+pub struct Progress {
+    cx: Rc<RequestContext>,
+    origin: Origin,
+    began: Millis,
+    server: Option<InstanceId>,
+    /// Whether any byte of it may have reached a backend server.
+    written: Rc<Cell<bool>>,
+    ended: bool,
+}
+
+impl Progress {
+    /// Begins a request.
+    pub fn begin(cx: Rc<RequestContext>, origin: Origin) -> Progress {
+        cx.request_began();
+        Progress {
+            began: cx.now(),
+            cx,
+            origin,
+            server: None,
+            written: Rc::default(),
+            ended: false,
+        }
+    }
+
+    /// It goes to `server`. Returns where the first byte written is noted.
+    pub fn sending_to(&mut self, server: InstanceId) -> Rc<Cell<bool>> {
+        self.server = Some(server);
+        self.written.clone()
+    }
+
+    /// It is certain that it did not run where it was sent.
+    pub fn did_not_run(&mut self) {
+        self.server = None;
+        self.written.set(false);
+    }
+
+    /// Whether any byte of it may have reached a backend server.
+    pub fn is_written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// Ends it; only the first call counts.
+    pub fn end(&mut self, verdict: Verdict) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.cx.request_ended();
+        // The agent that keeps the flow records the request, nobody else.
+        let Origin::Caller(caller) = self.origin else {
+            return;
+        };
+        self.cx.record(Record {
+            caller,
+            service: self.cx.cfg.service,
+            server: self.server,
+            outcome: Outcome::Request {
+                verdict,
+                took: self.cx.now().since(self.began),
+            },
+        });
+    }
+
+    /// Ends it and makes the answer that says so.
+    pub fn answer(mut self, verdict: Verdict) -> Response<AnswerBody> {
+        self.end(verdict);
+        refuse(verdict, None)
+    }
+
+    /// Ends it with a refusal.
+    pub fn refuse(mut self, refusal: Refusal) -> Response<AnswerBody> {
+        let verdict = Verdict::NotRun(refusal.reason);
+        self.end(verdict);
+        refuse(verdict, Some(refusal.retry_after))
+    }
+
+    /// Verdict on a request that was dropped before its end.
+    fn cut(&self) -> Verdict {
+        let is_out = !self.cx.requests.borrow().is_reachable();
+        let is_cut = self.cx.is_cut();
+        if self.is_written() {
+            Verdict::MayHaveRun(match (is_cut, is_out) {
+                (true, _) => MayHaveRun::DrainLimitPassed,
+                (_, true) => MayHaveRun::DataCentreOut,
+                _ => MayHaveRun::CallerLeft,
+            })
+        } else {
+            Verdict::NotRun(match (is_cut, is_out) {
+                (true, _) => NotRun::Leaving,
+                (_, true) => NotRun::DataCentreOut,
+                _ => NotRun::CallerLeft,
+            })
+        }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(self.cut());
+        }
+    }
+}
+
+/// A permit, given back when dropped.
+pub struct Held {
+    cx: Rc<RequestContext>,
+    permit: PermitKey,
+    /// Since when an answer is awaited.
+    awaiting: Option<Instant>,
+}
+
+impl Held {
+    /// Holds `permit`.
+    pub fn new(cx: Rc<RequestContext>, permit: PermitKey) -> Held {
+        Held {
+            cx,
+            permit,
+            awaiting: None,
+        }
+    }
+
+    /// The whole request is on its way; its answer is awaited.
+    pub fn awaits(&mut self) {
+        self.awaiting = Some(Instant::now());
+    }
+
+    /// Tells what the request shows about the server.
+    pub fn learn(&mut self, sign: Sign) {
+        self.awaiting = None;
+        let now = self.cx.now();
+        let mut requests = self.cx.requests.borrow_mut();
+        requests.learn(now, self.permit, sign);
+        drop(requests);
+        self.cx.wake();
+    }
+
+    /// Frees the slot but keeps the connection, for a feed.
+    pub fn feed_answered(&mut self) {
+        let now = self.cx.now();
+        let mut requests = self.cx.requests.borrow_mut();
+        requests.feed_answered(now, self.permit);
+        drop(requests);
+        self.cx.wake();
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        // A caller that did not wait shows too how long the server took.
+        if let Some(since) = self.awaiting {
+            self.learn(Sign::Overdue(since.elapsed()));
+        }
+        let now = self.cx.now();
+        let mut requests = self.cx.requests.borrow_mut();
+        requests.release(now, self.permit);
+        drop(requests);
+        self.cx.wake();
+    }
+}
+
+/// A request's place in the queue, left when dropped.
+pub struct Place {
+    cx: Rc<RequestContext>,
+    ticket: TicketKey,
+    rx: oneshot::Receiver<PermitKey>,
+}
+
+impl Place {
+    /// Takes the place that `waiting` names.
+    pub fn take(cx: Rc<RequestContext>, waiting: Waiting) -> Place {
+        let rx = cx.wait_for(waiting.ticket);
+        Place {
+            cx,
+            ticket: waiting.ticket,
+            rx,
+        }
+    }
+
+    /// Completes with the permit.
+    pub async fn admitted(&mut self) -> Held {
+        let Ok(permit) = (&mut self.rx).await else {
+            // Only a request that leaves the queue loses its sender.
+            return std::future::pending().await;
+        };
+        Held::new(self.cx.clone(), permit)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.cx.stop_waiting(self.ticket);
+        self.cx.requests.borrow_mut().leave(self.ticket);
+        // The permit may have come at the moment when the wait was given up.
+        if let Ok(permit) = self.rx.try_recv() {
+            drop(Held::new(self.cx.clone(), permit));
+        }
+    }
+}
--- a/crates/transport/src/requests/serve.rs
+++ b/crates/transport/src/requests/serve.rs
@@ -1,4 +1,4 @@
-//! One request, from its head to its end.
+//! One request: follows the steps that the decisions return.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -7,24 +7,26 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use ramp_coordination::request::Ask;
+use ramp_coordination::request::Step;
 use ramp_state::key::InstanceId;
-use ramp_state::outcome::Outcome;
-use ramp_state::outcome::Record;
 use ramp_state::time::Millis;
-use ramp_state::verdict::MayHaveRun;
 use ramp_state::verdict::NotRun;
 use ramp_state::verdict::Verdict;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 use super::body::AnswerBody;
-use super::body::Relay;
 use super::context::RequestContext;
-use super::handoff;
+use super::hand_on::hand_on;
 use super::head;
 use super::head::Head;
-use super::refusal::refuse;
-use super::upstream::Upstream;
+use super::local::run_here;
+use super::progress::Held;
+use super::progress::Place;
+use super::progress::Progress;
+use super::send_body::Payload;
 
 /// Who a request comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,118 +37,133 @@
     Peer(InstanceId),
 }
 
+/// A request on its way to a server.
+pub struct Job {
+    /// What all requests share.
+    pub cx: Rc<RequestContext>,
+    /// Its state so far.
+    pub progress: Progress,
+    /// Its head, fit to be sent on.
+    pub parts: Parts,
+    /// Its body.
+    pub payload: Payload,
+    /// What it asks of the decisions.
+    pub ask: Ask,
+}
+
+/// How one try of a request ended.
+pub enum Tried {
+    /// With an answer, or the head of one.
+    Answered(Response<AnswerBody>),
+    /// It certainly did not run; the request can be tried elsewhere.
+    NotRun(Box<Job>, NotRun),
+}
+
+impl Tried {
+    /// It certainly did not run.
+    pub fn not_run(job: Job, reason: NotRun) -> Tried {
+        Tried::NotRun(Box::new(job), reason)
+    }
+}
+
+impl Job {
+    /// Time that is left to it.
+    pub fn left(&self) -> Duration {
+        self.ask.deadline.since(self.cx.now())
+    }
+
+    /// When its time is up, on the runtime's clock.
+    pub fn deadline(&self) -> Instant {
+        Instant::now() + self.left()
+    }
+
+    /// Head for one more try.
+    pub fn head(&self) -> Parts {
+        let mut parts = self.parts.clone();
+        head::state_deadline(&mut parts.headers, self.left());
+        parts
+    }
+
+    /// Tells the caller that it may have run.
+    pub fn answer(self, verdict: Verdict) -> Response<AnswerBody> {
+        self.progress.answer(verdict)
+    }
+}
+
 /// Serves one request.
 pub async fn serve(
     cx: Rc<RequestContext>,
     origin: Origin,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let mut progress = RequestInProgress::begin(cx.clone(), origin);
+    let progress = Progress::begin(cx.clone(), origin);
     let (mut parts, body) = req.into_parts();
     let Some(found) = Head::read(&parts) else {
-        return progress.refuse(Verdict::NotRun(NotRun::BadRequest));
+        return progress.answer(Verdict::NotRun(NotRun::BadRequest));
     };
     let span = found.deadline.unwrap_or(cx.policy().deadline);
-    let deadline = Instant::now() + span;
-    handoff::strip(&mut parts.headers);
-    head::pass_on(&mut parts);
-    head::state_deadline(&mut parts.headers, span);
-    let mut upstream = Upstream::new();
-    let sent = async {
-        let stream = Upstream::connect(cx.cfg.backend_server)
-            .await
-            .map_err(|_| Verdict::NotRun(NotRun::NoServer))?;
-        progress.server = Some(cx.cfg.me);
-        let req = Request::from_parts(parts, body);
-        let res = upstream.send(stream, req).await;
-        res.map_err(|fault| verdict_of_loss(fault.written))
+    let deadline = cx.now() + span;
+    let payload = match timeout(span, Payload::read(body)).await {
+        Ok(Ok(payload)) => payload,
+        Ok(Err(_)) => return progress.answer(Verdict::NotRun(NotRun::CallerLeft)),
+        Err(_) => return progress.answer(Verdict::NotRun(NotRun::DeadlinePassed)),
     };
-    let res = match timeout_at(deadline, sent).await {
-        Ok(Ok(res)) => res,
-        Ok(Err(verdict)) => return progress.refuse(verdict),
-        Err(_) => return progress.refuse(verdict_of_deadline(upstream.written())),
+    head::pass_on(&mut parts);
+    let job = Job {
+        ask: ask(origin, &found, deadline),
+        cx,
+        progress,
+        parts,
+        payload,
     };
-    let (mut parts, body) = res.into_parts();
-    head::pass_back(&mut parts.headers);
-    let relay = Relay::new(body, progress, upstream);
-    Response::from_parts(parts, AnswerBody::Relayed(relay))
+    place(job).await
 }
 
-fn verdict_of_loss(written: bool) -> Verdict {
-    if written {
-        Verdict::MayHaveRun(MayHaveRun::ServerLost)
-    } else {
-        Verdict::NotRun(NotRun::NoServer)
+fn ask(origin: Origin, found: &Head, deadline: Millis) -> Ask {
+    Ask {
+        deadline,
+        feed: found.feed,
+        handed_on: matches!(origin, Origin::Peer(_)),
+        tried: Vec::new(),
     }
 }
 
-fn verdict_of_deadline(written: bool) -> Verdict {
-    if written {
-        Verdict::MayHaveRun(MayHaveRun::DeadlinePassed)
-    } else {
-        Verdict::NotRun(NotRun::DeadlinePassed)
-    }
-}
-
-/// A request that has begun. It ends once, by [`RequestInProgress::end`] or
-/// by being dropped because the caller went away.
-pub struct RequestInProgress {
-    cx: Rc<RequestContext>,
-    origin: Origin,
-    began: Millis,
-    server: Option<InstanceId>,
-    ended: bool,
-}
-
-impl RequestInProgress {
-    fn begin(cx: Rc<RequestContext>, origin: Origin) -> RequestInProgress {
-        cx.request_began();
-        RequestInProgress {
-            began: cx.now(),
-            cx,
-            origin,
-            server: None,
-            ended: false,
-        }
-    }
-
-    /// Ends the request; only the first call counts.
-    pub fn end(&mut self, verdict: Verdict) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        self.cx.request_ended();
-        let took = self.cx.now().since(self.began);
-        self.record(verdict, took);
-    }
-
-    fn refuse(mut self, verdict: Verdict) -> Response<AnswerBody> {
-        self.end(verdict);
-        let retry_after = match verdict {
-            Verdict::NotRun(NotRun::BadRequest) => None,
-            Verdict::NotRun(_) => Some(self.cx.policy().retry_after),
-            Verdict::Served | Verdict::MayHaveRun(_) => None,
+/// Finds a server for the request and returns its answer.
+async fn place(mut job: Job) -> Response<AnswerBody> {
+    let cx = job.cx.clone();
+    let mut step = cx.requests.borrow_mut().begin(cx.now(), &job.ask);
+    loop {
+        let tried = match step {
+            Step::Refuse(refusal) => return job.progress.refuse(refusal),
+            Step::HandOn(to) => hand_on(job, to).await,
+            Step::Run(permit) => {
+                let held = Held::new(cx.clone(), permit);
+                run_here(job, held).await
+            }
+            Step::Wait(waiting) => {
+                let mut place = Place::take(cx.clone(), waiting);
+                let span = waiting.until.since(cx.now());
+                match timeout(span, place.admitted()).await {
+                    Ok(held) => run_here(job, held).await,
+                    Err(_) => {
+                        let mut requests = cx.requests.borrow_mut();
+                        step = requests.waited(cx.now(), &job.ask, waiting.ticket);
+                        continue;
+                    }
+                }
+            }
         };
-        refuse(verdict, retry_after)
-    }
-
-    /// The agent that keeps the flow records the request, nobody else.
-    fn record(&self, verdict: Verdict, took: Duration) {
-        let Origin::Caller(caller) = self.origin else {
-            return;
+        let (back, reason) = match tried {
+            Tried::Answered(res) => return res,
+            Tried::NotRun(back, reason) => (back, reason),
+        };
+        job = *back;
+        job.progress.did_not_run();
+        let mut requests = cx.requests.borrow_mut();
+        step = if job.payload.is_whole() {
+            requests.again(cx.now(), &job.ask, reason)
+        } else {
+            requests.refuse(reason)
         };
-        self.cx.record(Record {
-            caller,
-            service: self.cx.cfg.service,
-            server: self.server,
-            outcome: Outcome::Request { verdict, took },
-        });
-    }
-}
-
-impl Drop for RequestInProgress {
-    fn drop(&mut self) {
-        self.end(Verdict::MayHaveRun(MayHaveRun::CallerLeft));
     }
 }
--- a/crates/transport/src/requests/upstream.rs
+++ b/crates/transport/src/requests/upstream.rs
@@ -16,7 +16,6 @@
 
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -26,19 +25,14 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::send_body::SendBody;
+
 /// Connection for one request. Dropping it ends the connection.
 pub struct Upstream {
     written: Rc<Cell<bool>>,
     task: Option<JoinHandle<()>>,
 }
 
-/// Why a request on a connection got no answer.
-#[derive(Debug)]
-pub struct SendFault {
-    /// Whether any byte of the request was written to the connection.
-    pub written: bool,
-}
-
 impl Upstream {
     /// Connects to `to`.
     ///
@@ -51,51 +45,36 @@
         Ok(stream)
     }
 
-    /// Connection that has carried nothing yet.
-    pub fn new() -> Upstream {
+    /// Connection that has carried nothing yet; `written` is set when the
+    /// first byte is written to it.
+    pub fn new(written: Rc<Cell<bool>>) -> Upstream {
         Upstream {
-            written: Rc::new(Cell::new(false)),
+            written,
             task: None,
         }
     }
 
-    /// Whether any byte of the request was written.
-    pub fn written(&self) -> bool {
-        self.written.get()
-    }
-
     /// Sends `req` and returns the head of its answer.
     ///
     /// # Errors
     ///
-    /// [`SendFault`] when the connection broke first.
-    pub async fn send<B>(
+    /// When the connection, or the request's own body, broke first.
+    pub async fn send(
         &mut self,
         stream: TcpStream,
-        req: Request<B>,
-    ) -> Result<Response<Incoming>, SendFault>
-    where
-        B: Body + Unpin + 'static,
-        B::Data: Send + 'static,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    {
-        let written = self.written.clone();
-        let fault = |written: &Cell<bool>| SendFault {
-            written: written.get(),
-        };
+        req: Request<SendBody>,
+    ) -> hyper::Result<Response<Incoming>> {
         let watched = Watched {
             stream,
-            written: written.clone(),
+            written: self.written.clone(),
         };
-        let (mut sender, conn) = http1::handshake(TokioIo::new(watched))
-            .await
-            .map_err(|_| fault(&written))?;
+        let (mut sender, conn) = http1::handshake(TokioIo::new(watched)).await?;
         self.task = Some(tokio::task::spawn_local(async move {
             if let Err(err) = conn.await {
                 log::debug!("upstream connection ended: {err}");
             }
         }));
-        sender.send_request(req).await.map_err(|_| fault(&written))
+        sender.send_request(req).await
     }
 }
 
