Test requests over real sockets, with the server dying at each step

Cause: nothing showed that verdicts are true. Ruled out: a fake transport; what was written to a socket is the very point. Change: scripted backend servers that die before and after the connect, after the head, in the body, before and in the answer; peers, deadlines, feeds, drains, callers that leave, forged and replayed requests between agents. A cold server takes new cold_slots from changed settings at once. Conclusion: verdicts are true at each step that a server can die at.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -91,6 +91,7 @@
 
     /// Takes new settings; they apply to what is admitted from now on.
     pub fn set_policy(&mut self, now: Millis, policy: Arc<Policy>) {
+        self.cold_start.set_policy(&policy);
         self.policy = policy;
         self.admit_waiting(now);
     }
--- a/crates/coordination/src/cold_start.rs
+++ b/crates/coordination/src/cold_start.rs
@@ -105,6 +105,13 @@
         most.min(self.bears).min(policy.slots).max(1)
     }
 
+    /// Takes new settings of a server that is cold.
+    pub fn set_policy(&mut self, policy: &Policy) {
+        if self.warmth == Warmth::Cold {
+            self.bears = policy.cold_slots.min(policy.slots).max(1);
+        }
+    }
+
     /// Where it stands between cold start and full load.
     pub fn warmth(&self) -> Warmth {
         self.warmth
--- a/crates/transport/tests/requests.rs
+++ b/crates/transport/tests/requests.rs
@@ -1,85 +1,500 @@
-//! Requests over real loopback sockets, with a fake backend server.
+//! Requests over real loopback sockets, with fake backend servers.
 
-use std::net::SocketAddr;
-use std::net::SocketAddrV4;
-use std::rc::Rc;
+mod common;
+
+use std::time::Duration;
 use std::time::Instant;
 
-use hyper_util::rt::TokioIo;
-use ramp_protocol::seal::FleetKey;
-use ramp_state::key::InstanceId;
-use ramp_state::key::ServiceId;
-use ramp_transport::requests::RequestConfig;
-use ramp_transport::requests::RequestContext;
-use ramp_transport::requests::serve_flow;
+use ramp_coordination::random::Random;
+use ramp_state::fleet::Policy;
+use ramp_state::verdict::MayHaveRun;
+use ramp_state::verdict::NotRun;
+use ramp_state::verdict::Verdict;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
-fn run(test: impl Future<Output = ()>) {
-    let rt = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&rt, test);
-}
+use common::Agent;
+use common::Answer;
+use common::Backend;
+use common::Script;
+use common::acquaint;
+use common::listen;
+use common::nobody;
+use common::run;
+
+const GET: &str = "GET /balance HTTP/1.1\r\nhost: ledger\r\nconnection: close\r\n\r\n";
+const CLAIM: &str = "POST /claims HTTP/1.1\r\nhost: ledger\r\nconnection: close\r\n\
+                     content-length: 5\r\n\r\nclaim";
+
+/// Longer than what is read before it is sent.
+const UPLOAD_LEN_BYTES: usize = 300_000;
 
-async fn listen() -> (TcpListener, SocketAddrV4) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let SocketAddr::V4(at) = listener.local_addr().unwrap() else {
-        panic!("bound to IPv4");
-    };
-    (listener, at)
+fn upload() -> String {
+    let head = format!(
+        "POST /uploads HTTP/1.1\r\nhost: ledger\r\nconnection: close\r\n\
+         content-length: {UPLOAD_LEN_BYTES}\r\n\r\n"
+    );
+    head + &"u".repeat(UPLOAD_LEN_BYTES)
 }
 
-fn agent(backend_server: SocketAddrV4) -> Rc<RequestContext> {
-    RequestContext::new(RequestConfig {
-        me: InstanceId::of("ledger-1"),
-        service: ServiceId::of("ledger"),
-        backend_server,
-        key: FleetKey::new([3; 16]),
-        seed: 1,
-        epoch: Instant::now(),
-    })
+fn warm_policy(slots: u32) -> Policy {
+    Policy {
+        slots,
+        cold_slots: slots,
+        ..Policy::default()
+    }
 }
 
-/// Opens a flow to the agent as a caller.
-async fn flow(cx: &Rc<RequestContext>) -> TcpStream {
+/// A backend server that sends the request's body back.
+async fn echo() -> std::net::SocketAddrV4 {
     let (listener, at) = listen().await;
-    let cx = cx.clone();
     spawn_local(async move {
-        let (stream, _) = listener.accept().await.unwrap();
-        serve_flow(cx, at, TokioIo::new(stream)).await;
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            spawn_local(async move {
+                let mut buf = Vec::new();
+                let mut len = None;
+                while len.is_none_or(|(head, body)| buf.len() < head + body) {
+                    assert!(stream.read_buf(&mut buf).await.unwrap() > 0);
+                    len = len.or_else(|| lengths(&buf));
+                }
+                let (head, body) = len.unwrap();
+                let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {body}\r\n\r\n");
+                stream.write_all(reply.as_bytes()).await.unwrap();
+                stream.write_all(&buf[head..]).await.unwrap();
+                let _ = stream.read(&mut [0; 16]).await;
+            });
+        }
+    });
+    at
+}
+
+fn lengths(buf: &[u8]) -> Option<(usize, usize)> {
+    let head = buf.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&buf[..head]).to_ascii_lowercase();
+    let len = text
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "))?;
+    Some((head, len.parse().ok()?))
+}
+
+#[test]
+fn bodies_pass_both_ways_byte_for_byte() {
+    run(async {
+        let agent = Agent::start("a", echo().await).await;
+        let mut random = Random::new(7);
+        for len in [0, 1, 4096, 4097, 1_000_003] {
+            let body: Vec<u8> = (0..len).map(|_| random.below(256) as u8).collect();
+            let head = format!(
+                "POST /echo HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n"
+            );
+            let flow = agent.flow().await;
+            let (mut rx, mut tx) = flow.into_split();
+            let sent = body.clone();
+            spawn_local(async move {
+                tx.write_all(head.as_bytes()).await.unwrap();
+                tx.write_all(&sent).await.unwrap();
+                std::future::pending::<()>().await;
+            });
+            let mut bytes = Vec::new();
+            rx.read_to_end(&mut bytes).await.unwrap();
+            let answer = Answer { bytes };
+            assert_eq!(answer.status(), 200);
+            assert!(answer.body() == body, "{len} bytes differ");
+        }
+        assert_eq!(agent.verdicts(), [Verdict::Served; 5]);
     });
-    TcpStream::connect(at).await.unwrap()
 }
 
 #[test]
-fn an_answer_comes_back_whole() {
+fn answers_on_one_flow_come_in_order() {
     run(async {
-        let (listener, at) = listen().await;
-        spawn_local(async move {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let mut buf = [0; 4096];
-            let _ = stream.read(&mut buf).await.unwrap();
-            stream
-                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello")
-                .await
-                .unwrap();
+        let agent = Agent::start("a", echo().await).await;
+        let mut flow = agent.flow().await;
+        for i in 0..20 {
+            let body = format!("request {i}");
+            let req = format!(
+                "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            flow.write_all(req.as_bytes()).await.unwrap();
+            let mut buf = Vec::new();
+            while !buf.ends_with(body.as_bytes()) {
+                assert!(flow.read_buf(&mut buf).await.unwrap() > 0);
+            }
+        }
+        assert_eq!(agent.verdicts(), [Verdict::Served; 20]);
+    });
+}
+
+#[test]
+fn server_dead_before_connect_is_not_run() {
+    run(async {
+        let agent = Agent::start("a", nobody().await).await;
+        let answer = agent.ask(CLAIM).await;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!(agent.verdicts(), [Verdict::NotRun(NotRun::NoServer)]);
+    });
+}
+
+/// Runs one claim or upload against a server that dies, with a peer at hand.
+async fn die(script: Script, req: &str) -> (Answer, Vec<Verdict>, u32, u32) {
+    let backend = Backend::start(script).await;
+    let other = Backend::start(Script::Serve).await;
+    let a = Agent::start("a", backend.at).await;
+    let b = Agent::start("b", other.at).await;
+    acquaint(&[&a, &b], &warm_policy(5), &[]);
+    let answer = a.ask(req).await;
+    let verdicts = a.verdicts();
+    (
+        answer,
+        verdicts,
+        backend.seen.begun.get(),
+        other.seen.begun.get(),
+    )
+}
+
+/// Whatever was told, it has to be true.
+fn assert_truthful(answer: &Answer, reached: u32, elsewhere: u32) {
+    match answer.verdict().as_deref() {
+        Some("not-run") => assert_eq!(reached + elsewhere, 0),
+        Some("may-have-run") => assert_eq!(elsewhere, 0, "sent twice"),
+        _ => assert_eq!((answer.status(), reached, elsewhere), (200, 0, 1)),
+    }
+}
+
+#[test]
+fn server_dying_on_connect_is_told_truthfully() {
+    run(async {
+        for req in [CLAIM, &upload()] {
+            let (answer, _, reached, elsewhere) = die(Script::DieOnConnect, req).await;
+            assert_truthful(&answer, reached, elsewhere);
+        }
+    });
+}
+
+#[test]
+fn server_dying_after_the_head_may_have_run() {
+    run(async {
+        for req in [GET, CLAIM, &upload()] {
+            let (answer, verdicts, reached, elsewhere) = die(Script::DieAfterHead, req).await;
+            assert_eq!((reached, elsewhere), (1, 0));
+            assert_eq!(verdicts, [Verdict::MayHaveRun(MayHaveRun::ServerLost)]);
+            assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+            assert_eq!(answer.status(), 502);
+        }
+    });
+}
+
+#[test]
+fn server_dying_in_the_body_may_have_run() {
+    run(async {
+        let (answer, verdicts, reached, elsewhere) = die(Script::DieMidBody, &upload()).await;
+        assert_eq!((reached, elsewhere), (1, 0));
+        assert_eq!(verdicts, [Verdict::MayHaveRun(MayHaveRun::ServerLost)]);
+        assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+    });
+}
+
+#[test]
+fn server_dying_before_its_answer_may_have_run() {
+    run(async {
+        for req in [CLAIM, &upload()] {
+            let (answer, verdicts, reached, elsewhere) = die(Script::DieBeforeAnswer, req).await;
+            assert_eq!((reached, elsewhere), (1, 0));
+            assert_eq!(verdicts, [Verdict::MayHaveRun(MayHaveRun::ServerLost)]);
+            assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        }
+    });
+}
+
+#[test]
+fn server_dying_in_its_answer_cuts_it_visibly() {
+    run(async {
+        let (answer, verdicts, reached, elsewhere) = die(Script::DieMidAnswer, CLAIM).await;
+        assert_eq!((reached, elsewhere), (1, 0));
+        assert_eq!(verdicts, [Verdict::MayHaveRun(MayHaveRun::ServerLost)]);
+        assert_eq!(answer.header("content-length").as_deref(), Some("100"));
+        assert_eq!(answer.body(), b"half");
+    });
+}
+
+#[test]
+fn what_the_server_did_not_run_is_tried_elsewhere() {
+    run(async {
+        let (answer, verdicts, reached, elsewhere) = die(Script::Refuse, CLAIM).await;
+        assert_eq!((reached, elsewhere), (1, 1));
+        assert_eq!((answer.status(), answer.body()), (200, &b"ok"[..]));
+        assert_eq!(verdicts, [Verdict::Served]);
+    });
+}
+
+#[test]
+fn a_streamed_body_is_never_sent_twice() {
+    run(async {
+        let (answer, verdicts, reached, elsewhere) = die(Script::Refuse, &upload()).await;
+        assert_eq!((reached, elsewhere), (1, 0));
+        assert_eq!(verdicts, [Verdict::NotRun(NotRun::ServerRefused)]);
+        assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+    });
+}
+
+#[test]
+fn a_leaving_agent_hands_requests_on() {
+    run(async {
+        let own = Backend::start(Script::Serve).await;
+        let other = Backend::start(Script::Serve).await;
+        let a = Agent::start("a", own.at).await;
+        let b = Agent::start("b", other.at).await;
+        acquaint(&[&a, &b], &warm_policy(5), &[a.id]);
+        for req in [GET, CLAIM] {
+            assert_eq!(a.ask(req).await.body(), b"ok");
+        }
+        assert_eq!((own.seen.begun.get(), other.seen.begun.get()), (0, 2));
+        assert_eq!(a.verdicts(), [Verdict::Served; 2]);
+        assert_eq!(b.verdicts(), []);
+    });
+}
+
+#[test]
+fn a_peer_lost_while_it_runs_a_request_may_have_run_it() {
+    run(async {
+        let other = Backend::start(Script::DieBeforeAnswer).await;
+        let a = Agent::start("a", nobody().await).await;
+        let b = Agent::start("b", other.at).await;
+        acquaint(&[&a, &b], &warm_policy(5), &[a.id]);
+        let answer = a.ask(CLAIM).await;
+        assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        assert_eq!(a.verdicts(), [Verdict::MayHaveRun(MayHaveRun::ServerLost)]);
+    });
+}
+
+#[test]
+fn requests_on_the_agents_port_need_a_fresh_tag() {
+    run(async {
+        let backend = Backend::start(Script::Serve).await;
+        let b = Agent::start("b", backend.at).await;
+        // A relay records what a true agent says.
+        let (listener, relay) = listen().await;
+        let to = b.address;
+        let recorded = spawn_local(async move {
+            let (mut from, _) = listener.accept().await.unwrap();
+            let mut up = TcpStream::connect(to).await.unwrap();
+            let mut challenge = [0; 16];
+            up.read_exact(&mut challenge).await.unwrap();
+            from.write_all(&challenge).await.unwrap();
+            let mut req = vec![0; 4096];
+            let n = from.read(&mut req).await.unwrap();
+            req.truncate(n);
+            up.write_all(&req).await.unwrap();
+            let mut answer = [0; 4096];
+            let n = up.read(&mut answer).await.unwrap();
+            from.write_all(&answer[..n]).await.unwrap();
+            req
         });
-        let cx = agent(at);
-        let mut caller = flow(&cx).await;
-        caller
-            .write_all(b"GET /a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
-            .await
-            .unwrap();
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).await.unwrap();
-        assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
-        assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
-        assert_eq!(cx.records().drain().count(), 1);
+        let a = Agent::start("a", nobody().await).await;
+        let via_relay = Agent {
+            id: b.id,
+            cx: b.cx.clone(),
+            address: relay,
+        };
+        acquaint(&[&a, &via_relay], &warm_policy(5), &[a.id]);
+        assert_eq!(a.ask(GET).await.body(), b"ok");
+        let recorded = recorded.await.unwrap();
+        assert_eq!(backend.seen.begun.get(), 1);
+        // The record played again, and a request without any tag.
+        for req in [&recorded[..], GET.as_bytes()] {
+            let mut stream = TcpStream::connect(b.address).await.unwrap();
+            stream.read_exact(&mut [0; 16]).await.unwrap();
+            stream.write_all(req).await.unwrap();
+            assert_eq!(Answer::read(&mut stream).await.bytes, b"");
+        }
+        assert_eq!(backend.seen.begun.get(), 1);
+    });
+}
+
+#[test]
+fn slots_are_never_exceeded_and_the_rest_is_refused_at_once() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let agent = Agent::start("a", backend.at).await;
+        let policy = Policy {
+            queue_limit: Duration::ZERO,
+            ..warm_policy(3)
+        };
+        acquaint(&[&agent], &policy, &[]);
+        let mut held = Vec::new();
+        for i in 1..=3 {
+            let mut flow = agent.flow().await;
+            flow.write_all(GET.as_bytes()).await.unwrap();
+            held.push(flow);
+            backend.until_begun(i).await;
+        }
+        let began = Instant::now();
+        for _ in 0..20 {
+            let answer = agent.ask(CLAIM).await;
+            assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+            let after: u64 = answer.header("retry-after").unwrap().parse().unwrap();
+            assert!((1..=4).contains(&after));
+        }
+        assert!(began.elapsed() < Duration::from_secs(2));
+        backend.let_go();
+        for mut flow in held {
+            assert_eq!(Answer::read(&mut flow).await.body(), b"ok");
+        }
+        assert_eq!(backend.seen.most_open.get(), 3);
+    });
+}
+
+#[test]
+fn a_feed_holds_a_slot_only_until_its_head() {
+    run(async {
+        let backend = Backend::start(Script::Feed).await;
+        let agent = Agent::start("a", backend.at).await;
+        let policy = Policy {
+            connections: 10,
+            deadline: Duration::from_millis(200),
+            ..warm_policy(1)
+        };
+        acquaint(&[&agent], &policy, &[]);
+        let feed = "GET /feed HTTP/1.1\r\nhost: x\r\naccept: text/event-stream\r\n\r\n";
+        let mut flows = Vec::new();
+        for _ in 0..10 {
+            let mut flow = agent.flow().await;
+            flow.write_all(feed.as_bytes()).await.unwrap();
+            let mut buf = Vec::new();
+            while !buf.ends_with(b"data\n\r\n") {
+                assert!(flow.read_buf(&mut buf).await.unwrap() > 0);
+            }
+            flows.push(flow);
+        }
+        // Past the deadline of ordinary requests all are still open, and the
+        // limit of connections holds.
+        tokio::time::sleep(policy.deadline * 2).await;
+        assert_eq!(backend.seen.open.get(), 10);
+        assert_eq!(agent.cx.load().in_progress, 0);
+        let answer = agent.ask(GET).await;
+        assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+        drop(flows);
+        while backend.seen.open.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_cancels() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let own = Agent::start("a", backend.at).await;
+        let other = Agent::start("b", nobody().await).await;
+        acquaint(&[&own, &other], &warm_policy(5), &[other.id]);
+        for (i, agent) in [&own, &other].into_iter().enumerate() {
+            let mut flow = agent.flow().await;
+            flow.write_all(CLAIM.as_bytes()).await.unwrap();
+            backend.until_begun(i as u32 + 1).await;
+            assert_eq!(own.cx.load().in_progress, 1);
+            drop(flow);
+            while own.cx.load().in_progress > 0 || backend.seen.open.get() > 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            assert_eq!(backend.seen.abandoned.get(), i as u32 + 1);
+            assert_eq!(
+                agent.verdicts(),
+                [Verdict::MayHaveRun(MayHaveRun::CallerLeft)]
+            );
+        }
+    });
+}
+
+#[test]
+fn deadlines_are_passed_on_and_kept() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let agent = Agent::start("a", backend.at).await;
+        let req = CLAIM.replace("\r\n\r\n", "\r\nbramleyramp-deadline-ms: 150\r\n\r\n");
+        let began = Instant::now();
+        let answer = agent.ask(&req).await;
+        assert!(began.elapsed() >= Duration::from_millis(149));
+        assert_eq!(answer.status(), 504);
+        assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        let head = backend.seen.heads.borrow()[0].clone();
+        let left = head
+            .lines()
+            .find_map(|l| l.strip_prefix("bramleyramp-deadline-ms: "));
+        let left: u64 = left.unwrap().parse().unwrap();
+        assert!((1..=150).contains(&left));
+        let late = CLAIM.replace("\r\n\r\n", "\r\nbramleyramp-deadline-ms: 0\r\n\r\n");
+        assert_eq!(agent.ask(&late).await.verdict().as_deref(), Some("not-run"));
+        assert_eq!(backend.seen.begun.get(), 1);
+    });
+}
+
+#[test]
+fn malformed_requests_are_refused() {
+    run(async {
+        let backend = Backend::start(Script::Serve).await;
+        let agent = Agent::start("a", backend.at).await;
+        for header in [
+            "bramleyramp-deadline-ms: soon",
+            "upgrade: other",
+            "idempotency-key: ",
+        ] {
+            let req = CLAIM.replace("\r\n\r\n", &format!("\r\n{header}\r\n\r\n"));
+            let answer = agent.ask(&req).await;
+            assert_eq!(answer.status(), 400, "{header}");
+            assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+        }
+        assert_eq!(backend.seen.begun.get(), 0);
+    });
+}
+
+#[test]
+fn a_drain_cuts_nothing_within_its_limit() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let agent = Agent::start("a", backend.at).await;
+        acquaint(&[&agent], &warm_policy(5), &[]);
+        let mut flow = agent.flow().await;
+        flow.write_all(CLAIM.as_bytes()).await.unwrap();
+        backend.until_begun(1).await;
+        let cx = agent.cx.clone();
+        let drain = spawn_local(async move { cx.drain().await });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert!(!drain.is_finished());
+        assert!(agent.cx.load().leaving);
+        // A flow that comes now is closed, or its request refused.
+        let late = agent.ask(GET).await;
+        assert!(late.bytes.is_empty() || late.verdict().as_deref() == Some("not-run"));
+        agent.verdicts();
+        backend.let_go();
+        assert_eq!(Answer::read(&mut flow).await.body(), b"ok");
+        drain.await.unwrap();
+        assert_eq!(agent.verdicts(), [Verdict::Served]);
+        assert_eq!(backend.seen.begun.get(), 1);
+    });
+}
+
+#[test]
+fn a_drain_reports_what_its_limit_cuts() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let agent = Agent::start("a", backend.at).await;
+        let policy = Policy {
+            drain_limit: Duration::from_millis(50),
+            ..warm_policy(5)
+        };
+        acquaint(&[&agent], &policy, &[]);
+        let mut flow = agent.flow().await;
+        flow.write_all(CLAIM.as_bytes()).await.unwrap();
+        backend.until_begun(1).await;
+        agent.cx.drain().await;
+        assert_eq!(Answer::read(&mut flow).await.bytes, b"");
+        let cut = Verdict::MayHaveRun(MayHaveRun::DrainLimitPassed);
+        assert_eq!(agent.verdicts(), [cut]);
     });
 }
