--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,11 +4,17 @@
 //! return actions. No sockets, clocks, threads or global randomness inside:
 //! seeds and times are passed in, messages go out as typed values.
 
+pub mod admission;
 pub mod balancer;
+pub mod cold_start;
 pub mod flows;
 pub mod group;
 pub mod outgoing;
+pub mod peers;
 pub mod picture;
 pub mod published;
+pub mod random;
 pub mod replay;
+pub mod request;
+pub mod retry;
 pub mod wake;
