--- a/crates/transport/src/hyper_io.rs
+++ b/crates/transport/src/hyper_io.rs
@@ -25,11 +25,6 @@
     pub fn new(stream: T) -> HyperIo<T> {
         HyperIo { stream }
     }
-
-    /// The stream inside.
-    pub fn get_ref(&self) -> &T {
-        &self.stream
-    }
 }
 
 impl<T: AsyncRead + Unpin> hyper::rt::Read for HyperIo<T> {
