--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -1,8 +1,14 @@
 //! The subcommands, one file each.
 
+mod backend;
+mod check_history;
+mod demo;
 mod fabric;
+mod load;
 mod platform;
+mod relay;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use tokio::signal::unix::SignalKind;
@@ -23,16 +29,41 @@
 }
 
 const COMMANDS: &[Command] = &[
+    Command {
+        name: "backend",
+        about: "stand in for a backend server",
+        run: backend::run,
+    },
+    Command {
+        name: "check-history",
+        about: "judge the promises over histories",
+        run: check_history::run,
+    },
+    Command {
+        name: "demo",
+        about: "run a whole fleet on loopback",
+        run: demo::run,
+    },
     Command {
         name: "fabric",
         about: "spray callers' packets over the balancers",
         run: fabric::run,
     },
+    Command {
+        name: "load",
+        about: "call services and check every answer",
+        run: load::run,
+    },
     Command {
         name: "platform",
         about: "stand in for the platform",
         run: platform::run,
     },
+    Command {
+        name: "relay",
+        about: "stand between processes of different data centres",
+        run: relay::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
@@ -62,13 +93,27 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM, SIGINT or SIGHUP.
 async fn until_terminated() -> CliResult<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
     }
     Ok(())
 }
+
+/// Writes the ready file, if one is wanted. It is renamed into place, so that
+/// a reader never sees half of it.
+fn write_ready(file: Option<&Path>, text: &str) -> CliResult<()> {
+    let Some(file) = file else {
+        return Ok(());
+    };
+    let part = file.with_extension("part");
+    std::fs::write(&part, text)?;
+    std::fs::rename(part, file)?;
+    Ok(())
+}
--- a/ramplab/src/fabric/tap.rs
+++ b/ramplab/src/fabric/tap.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -11,6 +9,10 @@
 use serde_json::json;
 
 use crate::fabric::link::Fate;
+use crate::history::wall_ms;
+
+/// Time between two notes of packets to one balancer, in milliseconds.
+const NOTE_PERIOD_MS: u64 = 100;
 
 /// Packets of one destination or source.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -21,6 +23,8 @@
     pub bytes: u64,
     /// Wall-clock time of the last one, in milliseconds.
     pub last_ms: u64,
+    #[serde(skip)]
+    noted_ms: u64,
 }
 
 /// Counts of all packets.
@@ -44,9 +48,16 @@
 }
 
 impl Tap {
-    /// Counts a packet sent to a balancer.
-    pub fn sent(&mut self, to: SocketAddrV4, len: usize) {
-        self.to_balancers.entry(to).or_default().count(len);
+    /// Counts a packet sent to a balancer; true when it is time to note that
+    /// in the history.
+    pub fn sent(&mut self, to: SocketAddrV4, len: usize) -> bool {
+        let passed = self.to_balancers.entry(to).or_default();
+        passed.count(len);
+        let due = passed.last_ms >= passed.noted_ms + NOTE_PERIOD_MS;
+        if due {
+            passed.noted_ms = passed.last_ms;
+        }
+        due
     }
 
     /// Counts a packet that an agent sent back.
@@ -86,10 +97,3 @@
         self.last_ms = wall_ms();
     }
 }
-
-/// Wall-clock time, in milliseconds since the epoch.
-pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |span| span.as_millis() as u64)
-}
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -2,6 +2,13 @@
 //!
 //! The subcommands of the `ramplab` binary are thin shells over these modules.
 
+pub mod answers;
+pub mod backend;
+pub mod check;
+pub mod demo;
 pub mod fabric;
+pub mod history;
 pub mod http;
+pub mod load;
+pub mod relay;
 pub mod rng;
