Bound the ledger's memory and add service-level burn

Ruled out: 128 callers and 32 rows a bucket: a hash table fills seven eighths of a power of two, so these held twice the tables (10.4 MB measured). Conclusion: a ledger takes under a tenth of a process's 64 MB.

--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -22,11 +22,15 @@
 use crate::outcome::Record;
 use crate::time::Millis;
 
-/// Rows a bucket holds: the members of the largest groups and more.
-const ROWS: usize = 32;
+/// Rows a bucket holds: the members of the largest groups and more. Seven
+/// eighths of a power of two, which is what a hash table can fill.
+const ROWS: usize = 28;
 
-/// Callers that a bucket counts singly.
-pub const CALLERS: usize = 128;
+/// Callers that a bucket counts singly; seven eighths of a power of two.
+pub const CALLERS: usize = 112;
+
+/// Heap memory that a ledger holds at most, whatever it is fed.
+pub const MEMORY_BOUND_BYTES: usize = 6 * 1024 * 1024;
 
 const RINGS: [RingSize; 3] = [
     RingSize {
--- a/crates/state/src/ledger/summary.rs
+++ b/crates/state/src/ledger/summary.rs
@@ -101,7 +101,8 @@
 
     /// Whether the counts may miss events of the window.
     pub fn has_gaps(&self) -> bool {
-        self.started_within > 0 || self.without_detail > 0
+        let short = self.covered.is_none_or(|covered| covered < self.asked);
+        short || self.started_within > 0 || self.without_detail > 0
     }
 }
 
--- /dev/null
+++ b/crates/state/tests/burn.rs
@@ -0,0 +1,144 @@
+//! Service-level burn: rates, budget and the alert condition.
+
+use std::time::Duration;
+
+use ramp_state::burn::ALERT_RULES;
+use ramp_state::burn::AlertRule;
+use ramp_state::burn::Burn;
+use ramp_state::burn::Spent;
+use ramp_state::burn::WINDOWS;
+use ramp_state::ledger::counts::Counts;
+use ramp_state::outcome::FlowEnd;
+use ramp_state::outcome::Outcome;
+use ramp_state::policy::Policy;
+use ramp_state::verdict::MayHaveRun;
+use ramp_state::verdict::NotRun;
+use ramp_state::verdict::Verdict;
+
+const SERVED: Verdict = Verdict::Served;
+const REFUSED: Verdict = Verdict::NotRun(NotRun::Overloaded);
+const CUT: Verdict = Verdict::MayHaveRun(MayHaveRun::ServerLost);
+
+#[test]
+fn a_rate_of_one_spends_exactly_what_is_allowed() {
+    let burn = burn_of(&[(999, SERVED, 10), (1, REFUSED, 0)]);
+    assert_close(burn.served.rate(), 1.0);
+    assert_close(burn.served.budget_left(), 0.0);
+}
+
+#[test]
+fn refused_and_cut_requests_are_both_bad() {
+    let burn = burn_of(&[(996, SERVED, 10), (2, REFUSED, 0), (2, CUT, 0)]);
+    assert_eq!(burn.served.bad, 4);
+    assert_close(burn.served.rate(), 4.0);
+    assert_close(burn.served.budget_left(), -3.0);
+}
+
+#[test]
+fn what_callers_do_themselves_counts_neither_way() {
+    let own = [
+        Verdict::NotRun(NotRun::BadRequest),
+        Verdict::NotRun(NotRun::KeyRunning),
+        Verdict::MayHaveRun(MayHaveRun::CallerLeft),
+    ];
+    let burn = burn_of(&own.map(|verdict| (5, verdict, 0)));
+    assert_eq!(burn.served, Spent::default());
+}
+
+#[test]
+fn late_answers_spend_the_answer_objective_only() {
+    let burn = burn_of(&[(998, SERVED, 1_000), (2, SERVED, 1_001)]);
+    assert_eq!(burn.answered.bad, 2);
+    assert_eq!(burn.served.bad, 0);
+}
+
+#[test]
+fn flows_given_up_are_unbroken_and_lost_ones_are_not() {
+    let mut counts = Counts::default();
+    for end in [
+        FlowEnd::Closed,
+        FlowEnd::CallerLeft,
+        FlowEnd::GivenUp,
+        FlowEnd::DrainLimitPassed,
+        FlowEnd::OwnerLost,
+    ] {
+        counts.add(&Outcome::FlowEnded(end));
+    }
+    let mut burn = Burn::default();
+    burn.add(&counts, &Policy::default());
+    assert_eq!((burn.unbroken.events, burn.unbroken.bad), (5, 2));
+}
+
+#[test]
+fn objectives_of_different_servers_add_up_by_their_events() {
+    let mut burn = burn_of(&[(1_000, SERVED, 10)]);
+    let lenient = Policy {
+        served_objective_ppm: 990_000,
+        ..Policy::default()
+    };
+    burn.add(&counts_of(&[(989, SERVED, 10), (11, REFUSED, 0)]), &lenient);
+    // One allowed of the first thousand, ten of the second.
+    assert_close(burn.served.rate(), 1.0);
+}
+
+#[test]
+fn no_events_spend_nothing() {
+    assert_eq!(Spent::default().rate(), 0.0);
+    assert_eq!(Spent::default().budget_left(), 1.0);
+}
+
+#[test]
+fn an_objective_of_all_requests_has_a_finite_rate() {
+    let mut spent = Spent::default();
+    spent.add(10, 1, 1_000_000);
+    assert_close(spent.rate(), 100_000.0);
+}
+
+#[test]
+fn an_alert_needs_both_windows() {
+    for rule in &ALERT_RULES {
+        let (hot, cool) = (spent_at(rule.rate), spent_at(rule.rate * 0.99));
+        assert!(rule.fires(|_| hot), "{rule:?}");
+        assert!(!rule.fires(|w| if w == rule.long { hot } else { cool }));
+        assert!(!rule.fires(|w| if w == rule.short { hot } else { cool }));
+    }
+}
+
+#[test]
+fn rules_are_those_of_the_multi_window_method() {
+    let minutes = |w: Duration| w.as_secs() / 60;
+    let rules = ALERT_RULES.map(|r: AlertRule| (minutes(r.long), minutes(r.short), r.rate));
+    assert_eq!(
+        rules,
+        [(60, 5, 14.4), (360, 30, 6.0), (3 * 24 * 60, 360, 1.0)]
+    );
+    assert!(WINDOWS.is_sorted());
+}
+
+/// Spent of a million events so that the rate is `rate`.
+fn spent_at(rate: f64) -> Spent {
+    let mut spent = Spent::default();
+    spent.add(1_000_000, (rate * 1_000.0).round() as u64, 999_000);
+    spent
+}
+
+fn burn_of(events: &[(u64, Verdict, u64)]) -> Burn {
+    let mut burn = Burn::default();
+    burn.add(&counts_of(events), &Policy::default());
+    burn
+}
+
+fn counts_of(events: &[(u64, Verdict, u64)]) -> Counts {
+    let mut counts = Counts::default();
+    for &(times, verdict, took_ms) in events {
+        let took = Duration::from_millis(took_ms);
+        for _ in 0..times {
+            counts.add(&Outcome::Request { verdict, took });
+        }
+    }
+    counts
+}
+
+fn assert_close(got: f64, want: f64) {
+    assert!((got - want).abs() < 1e-9, "{got} is not {want}");
+}
