Report who got what, and tell whether one version is in force

Ruled out: a plot of served, refused and cut requests together only: at 0.5% failures nothing of them can be seen, so they have a plot of their own scale. What is missing is named and totals say "at least". Conclusion: processes that stopped took their ledgers with them; the report can only name those that started since.

--- a/bramleyramp/src/cmd/mod.rs
+++ b/bramleyramp/src/cmd/mod.rs
@@ -1,6 +1,8 @@
 //! The subcommands, one file each.
 
 mod check;
+mod report;
+mod status;
 
 use std::process::ExitCode;
 
@@ -17,11 +19,23 @@
     run: Run,
 }
 
-const COMMANDS: &[Command] = &[Command {
-    name: "check",
-    about: "find every fault of settings and documents",
-    run: check::run,
-}];
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "check",
+        about: "find every fault of settings and documents",
+        run: check::run,
+    },
+    Command {
+        name: "report",
+        about: "tell who got what, and why",
+        run: report::run,
+    },
+    Command {
+        name: "status",
+        about: "tell whether one version is in force everywhere",
+        run: status::run,
+    },
+];
 
 /// Runs the subcommand `name`.
 pub fn run(name: &str, args: lexopt::Parser) -> CliResult<ExitCode> {
--- /dev/null
+++ b/bramleyramp/src/cmd/report.rs
@@ -0,0 +1,129 @@
+//! `report`: who got what, and why.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use crate::ask::Targets;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::report::build;
+use crate::report::html;
+use crate::report::text;
+use crate::runtime;
+
+const USAGE: &str = "\
+Reports who got what: served, refused, cut and given up, and why, by service,
+data centre, backend server and caller; exceptions in force; burn.
+
+Usage:
+    bramleyramp report --platform IP:PORT [<option>...]
+    bramleyramp report --process IP:PORT... [<option>...]
+
+All live processes are asked. What is missing is named, and totals then say
+\"at least\".
+
+Exit code: 0 when a report was made, 1 when no process answered.
+
+Options:
+    --platform IP:PORT  Ask all processes that this replica of the platform
+                        lists, and those of the fleet document.
+    --process IP:PORT   Ask the process with this control address. May be
+                        given more than once.
+    --window TIME       Look back this long: a number with s, m, h or d, up to
+                        3d. [default: 10m]
+    --callers N         Show this many callers singly. [default: 10]
+    --json              Print JSON instead of text.
+    --html FILE         Also write a page with plots.
+    -h, --help          Show this text.
+";
+
+const DEFAULT_WINDOW: Duration = Duration::from_secs(600);
+const LONGEST_WINDOW: Duration = Duration::from_secs(3 * 86_400);
+const DEFAULT_CALLERS: usize = 10;
+
+struct Args {
+    targets: Targets,
+    window: Duration,
+    callers: usize,
+    json: bool,
+    html: Option<PathBuf>,
+}
+
+/// Runs the subcommand.
+pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
+    let Some(args) = parse(args)? else {
+        print!("{USAGE}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let windows = build::windows(args.window);
+    let answers = runtime::block_on(args.targets.ask(&windows))?;
+    let report = build::report(&answers, args.window, args.callers);
+    if let Some(file) = &args.html {
+        fs::write(file, html::render(&report))?;
+    }
+    match args.json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{}", text::render(&report)),
+    }
+    match report.answered {
+        0 => Ok(ExitCode::FAILURE),
+        _ => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn parse(mut args: lexopt::Parser) -> CliResult<Option<Args>> {
+    use lexopt::prelude::*;
+
+    let mut parsed = Args {
+        targets: Targets::default(),
+        window: DEFAULT_WINDOW,
+        callers: DEFAULT_CALLERS,
+        json: false,
+        html: None,
+    };
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("window") => parsed.window = window(&args.value()?.string()?)?,
+            Long("callers") => parsed.callers = args.value()?.parse()?,
+            Long("json") => parsed.json = true,
+            Long("html") => parsed.html = Some(args.value()?.into()),
+            Long("help") | Short('h') => return Ok(None),
+            Long(name) => {
+                let name = name.to_string();
+                if !parsed.targets.take(&name, &mut args)? {
+                    return Err(Long(&name).unexpected().into());
+                }
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    if parsed.targets.is_empty() {
+        return Err(CliError::Usage(USAGE.to_string()));
+    }
+    Ok(Some(parsed))
+}
+
+/// A time such as `90s`, `10m`, `6h` or `3d`.
+fn window(text: &str) -> CliResult<Duration> {
+    let bad = || CliError::Usage(format!("`{text}` is not a time such as 90s, 10m, 6h or 3d"));
+    let unit = text.chars().last().ok_or_else(bad)?;
+    let seconds = match unit {
+        's' => 1,
+        'm' => 60,
+        'h' => 3_600,
+        'd' => 86_400,
+        _ => return Err(bad()),
+    };
+    let digits = &text[..text.len() - 1];
+    let number: u32 = digits.parse().map_err(|_| bad())?;
+    let window = Duration::from_secs(u64::from(number) * seconds);
+    match window {
+        Duration::ZERO => Err(bad()),
+        window if window > LONGEST_WINDOW => Err(CliError::Usage(
+            "processes remember 3 days at most".to_string(),
+        )),
+        window => Ok(window),
+    }
+}
--- a/bramleyramp/src/error.rs
+++ b/bramleyramp/src/error.rs
@@ -30,6 +30,11 @@
             display("{}", err)
             from()
         }
+        /// Something can't be written as JSON.
+        Json(err: serde_json::Error) {
+            display("{}", err)
+            from()
+        }
         /// Anything else, in words.
         Other(text: String) {
             display("{}", text)
@@ -49,7 +54,7 @@
             CliError::Args(_) | CliError::Usage(_) | CliError::Input(_) => {
                 ExitCode::from(EXIT_BAD_INPUT)
             }
-            CliError::Io(_) | CliError::Other(_) => ExitCode::FAILURE,
+            CliError::Io(_) | CliError::Json(_) | CliError::Other(_) => ExitCode::FAILURE,
         }
     }
 }
--- a/bramleyramp/src/main.rs
+++ b/bramleyramp/src/main.rs
@@ -1,7 +1,13 @@
 //! Command line of `bramleyramp`: picks the subcommand and nothing else.
 
+mod ask;
 mod cmd;
 mod error;
+mod report;
+mod runtime;
+mod status;
+mod table;
+mod words;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/bramleyramp/src/report/gap.rs
@@ -0,0 +1,200 @@
+//! What a report does not know, and says so.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+
+use ramp_state::fleet::Fleet;
+use ramp_state::ledger::summary::Summary;
+use serde::Serialize;
+
+use crate::ask::Answers;
+use crate::ask::Asked;
+use crate::ask::Missing;
+use crate::words::span;
+
+/// Something missing or in doubt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Gap {
+    /// A process did not answer.
+    NoAnswer {
+        /// Its name.
+        process: String,
+        /// Its address.
+        control: SocketAddrV4,
+        /// What went wrong.
+        why: String,
+    },
+    /// A process started within the window: what an earlier one at its place
+    /// counted is gone.
+    StartedWithin {
+        /// Its name.
+        process: String,
+        /// How long ago it started.
+        uptime_ms: u64,
+    },
+    /// A process keeps less than the window.
+    CoversLess {
+        /// Its name.
+        process: String,
+        /// What it covers.
+        covered_ms: u64,
+    },
+    /// A process had no room for the detail of some events; they are in the
+    /// total only.
+    WithoutDetail {
+        /// Its name.
+        process: String,
+        /// Number of such events.
+        events: u64,
+    },
+    /// The list of instances is missing, so processes may have been left out.
+    NoInstanceList {
+        /// Why.
+        why: String,
+    },
+    /// A backend server of the document whose agent was not asked.
+    NotAsked {
+        /// Its name.
+        server: String,
+    },
+    /// No fleet document could be had: no names of services and backend
+    /// servers, no exceptions and no burn.
+    NoDocument,
+    /// The processes do not all have this configuration version.
+    OtherVersion {
+        /// Name of the process.
+        process: String,
+        /// Its version.
+        config: u64,
+    },
+}
+
+impl Gap {
+    /// Whether events of the window may be missing from the totals.
+    pub fn hides_events(&self) -> bool {
+        !matches!(
+            self,
+            Gap::WithoutDetail { .. } | Gap::NoDocument | Gap::OtherVersion { .. }
+        )
+    }
+
+    /// All gaps of `answers`, whose first summaries are those of the window.
+    pub fn all(answers: &Answers) -> Vec<Gap> {
+        let mut gaps = Vec::new();
+        if let Some(why) = &answers.list_missing {
+            gaps.push(Gap::no_list(why));
+        }
+        match &answers.fleet {
+            Some(fleet) => gaps.extend(not_asked(fleet, answers)),
+            None => gaps.push(Gap::NoDocument),
+        }
+        for asked in &answers.asked {
+            gaps.extend(of_process(asked, answers.fleet.as_ref()));
+        }
+        gaps
+    }
+
+    fn no_list(why: &Missing) -> Gap {
+        Gap::NoInstanceList {
+            why: why.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for Gap {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Gap::NoAnswer {
+                process,
+                control,
+                why,
+            } => write!(f, "{process} at {control} did not answer: {why}"),
+            Gap::StartedWithin { process, uptime_ms } => write!(
+                f,
+                "{process} started {} ago: what was counted there before is gone",
+                span(*uptime_ms)
+            ),
+            Gap::CoversLess {
+                process,
+                covered_ms,
+            } => write!(f, "{process} covers the last {} only", span(*covered_ms)),
+            Gap::WithoutDetail { process, events } => write!(
+                f,
+                "{process} had no room for the detail of {events} events: they are in the total only"
+            ),
+            Gap::NoInstanceList { why } => write!(
+                f,
+                "no list of instances ({why}): processes may have been left out"
+            ),
+            Gap::NotAsked { server } => write!(f, "{server} is in the document but was not asked"),
+            Gap::NoDocument => write!(
+                f,
+                "no fleet document: no names, no exceptions and no burn can be shown"
+            ),
+            Gap::OtherVersion { process, config } => {
+                write!(f, "{process} has configuration version {config}")
+            }
+        }
+    }
+}
+
+fn not_asked(fleet: &Fleet, answers: &Answers) -> Vec<Gap> {
+    let asked = |control| answers.asked.iter().any(|a| a.target.control == control);
+    fleet
+        .servers
+        .iter()
+        .filter(|(_, server)| !asked(server.control))
+        .map(|(name, _)| Gap::NotAsked {
+            server: name.clone(),
+        })
+        .collect()
+}
+
+fn of_process(asked: &Asked, fleet: Option<&Fleet>) -> Vec<Gap> {
+    let process = asked.name().to_string();
+    let account = match &asked.result {
+        Ok(account) => account,
+        Err(err) => {
+            return vec![Gap::NoAnswer {
+                process,
+                control: asked.target.control,
+                why: err.to_string(),
+            }];
+        }
+    };
+    let mut gaps = Vec::new();
+    let config = account.status.config;
+    if fleet.is_some_and(|fleet| fleet.version != config) {
+        gaps.push(Gap::OtherVersion {
+            process: process.clone(),
+            config: config.0,
+        });
+    }
+    let Some(summary) = account.summaries.first() else {
+        return gaps;
+    };
+    if summary.started_within > 0 {
+        gaps.push(Gap::StartedWithin {
+            process: process.clone(),
+            uptime_ms: account.status.uptime.as_millis() as u64,
+        });
+    } else if let Some(covered_ms) = covers_less(summary) {
+        gaps.push(Gap::CoversLess {
+            process: process.clone(),
+            covered_ms,
+        });
+    }
+    if summary.without_detail > 0 {
+        gaps.push(Gap::WithoutDetail {
+            process,
+            events: summary.without_detail,
+        });
+    }
+    gaps
+}
+
+fn covers_less(summary: &Summary) -> Option<u64> {
+    let covered = summary.covered.unwrap_or_default();
+    (covered < summary.asked).then_some(covered.as_millis() as u64)
+}
--- /dev/null
+++ b/bramleyramp/src/report/names.rs
@@ -0,0 +1,132 @@
+//! Names, data centres and policies behind the identities in ledgers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ramp_state::fleet::Fleet;
+use ramp_state::fleet::Scope;
+use ramp_state::key::InstanceId;
+use ramp_state::key::ServiceId;
+use ramp_state::ledger::summary::RowKey;
+use ramp_state::policy::Policy;
+
+use crate::ask::Answers;
+
+/// Data centre of a backend server that nobody knows any more.
+const NO_DATA_CENTRE: &str = "(not in the document)";
+
+/// Name of those that reached no backend server.
+const NO_SERVER: &str = "(reached no server)";
+
+#[derive(Clone, Debug)]
+struct Known {
+    name: String,
+    data_centre: String,
+    policy: Arc<Policy>,
+}
+
+/// Names behind identities.
+#[derive(Debug, Default)]
+pub struct Names {
+    services: HashMap<ServiceId, (String, Arc<Policy>)>,
+    servers: HashMap<InstanceId, Known>,
+}
+
+impl Names {
+    /// Names in the fleet document, and those that processes told of
+    /// themselves and their members: a server may have left the document.
+    pub fn new(answers: &Answers) -> Names {
+        let mut names = Names::default();
+        for account in answers.accounts() {
+            let status = &account.status;
+            names.add_server(&status.name, &status.data_centre, Policy::default());
+            for service in &status.services {
+                names.add_service(&service.name, Policy::default());
+                for member in &service.members {
+                    names.add_server(&member.name, &member.data_centre, Policy::default());
+                }
+            }
+        }
+        if let Some(fleet) = &answers.fleet {
+            names.add_fleet(fleet);
+        }
+        names
+    }
+
+    /// Name of a service.
+    pub fn service(&self, id: ServiceId) -> String {
+        match self.services.get(&id) {
+            Some((name, _)) => name.clone(),
+            None => format!("(unknown {:08x})", id.0 >> 32),
+        }
+    }
+
+    /// Name of the backend server of a row.
+    pub fn server(&self, key: &RowKey) -> String {
+        let Some(id) = key.server else {
+            return format!("{} {NO_SERVER}", self.service(key.service));
+        };
+        match self.servers.get(&id) {
+            Some(known) => known.name.clone(),
+            None => format!("(unknown {:08x})", id.0 >> 32),
+        }
+    }
+
+    /// Name of the data centre of a row.
+    pub fn data_centre(&self, key: &RowKey) -> String {
+        let Some(id) = key.server else {
+            return NO_SERVER.to_string();
+        };
+        match self.servers.get(&id) {
+            Some(known) => known.data_centre.clone(),
+            None => NO_DATA_CENTRE.to_string(),
+        }
+    }
+
+    /// Settings that apply to a row: of its server, or else of its service.
+    pub fn policy(&self, key: &RowKey) -> Arc<Policy> {
+        let server = key.server.and_then(|id| self.servers.get(&id));
+        if let Some(known) = server {
+            return Arc::clone(&known.policy);
+        }
+        match self.services.get(&key.service) {
+            Some((_, policy)) => Arc::clone(policy),
+            None => Arc::default(),
+        }
+    }
+
+    fn add_fleet(&mut self, fleet: &Fleet) {
+        for name in fleet.services.keys() {
+            self.add_service(name, service_policy(fleet, name));
+        }
+        for (name, server) in &fleet.servers {
+            self.add_server(name, &server.data_centre, fleet.policy(name));
+        }
+    }
+
+    fn add_service(&mut self, name: &str, policy: Policy) {
+        let service = (name.to_string(), Arc::new(policy));
+        self.services.insert(ServiceId::of(name), service);
+    }
+
+    fn add_server(&mut self, name: &str, data_centre: &str, policy: Policy) {
+        let known = Known {
+            name: name.to_string(),
+            data_centre: data_centre.to_string(),
+            policy: Arc::new(policy),
+        };
+        self.servers.insert(InstanceId::of(name), known);
+    }
+}
+
+/// Defaults with the exceptions that cover the whole service.
+fn service_policy(fleet: &Fleet, name: &str) -> Policy {
+    let mut policy = fleet.defaults.clone();
+    let scope = Scope::Service(name.to_string());
+    let exceptions = fleet.exceptions.values().filter(|e| e.covers == scope);
+    for change in exceptions.flat_map(|e| &e.changes) {
+        // A parsed document has only valid values.
+        let _ = policy.set(&change.key, &change.value);
+    }
+    policy
+}
--- /dev/null
+++ b/bramleyramp/src/status/mod.rs
@@ -0,0 +1,6 @@
+//! State of all processes: versions, members, limits, flows and drains.
+
+pub mod build;
+pub mod finding;
+pub mod model;
+pub mod text;
--- /dev/null
+++ b/bramleyramp/src/status/text.rs
@@ -0,0 +1,156 @@
+//! The overview as text that a person reads at a glance.
+
+use crate::status::model::MemberLine;
+use crate::status::model::Overview;
+use crate::table::Table;
+use crate::words::number;
+use crate::words::span;
+
+/// The whole overview.
+pub fn render(overview: &Overview) -> String {
+    let sections = [
+        head(overview),
+        processes(overview),
+        services(overview),
+        drains(overview),
+    ];
+    let sections: Vec<String> = sections.into_iter().filter(|s| !s.is_empty()).collect();
+    sections.join("\n")
+}
+
+fn head(overview: &Overview) -> String {
+    let version = match overview.config {
+        Some(version) => format!("version {version}"),
+        None => "no version".to_string(),
+    };
+    let verdict = match overview.in_force {
+        true => format!("IN FORCE: {version} everywhere"),
+        false => format!("NOT IN FORCE everywhere: newest is {version}"),
+    };
+    let published = match overview.published {
+        Some(version) => format!(", platform publishes {version}"),
+        None => String::new(),
+    };
+    let mut text = format!(
+        "{verdict}, {} of {} processes answered{published}\n",
+        overview.answered, overview.asked
+    );
+    for finding in &overview.findings {
+        text.push_str(&format!("  - {finding}\n"));
+    }
+    text
+}
+
+fn processes(overview: &Overview) -> String {
+    if overview.processes.is_empty() {
+        return String::new();
+    }
+    let mut table = Table::new(&[
+        "Process",
+        "role",
+        "data centre",
+        "version",
+        "state",
+        "up",
+        "flows",
+        "platform calls",
+        "platform heard",
+    ]);
+    for line in &overview.processes {
+        let heard = line
+            .platform_silent_ms
+            .map_or("never".to_string(), |ms| format!("{} ago", span(ms)));
+        table.add([
+            line.name.clone(),
+            line.role.to_string(),
+            line.data_centre.clone(),
+            line.config.to_string(),
+            line.readiness.to_string(),
+            span(line.uptime_ms),
+            number(line.flows),
+            number(line.platform_calls),
+            heard,
+        ]);
+    }
+    table.render()
+}
+
+fn services(overview: &Overview) -> String {
+    let mut text = Vec::new();
+    for service in &overview.services {
+        let title = format!("Service {} at {}", service.name, service.address);
+        let mut table = Table::new(&[
+            &title,
+            "data centre",
+            "state",
+            "flows",
+            "of",
+            "running",
+            "slots now",
+            "of",
+            "waiting",
+        ]);
+        for member in &service.members {
+            table.add(cells(member));
+        }
+        text.push(table.render());
+    }
+    text.join("\n")
+}
+
+fn cells(member: &MemberLine) -> Vec<String> {
+    let load = |pick: fn(&crate::status::model::LoadLine) -> u32| match &member.load {
+        Some(load) => number(u64::from(pick(load))),
+        None => "?".to_string(),
+    };
+    vec![
+        format!("  {}", member.name),
+        member.data_centre.clone(),
+        state(member),
+        load(|l| l.flows),
+        number(u64::from(member.connections)),
+        load(|l| l.in_progress),
+        load(|l| l.slots_now),
+        number(u64::from(member.slots)),
+        load(|l| l.waiting),
+    ]
+}
+
+/// State of a member in words, what matters most first.
+fn state(member: &MemberLine) -> String {
+    let warmth = member.load.map_or("load not known", |load| load.warmth);
+    let mut words = Vec::new();
+    if member.out_for > 0 {
+        words.push(by("data centre out", member.out_for, member.known_by));
+    }
+    if member.dead_for > 0 {
+        words.push(by("dead", member.dead_for, member.known_by));
+    }
+    if member.leaving {
+        words.push("leaving".to_string());
+    }
+    words.push(warmth.to_string());
+    words.join(", ")
+}
+
+/// A belief, with how many hold it when not all do.
+fn by(belief: &str, holders: usize, all: usize) -> String {
+    match holders == all {
+        true => belief.to_string(),
+        false => format!("{belief} for {holders} of {all}"),
+    }
+}
+
+fn drains(overview: &Overview) -> String {
+    let mut text = String::new();
+    for drain in &overview.drains {
+        text.push_str(&format!(
+            "Draining: {} has {} flows and {} requests in progress, {} left before they are cut\n",
+            drain.server,
+            number(u64::from(drain.flows)),
+            number(u64::from(drain.in_progress)),
+            span(drain.left_ms)
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/bramleyramp/src/words.rs
@@ -0,0 +1,42 @@
+//! Numbers and times as a person reads them.
+
+/// A time in the largest unit that keeps it readable.
+pub fn span(ms: u64) -> String {
+    const SECOND: u64 = 1_000;
+    const MINUTE: u64 = 60 * SECOND;
+    const HOUR: u64 = 60 * MINUTE;
+    const DAY: u64 = 24 * HOUR;
+    match ms {
+        0..SECOND => format!("{ms} ms"),
+        SECOND..MINUTE => with_tenth(ms, SECOND, "s"),
+        MINUTE..HOUR => with_tenth(ms, MINUTE, "min"),
+        HOUR..DAY => with_tenth(ms, HOUR, "h"),
+        _ => with_tenth(ms, DAY, "d"),
+    }
+}
+
+/// A number in groups of three digits.
+pub fn number(n: u64) -> String {
+    let digits = n.to_string();
+    let mut text = String::new();
+    for (i, digit) in digits.chars().enumerate() {
+        if i > 0 && (digits.len() - i).is_multiple_of(3) {
+            text.push(',');
+        }
+        text.push(digit);
+    }
+    text
+}
+
+/// A share as percent.
+pub fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
+
+fn with_tenth(ms: u64, unit: u64, name: &str) -> String {
+    let tenths = ms * 10 / unit;
+    match tenths % 10 {
+        0 => format!("{} {name}", tenths / 10),
+        rest => format!("{}.{rest} {name}", tenths / 10),
+    }
+}
--- /dev/null
+++ b/bramleyramp/tests/fake/mod.rs
@@ -0,0 +1,177 @@
+//! Fake processes that answer operator calls on loopback, and runs of the
+//! binary against them.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Warmth;
+use ramp_protocol::operator::Document;
+use ramp_protocol::operator::MemberStatus;
+use ramp_protocol::operator::Readiness;
+use ramp_protocol::operator::ServiceStatus;
+use ramp_protocol::operator::Status;
+use ramp_state::instances::Role;
+use ramp_state::key::Incarnation;
+use ramp_state::key::Version;
+use ramp_state::ledger::Ledger;
+use ramp_state::ledger::summary::Summary;
+use ramp_state::ledger::summary::Window;
+use ramp_state::time::Millis;
+use ramp_transport::operator;
+use ramp_transport::operator::OperatorSource;
+use serde_json::Value;
+use tokio::task::LocalSet;
+
+/// Moment at which all fakes answer, long after their start.
+pub const NOW: Millis = Millis(100 * 3_600_000);
+
+/// A process that answers from fixed values.
+#[derive(Clone)]
+pub struct Fake {
+    pub status: Status,
+    pub ledger: Ledger,
+    pub document: Option<Document>,
+}
+
+impl OperatorSource for Fake {
+    fn status(&self) -> Status {
+        self.status.clone()
+    }
+
+    fn ledger(&self, window: Window) -> Summary {
+        self.ledger.summary(NOW, window)
+    }
+
+    fn document(&self) -> Option<Document> {
+        self.document.clone()
+    }
+}
+
+impl Fake {
+    /// Agent `name` that has version 7, an empty ledger and one member: itself.
+    pub fn agent(name: &str, data_centre: &str) -> Fake {
+        Fake {
+            status: Status {
+                name: name.to_string(),
+                role: Role::Agent,
+                data_centre: data_centre.to_string(),
+                incarnation: Incarnation(1),
+                uptime: Duration::from_secs(100 * 3_600),
+                config: Version(7),
+                readiness: Readiness::Serving,
+                services: vec![ServiceStatus {
+                    name: "ledger".to_string(),
+                    address: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 80),
+                    members: vec![member(name, data_centre)],
+                }],
+                flows: 12,
+                drains: Vec::new(),
+                platform_calls: 3,
+                platform_silent: Some(Duration::from_secs(2)),
+                refused: None,
+            },
+            ledger: Ledger::new(Millis(0)),
+            document: None,
+        }
+    }
+
+    /// Serves on `listener` for the rest of the test, on a thread of its own.
+    pub fn serve(self, listener: TcpListener) {
+        thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
+            LocalSet::new().block_on(&runtime, async {
+                listener.set_nonblocking(true).unwrap();
+                let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+                operator::serve(listener, self).await;
+            });
+        });
+    }
+
+    /// Serves on a port given by the kernel.
+    pub fn start(self) -> SocketAddrV4 {
+        let (listener, address) = listen();
+        self.serve(listener);
+        address
+    }
+}
+
+/// What a run of the binary gave.
+pub struct Run {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Run {
+    /// Its output as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|err| panic!("{err}: {}", self.out))
+    }
+}
+
+/// Runs the binary to its end.
+pub fn bramleyramp(args: &[&str]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_bramleyramp"))
+        .args(args)
+        .output()
+        .unwrap();
+    Run {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Runs the subcommand `name` on these processes.
+pub fn ask(name: &str, processes: &[SocketAddrV4], options: &[&str]) -> Run {
+    let addresses: Vec<String> = processes.iter().map(SocketAddrV4::to_string).collect();
+    let mut args = vec![name];
+    for address in &addresses {
+        args.extend(["--process", address]);
+    }
+    args.extend(options);
+    bramleyramp(&args)
+}
+
+/// Listener on a port given by the kernel.
+pub fn listen() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        panic!("not an IPv4 address");
+    };
+    (listener, address)
+}
+
+/// Address at which nobody listens.
+pub fn nobody() -> SocketAddrV4 {
+    listen().1
+}
+
+fn member(name: &str, data_centre: &str) -> MemberStatus {
+    MemberStatus {
+        name: name.to_string(),
+        data_centre: data_centre.to_string(),
+        alive: true,
+        reachable: true,
+        leaving: false,
+        slots: 5,
+        connections: 2_000,
+        load: Some(Load {
+            flows: 12,
+            in_progress: 2,
+            waiting: 0,
+            slots: 5,
+            warmth: Warmth::Warm,
+            leaving: false,
+        }),
+    }
+}
--- a/crates/state/src/ledger/callers.rs
+++ b/crates/state/src/ledger/callers.rs
@@ -55,7 +55,8 @@
     /// before it entered, and those in sketches that don't have it.
     pub fn hidden(&self, entry: &CallerEntry) -> u64 {
         let elsewhere = self.floor.saturating_sub(entry.floor);
-        entry.unseen.saturating_add(elsewhere)
+        let bound = entry.unseen.saturating_add(elsewhere);
+        bound.min(self.rest.events())
     }
 
     /// Callers by the number of their requests and flows, most first.
--- a/crates/state/src/ledger/counts.rs
+++ b/crates/state/src/ledger/counts.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use crate::ledger::kind;
+use crate::ledger::kind::Class;
 use crate::ledger::kind::KINDS;
 use crate::ledger::kind::Kind;
 use crate::ledger::times::AnswerTimes;
-use crate::outcome::FlowEnd;
 use crate::outcome::Outcome;
 use crate::verdict::Verdict;
 
@@ -95,7 +95,7 @@
 impl Classes {
     /// Counts `n` events of one kind.
     pub fn add(&mut self, kind: Kind, n: u64) {
-        let count = self.class_mut(kind);
+        let count = self.class_mut(kind.class());
         *count = count.saturating_add(n);
     }
 
@@ -126,15 +126,15 @@
             .saturating_add(self.ended)
     }
 
-    fn class_mut(&mut self, kind: Kind) -> &mut u64 {
-        match kind {
-            Kind::Request(Verdict::Served) => &mut self.served,
-            Kind::Request(Verdict::NotRun(_)) => &mut self.not_run,
-            Kind::Request(Verdict::MayHaveRun(_)) => &mut self.may_have_run,
-            Kind::FlowOpened => &mut self.flows,
-            Kind::FlowEnded(FlowEnd::GivenUp) => &mut self.given_up,
-            Kind::FlowEnded(FlowEnd::DrainLimitPassed | FlowEnd::OwnerLost) => &mut self.broken,
-            Kind::FlowEnded(FlowEnd::Closed | FlowEnd::CallerLeft) => &mut self.ended,
+    fn class_mut(&mut self, class: Class) -> &mut u64 {
+        match class {
+            Class::Served => &mut self.served,
+            Class::NotRun => &mut self.not_run,
+            Class::MayHaveRun => &mut self.may_have_run,
+            Class::Opened => &mut self.flows,
+            Class::GivenUp => &mut self.given_up,
+            Class::Broken => &mut self.broken,
+            Class::Ended => &mut self.ended,
         }
     }
 }
--- a/crates/state/src/ledger/kind.rs
+++ b/crates/state/src/ledger/kind.rs
@@ -1,5 +1,7 @@
 //! What can happen to a request or flow, as a dense index into tables.
 
+use std::fmt;
+
 use crate::outcome::FlowEnd;
 use crate::outcome::Outcome;
 use crate::verdict::MayHaveRun;
@@ -17,6 +19,25 @@
     FlowEnded(FlowEnd),
 }
 
+/// Class of events that a manager asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Class {
+    /// Request served.
+    Served,
+    /// Request refused: not run.
+    NotRun,
+    /// Request cut: may have run.
+    MayHaveRun,
+    /// Flow opened.
+    Opened,
+    /// Flow given up with its data centre.
+    GivenUp,
+    /// Flow broken: cut at the drain limit, or reset because nobody knew it.
+    Broken,
+    /// Flow ended by its caller or backend server.
+    Ended,
+}
+
 /// Number of kinds.
 pub const KINDS: usize = 24;
 
@@ -73,12 +94,40 @@
         }
     }
 
-    /// Whether a flow ended so through the system's own fault.
-    pub fn is_broken_flow(self) -> bool {
-        matches!(
-            self,
-            Kind::FlowEnded(FlowEnd::DrainLimitPassed | FlowEnd::OwnerLost)
-        )
+    /// Class that it belongs to.
+    pub fn class(self) -> Class {
+        match self {
+            Kind::Request(Verdict::Served) => Class::Served,
+            Kind::Request(Verdict::NotRun(_)) => Class::NotRun,
+            Kind::Request(Verdict::MayHaveRun(_)) => Class::MayHaveRun,
+            Kind::FlowOpened => Class::Opened,
+            Kind::FlowEnded(FlowEnd::GivenUp) => Class::GivenUp,
+            Kind::FlowEnded(FlowEnd::DrainLimitPassed | FlowEnd::OwnerLost) => Class::Broken,
+            Kind::FlowEnded(FlowEnd::Closed | FlowEnd::CallerLeft) => Class::Ended,
+        }
+    }
+}
+
+/// The reason alone, in words.
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Kind::Request(Verdict::Served) => write!(f, "the whole answer was sent"),
+            Kind::Request(Verdict::NotRun(reason)) => write!(f, "{reason}"),
+            Kind::Request(Verdict::MayHaveRun(reason)) => write!(f, "{reason}"),
+            Kind::FlowOpened => write!(f, "a caller connected"),
+            Kind::FlowEnded(end) => write!(f, "{}", end_in_words(*end)),
+        }
+    }
+}
+
+fn end_in_words(end: FlowEnd) -> &'static str {
+    match end {
+        FlowEnd::Closed => "closed in the ordinary way",
+        FlowEnd::CallerLeft => "the caller reset it or fell silent",
+        FlowEnd::GivenUp => "its data centre was taken out",
+        FlowEnd::DrainLimitPassed => "cut at the drain limit",
+        FlowEnd::OwnerLost => "no live agent knew it",
     }
 }
 
