Ask by the platform's list in the tests, and name its faulty document

Cause: `status` said IN FORCE while the platform's document had faults: the test of a stale platform, with a document that the parser refuses, showed it. Ruled out: telling the version of a faulty document as published: no process can have it in force. Change: a document that can't be had or read is a finding and breaks agreement; tests of both commands against a platform on loopback. Conclusion: exit code 0 now also means that the platform could be read.

--- a/bramleyramp/src/status/finding.rs
+++ b/bramleyramp/src/status/finding.rs
@@ -55,6 +55,11 @@
         /// The version.
         published: u64,
     },
+    /// The platform's fleet document could not be had, or has faults.
+    NoDocument {
+        /// Why.
+        why: String,
+    },
     /// The platform's list of instances could not be had.
     NoInstanceList {
         /// Why.
@@ -135,6 +140,9 @@
                 f,
                 "this replica of the platform is stale: it publishes version {published}"
             ),
+            Finding::NoDocument { why } => {
+                write!(f, "no fleet document from the platform: {why}")
+            }
             Finding::NoInstanceList { why } => write!(
                 f,
                 "no list of instances ({why}): processes may have been left out"
@@ -157,10 +165,13 @@
         Ok(version) if *version < newest => findings.push(Finding::PlatformStale {
             published: version.0,
         }),
-        Ok(_) | Err(_) => {}
+        // Whoever names the processes asks for these only.
+        Ok(_) | Err(Missing::NotNamed) => {}
+        Err(why) => findings.push(Finding::NoDocument {
+            why: why.to_string(),
+        }),
     }
     match &answers.list_missing {
-        // Whoever names the processes asks for these only.
         None | Some(Missing::NotNamed) => {}
         Some(why) => findings.push(Finding::NoInstanceList {
             why: why.to_string(),
--- a/bramleyramp/tests/fake/mod.rs
+++ b/bramleyramp/tests/fake/mod.rs
@@ -1,10 +1,14 @@
 //! Fake processes that answer operator calls on loopback, and runs of the
 //! binary against them.
 
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::process::Command;
 use std::thread;
 use std::time::Duration;
@@ -175,3 +179,35 @@
         }),
     }
 }
+
+/// A platform that publishes these texts, at version 7, for the rest of the
+/// test.
+pub fn platform(fleet: String, instances: String) -> SocketAddrV4 {
+    let (listener, address) = listen();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let path = request_path(&stream);
+            let text = match path.starts_with("/fleet") {
+                true => &fleet,
+                false => &instances,
+            };
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-version: 7\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                text.len()
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+        }
+    });
+    address
+}
+
+/// Path in the first line of a request; reads its whole head.
+fn request_path(stream: &TcpStream) -> String {
+    let mut lines = BufReader::new(stream).lines().map(Result::unwrap);
+    let first = lines.next().unwrap_or_default();
+    lines.find(String::is_empty);
+    let path = first.split(' ').nth(1).unwrap_or_default();
+    path.to_string()
+}
--- a/bramleyramp/tests/report.rs
+++ b/bramleyramp/tests/report.rs
@@ -28,6 +28,7 @@
 use crate::fake::bramleyramp;
 use crate::fake::listen;
 use crate::fake::nobody;
+use crate::fake::platform;
 
 const OVERLOADED: Verdict = Verdict::NotRun(NotRun::Overloaded);
 const SERVER_LOST: Verdict = Verdict::MayHaveRun(MayHaveRun::ServerLost);
@@ -159,6 +160,41 @@
     assert!(run.out.contains(&named), "{}", run.out);
 }
 
+#[test]
+fn the_platform_tells_whom_to_ask_and_nothing_is_missing_then() {
+    let (one, balancer) = (listen(), listen());
+    let other = listen();
+    let document = document(&[one.1, other.1]);
+    let platform = platform(document.text.clone(), instances(balancer.1));
+    serve([
+        (agent("ledger-1", "north", &document), one),
+        (agent("ledger-2", "south", &document), other),
+        (agent("entry-1", "north", &document), balancer),
+    ]);
+    let address = platform.to_string();
+    let run = bramleyramp(&["report", "--json", "--platform", &address]);
+    assert_eq!(run.code, 0, "{}", run.err);
+    let report = run.json();
+    // The agents are in the document, the balancer only in the list.
+    assert_eq!(report["asked"], 3);
+    assert_eq!(report["answered"], 3);
+    assert_eq!(report["at_least"], false, "{}", report["gaps"]);
+    assert_eq!(report["gaps"].as_array().unwrap().len(), 0);
+}
+
+#[test]
+fn a_platform_that_is_down_is_named_and_the_processes_give_the_document() {
+    let mut args = vec!["report", "--json"];
+    let down = nobody().to_string();
+    let named = two_agents()[0].to_string();
+    args.extend(["--platform", &down, "--process", &named]);
+    let report = bramleyramp(&args).json();
+    assert_eq!(report["config"], 7);
+    assert_eq!(report["at_least"], true);
+    let gaps = report["gaps"].to_string();
+    assert!(gaps.contains("no_instance_list"), "{gaps}");
+}
+
 #[test]
 fn a_server_of_the_document_that_was_not_asked_is_named() {
     let processes = two_agents();
@@ -321,6 +357,17 @@
     }
 }
 
+fn instances(balancer: SocketAddrV4) -> String {
+    format!(
+        "[instance entry-1]\n\
+         role = balancer\n\
+         data_centre = north\n\
+         address = 127.0.0.1:3\n\
+         control = {balancer}\n\
+         state = live\n"
+    )
+}
+
 fn requests(ledger: &mut Ledger, caller: u32, server: &str, verdict: Verdict, times: u32) {
     let took = Duration::from_millis(20);
     for _ in 0..times {
--- a/bramleyramp/tests/status.rs
+++ b/bramleyramp/tests/status.rs
@@ -15,6 +15,10 @@
 use crate::fake::ask;
 use crate::fake::bramleyramp;
 use crate::fake::nobody;
+use crate::fake::platform;
+
+/// Least fleet document without faults.
+const FLEET: &str = "[service ledger]\naddress = 10.9.0.1:80\n";
 
 #[test]
 fn one_version_everywhere_is_in_force() {
@@ -67,6 +71,39 @@
     assert!(run.out.contains(words), "{}", run.out);
 }
 
+#[test]
+fn a_platform_ahead_of_all_processes_breaks_agreement() {
+    let mut behind = Fake::agent("entry-1", "north");
+    behind.status.config = Version(6);
+    let process = behind.start().to_string();
+    let platform = platform(FLEET.to_string(), String::new()).to_string();
+    let run = bramleyramp(&["status", "--platform", &platform, "--process", &process]);
+    assert_eq!(run.code, 1, "{}", run.out);
+    let words = "the platform publishes version 7, which no process has";
+    assert!(run.out.contains(words), "{}", run.out);
+}
+
+#[test]
+fn a_stale_platform_is_named_and_breaks_nothing() {
+    let mut ahead = Fake::agent("entry-1", "north");
+    ahead.status.config = Version(9);
+    let process = ahead.start().to_string();
+    let platform = platform(FLEET.to_string(), String::new()).to_string();
+    let run = bramleyramp(&["status", "--platform", &platform, "--process", &process]);
+    assert_eq!(run.code, 0, "{}", run.out);
+    assert!(run.out.contains("stale"), "{}", run.out);
+}
+
+#[test]
+fn a_faulty_document_of_the_platform_is_named_and_breaks_agreement() {
+    let process = first().start().to_string();
+    let platform = platform("[exception X]\n".to_string(), String::new()).to_string();
+    let run = bramleyramp(&["status", "--platform", &platform, "--process", &process]);
+    assert_eq!(run.code, 1, "{}", run.out);
+    let words = "no fleet document from the platform: it has faults: line 1";
+    assert!(run.out.contains(words), "{}", run.out);
+}
+
 #[test]
 fn members_show_load_limits_and_what_others_believe() {
     let mut one = first();
