--- a/crates/state/src/ledger/callers.rs
+++ b/crates/state/src/ledger/callers.rs
@@ -6,8 +6,8 @@
 //! it entered; up to `unseen` earlier events of that caller are in `rest`.
 //! Entries and `rest` together always make the exact total.
 //!
-//! Merging keeps the union of entries, so it is associative and commutative:
-//! nothing is cut off before the last merge.
+//! Merging keeps the union of entries, so it is associative and commutative.
+//! A process cuts off what it tells, once; nothing is cut off in merging.
 
 use std::net::Ipv4Addr;
 
@@ -59,6 +59,27 @@
         bound.min(self.rest.events())
     }
 
+    /// Keeps the `most` callers with the most events, so that what a process
+    /// tells is bounded. The others go to the rest, and the floor rises to
+    /// what they may have had.
+    pub fn truncate(&mut self, most: usize) {
+        if self.top.len() <= most {
+            return;
+        }
+        let mut ranked = self.ranked();
+        for (_, entry) in &mut ranked {
+            entry.unseen = self.hidden(entry);
+        }
+        self.top = ranked.drain(..most).collect();
+        for (_, entry) in &ranked {
+            self.floor = self.floor.max(bound(entry));
+            self.rest.merge(&entry.classes);
+        }
+        for entry in self.top.values_mut() {
+            entry.floor = self.floor;
+        }
+    }
+
     /// Callers by the number of their requests and flows, most first.
     pub fn ranked(&self) -> Vec<(Ipv4Addr, CallerEntry)> {
         let mut ranked: Vec<_> = self.top.iter().map(|(ip, e)| (*ip, *e)).collect();
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -88,6 +88,7 @@
             .unwrap_or(coarsest);
         let age = now.since(self.started);
         let mut summary = ring.summary(now, window.back, window.callers);
+        summary.callers.truncate(CALLERS);
         summary.asked = window.back;
         summary.ledgers = 1;
         summary.started_within = u64::from(age < window.back);
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -90,11 +90,15 @@
 
 #[test]
 fn callers_are_bounded_from_both_sides_and_sum_exactly() {
-    fn property(parts: Vec<Vec<Event>>) -> bool {
+    fn property(parts: Vec<Vec<Event>>, kept: u8) -> bool {
         let mut callers = Callers::default();
         let mut truth: HashMap<Ipv4Addr, u64> = HashMap::new();
-        for part in &parts {
+        for (i, part) in parts.iter().enumerate() {
             callers.merge(&sketch_of(part).callers());
+            // Processes cut off sums of several sketches, and are merged then.
+            if i % 3 == 2 {
+                callers.truncate(usize::from(kept % 8));
+            }
             for event in part {
                 *truth.entry(ip_of(event)).or_default() += 1;
             }
@@ -114,7 +118,20 @@
             .all(|(_, n)| *n <= callers.floor);
         absent_fit && sum.events() == truth.values().sum::<u64>()
     }
-    check(property as fn(Vec<Vec<Event>>) -> bool);
+    check(property as fn(Vec<Vec<Event>>, u8) -> bool);
+}
+
+#[test]
+fn cutting_off_leaves_the_bounds_of_those_kept() {
+    fn property(a: Vec<Event>, b: Vec<Event>, kept: u8) -> bool {
+        let whole = merged_callers(&sketch_of(&a).callers(), &sketch_of(&b).callers());
+        let mut cut = whole.clone();
+        cut.truncate(usize::from(kept % 8));
+        cut.top
+            .iter()
+            .all(|(ip, entry)| cut.hidden(entry) == whole.hidden(&whole.top[ip]))
+    }
+    check(property as fn(Vec<Event>, Vec<Event>, u8) -> bool);
 }
 
 #[test]
@@ -134,6 +151,20 @@
     check(property as fn(Vec<Event>) -> bool);
 }
 
+#[test]
+fn what_a_process_tells_of_callers_is_bounded() {
+    let mut ledger = Ledger::new(Millis(0));
+    for i in 0..100 * CALLERS as u32 {
+        let at = Millis(u64::from(i) * SECOND / 50);
+        ledger.add(at, &record(i, None, Outcome::FlowOpened));
+    }
+    let summary = ledger.summary(Millis(220 * SECOND), window(600));
+    assert_eq!(summary.callers.top.len(), CALLERS);
+    let top = summary.callers.top.values();
+    let known: u64 = top.map(|e| e.classes.flows).sum();
+    assert_eq!(known + summary.callers.rest.flows, 100 * CALLERS as u64);
+}
+
 #[test]
 fn totals_are_exact_whatever_finds_no_room() {
     let mut ledger = Ledger::new(Millis(0));
