Tell of events that were lost before they were counted

Cause: the traffic thread drops records when the ledger falls behind and only a metric says so; a report would have called its totals exact. Ruled out: blocking the traffic thread until the ledger has room. Change: Ledger::add_lost, carried in summaries; a gap in the report, whose totals then say "at least". Conclusion: the control thread must hand the number over.

--- a/bramleyramp/src/report/gap.rs
+++ b/bramleyramp/src/report/gap.rs
@@ -48,6 +48,13 @@
         /// Number of such events.
         events: u64,
     },
+    /// A process lost events before it could count them.
+    Lost {
+        /// Its name.
+        process: String,
+        /// Number of such events.
+        events: u64,
+    },
     /// The list of instances is missing, so processes may have been left out.
     NoInstanceList {
         /// Why.
@@ -123,6 +130,12 @@
                 f,
                 "{process} had no room for the detail of {events} events: they are in the total only"
             ),
+            Gap::Lost { process, events } => {
+                write!(
+                    f,
+                    "{process} lost {events} events before it could count them"
+                )
+            }
             Gap::NoInstanceList { why } => write!(
                 f,
                 "no list of instances ({why}): processes may have been left out"
@@ -185,6 +198,12 @@
             covered_ms,
         });
     }
+    if summary.lost > 0 {
+        gaps.push(Gap::Lost {
+            process: process.clone(),
+            events: summary.lost,
+        });
+    }
     if summary.without_detail > 0 {
         gaps.push(Gap::WithoutDetail {
             process,
--- a/bramleyramp/tests/report.rs
+++ b/bramleyramp/tests/report.rs
@@ -262,6 +262,15 @@
     assert_gap(&report, "without_detail", "process", "ledger-1");
 }
 
+#[test]
+fn lost_events_are_named_and_make_totals_at_least() {
+    let mut fake = Fake::agent("ledger-1", "north");
+    fake.ledger.add_lost(NOW, 9);
+    let report = ask("report", &[fake.start()], &["--json"]).json();
+    assert_gap(&report, "lost", "process", "ledger-1");
+    assert_eq!(report["at_least"], true);
+}
+
 #[test]
 fn without_a_document_the_counts_stand_and_the_lack_is_named() {
     let mut fake = Fake::agent("ledger-1", "north");
--- a/crates/protocol/schema/operator.capnp
+++ b/crates/protocol/schema/operator.capnp
@@ -158,6 +158,7 @@
   callers @9 :Callers;
   # Newest first, one for each step.
   slices @10 :List(Classes);
+  lost @11 :UInt64;
 }
 
 interface Operator {
--- a/crates/protocol/src/operator_capnp.rs
+++ b/crates/protocol/src/operator_capnp.rs
@@ -4568,11 +4568,15 @@
         pub fn has_slices(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_lost(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4742,6 +4746,14 @@
         pub fn has_slices(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_lost(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_lost(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4759,101 +4771,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 194] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 209] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 70, 81, 194, 59, 143, 251, 161),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(53, 68, 122, 208, 225, 107, 47, 156),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
             ::capnp::word(117, 109, 109, 97, 114, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 115, 107, 101, 100, 77, 115, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4954,6 +4973,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4968,6 +4995,7 @@
                 8 => <crate::operator_capnp::counts::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <crate::operator_capnp::callers::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::operator_capnp::classes::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4981,9 +5009,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,9,3,2,4,8,7,10,5,1,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,9,3,2,4,11,8,7,10,5,1,6];
         pub(crate) const TYPE_ID: u64 = 0xa1fb_8f3b_c251_46f4;
     }
 }
--- a/crates/protocol/src/summary_codec.rs
+++ b/crates/protocol/src/summary_codec.rs
@@ -42,6 +42,7 @@
     m.set_ledgers(summary.ledgers);
     m.set_started_within(summary.started_within);
     m.set_without_detail(summary.without_detail);
+    m.set_lost(summary.lost);
     write_counts(m.reborrow().init_other(), &summary.other);
     write_callers(m.reborrow().init_callers(), &summary.callers);
     let mut list = m.reborrow().init_slices(summary.slices.len() as u32);
@@ -68,6 +69,7 @@
         ledgers: m.get_ledgers(),
         started_within: m.get_started_within(),
         without_detail: m.get_without_detail(),
+        lost: m.get_lost(),
         other: read_counts(m.get_other()?)?,
         callers: read_callers(m.get_callers()?)?,
         slices: m.get_slices()?.iter().map(read_classes).collect(),
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -76,6 +76,17 @@
         }
     }
 
+    /// Counts `n` events that were lost on their way here, so that summaries
+    /// say so.
+    pub fn add_lost(&mut self, now: Millis, n: u64) {
+        if n == 0 {
+            return;
+        }
+        for ring in &mut self.rings {
+            ring.add_lost(now, n);
+        }
+    }
+
     /// Counts over `window`, from the finest ring that is long enough. Says
     /// how much it covers when the process is younger than that, or when no
     /// ring is that long.
--- a/crates/state/src/ledger/ring.rs
+++ b/crates/state/src/ledger/ring.rs
@@ -48,6 +48,7 @@
     rows: IndexMap<RowKey, Counts>,
     other: Counts,
     without_detail: u64,
+    lost: u64,
     callers: CallerSketch,
     classes: Classes,
 }
@@ -72,6 +73,11 @@
         self.bucket(now).add(&size, record);
     }
 
+    /// Counts `n` events that are lost.
+    pub fn add_lost(&mut self, now: Millis, n: u64) {
+        self.bucket(now).lost += n;
+    }
+
     /// Counts of the last `back`, rounded up to whole buckets.
     pub fn summary(&self, now: Millis, back: Duration, callers: bool) -> Summary {
         let newest = self.index(now);
@@ -133,6 +139,7 @@
             rows: IndexMap::new(),
             other: Counts::default(),
             without_detail: 0,
+            lost: 0,
             callers: CallerSketch::new(size.callers),
             classes: Classes::default(),
         }
@@ -162,6 +169,7 @@
         }
         summary.other.merge(&self.other);
         summary.without_detail += self.without_detail;
+        summary.lost += self.lost;
         if callers {
             summary.callers.merge(&self.callers.callers());
         }
--- a/crates/state/src/ledger/summary.rs
+++ b/crates/state/src/ledger/summary.rs
@@ -47,6 +47,8 @@
     pub started_within: u64,
     /// Events counted in `other` for want of room.
     pub without_detail: u64,
+    /// Events that never reached a ledger: they are in no count.
+    pub lost: u64,
     /// Counts by service and backend server.
     pub rows: IndexMap<RowKey, Counts>,
     /// Counts of events whose row found no room.
@@ -66,6 +68,7 @@
         self.ledgers += other.ledgers;
         self.started_within += other.started_within;
         self.without_detail = self.without_detail.saturating_add(other.without_detail);
+        self.lost = self.lost.saturating_add(other.lost);
         for (key, counts) in &other.rows {
             self.rows.entry(*key).or_default().merge(counts);
         }
@@ -102,7 +105,7 @@
     /// Whether the counts may miss events of the window.
     pub fn has_gaps(&self) -> bool {
         let short = self.covered.is_none_or(|covered| covered < self.asked);
-        short || self.started_within > 0 || self.without_detail > 0
+        short || self.started_within > 0 || self.without_detail > 0 || self.lost > 0
     }
 }
 
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -181,6 +181,18 @@
     assert_eq!(summary.callers.top.len(), CALLERS);
 }
 
+#[test]
+fn lost_events_are_told_for_the_windows_that_miss_them() {
+    let mut ledger = Ledger::new(Millis(0));
+    ledger.add_lost(Millis(90 * HOUR), 7);
+    let now = Millis(91 * HOUR);
+    assert_eq!(ledger.summary(now, window(600)).lost, 0);
+    let hours = ledger.summary(now, window(2 * 3_600));
+    assert_eq!(hours.lost, 7);
+    assert!(hours.has_gaps());
+    assert_eq!(merged(&hours, &hours).lost, 14);
+}
+
 #[test]
 fn windows_take_in_what_they_cover_and_no_more() {
     let mut ledger = Ledger::new(Millis(0));
--- a/crates/transport/tests/operator.rs
+++ b/crates/transport/tests/operator.rs
@@ -214,6 +214,7 @@
 
 fn ledger() -> Ledger {
     let mut ledger = Ledger::new(Millis(1_000));
+    ledger.add_lost(Millis(2_000), 3);
     for (i, kind) in kind::ALL.into_iter().enumerate() {
         let outcome = match kind {
             Kind::Request(verdict) => Outcome::Request {
