Sum counts of other processes without overflow

Cause: counts in summaries come from other processes; a damaged one could overflow sums of answer times, callers and burn, and stop the report. Ruled out: refusing large counts at the codec: there is no limit that is right. Conclusion: what a process tells can be wrong, but can't stop the others'.

--- a/bramleyramp/src/report/plot.rs
+++ b/bramleyramp/src/report/plot.rs
@@ -244,9 +244,10 @@
 
 /// Lower and upper end of the series at `i` in the stack of `tally`.
 fn stack(tally: &Tally, series: &[Series], i: usize) -> (f64, f64) {
-    let below: u64 = series[..i].iter().map(|s| (s.count)(tally)).sum();
-    let own = (series[i].count)(tally);
-    (below as f64, (below + own) as f64)
+    (
+        sum(tally, &series[..i]) as f64,
+        sum(tally, &series[..=i]) as f64,
+    )
 }
 
 fn legend(at: (i32, i32), color: RGBColor) -> Rectangle<(i32, i32)> {
@@ -254,9 +255,14 @@
     Rectangle::new([(x, y - 5), (x + 14, y + 5)], color.filled())
 }
 
+fn sum(tally: &Tally, series: &[Series]) -> u64 {
+    let counts = series.iter().map(|s| (s.count)(tally));
+    counts.fold(0, u64::saturating_add)
+}
+
 /// End of an axis on which the highest stack has room.
 fn most<'a>(tallies: impl Iterator<Item = &'a Tally>, series: &[Series]) -> f64 {
-    let height = |tally: &Tally| series.iter().map(|s| (s.count)(tally)).sum();
+    let height = |tally: &Tally| sum(tally, series);
     axis_end(tallies.map(height).max().unwrap_or(0))
 }
 
--- a/crates/state/src/burn.rs
+++ b/crates/state/src/burn.rs
@@ -101,15 +101,15 @@
     /// allows one in a million, so that a rate can be told.
     pub fn add(&mut self, events: u64, bad: u64, objective_ppm: u32) {
         let allowed_ppm = PPM.saturating_sub(objective_ppm).max(1);
-        self.events += events;
-        self.bad += bad;
+        self.events = self.events.saturating_add(events);
+        self.bad = self.bad.saturating_add(bad);
         self.allowed_ppm += u128::from(events) * u128::from(allowed_ppm);
     }
 
     /// Adds what `other` spent.
     pub fn merge(&mut self, other: &Spent) {
-        self.events += other.events;
-        self.bad += other.bad;
+        self.events = self.events.saturating_add(other.events);
+        self.bad = self.bad.saturating_add(other.bad);
         self.allowed_ppm += other.allowed_ppm;
     }
 
@@ -142,20 +142,23 @@
 }
 
 impl Burn {
-    /// Adds `counts`, judged by the objectives in `policy`.
+    /// Adds `counts`, judged by the objectives in `policy`. Counts come from
+    /// other processes too, so no sum may overflow.
     pub fn add(&mut self, counts: &Counts, policy: &Policy) {
         let classes = counts.classes();
         let objective = policy.served_objective_ppm;
 
         let own = callers_own(counts);
-        let requests = classes.requests() - own;
-        let unserved = requests - classes.served;
+        let requests = classes.requests().saturating_sub(own);
+        let unserved = requests.saturating_sub(classes.served);
         self.served.add(requests, unserved, objective);
 
-        let late = classes.served - counts.answered_within(policy.answer_objective);
+        let in_time = counts.answered_within(policy.answer_objective);
+        let late = classes.served.saturating_sub(in_time);
         self.answered.add(classes.served, late, objective);
 
-        let ended = classes.ended + classes.given_up + classes.broken;
+        let unbroken = classes.ended.saturating_add(classes.given_up);
+        let ended = unbroken.saturating_add(classes.broken);
         self.unbroken.add(ended, classes.broken, objective);
     }
 
@@ -176,5 +179,5 @@
     ]
     .into_iter()
     .map(|verdict| counts.of(Kind::Request(verdict)))
-    .sum()
+    .fold(0, u64::saturating_add)
 }
--- a/crates/state/src/ledger/callers.rs
+++ b/crates/state/src/ledger/callers.rs
@@ -169,5 +169,5 @@
 
 /// Events that the entry's caller may have had at most.
 fn bound(entry: &CallerEntry) -> u64 {
-    entry.classes.events() + entry.unseen
+    entry.classes.events().saturating_add(entry.unseen)
 }
--- a/crates/state/src/ledger/summary.rs
+++ b/crates/state/src/ledger/summary.rs
@@ -65,8 +65,8 @@
         self.asked = self.asked.max(other.asked);
         self.step = self.step.max(other.step);
         self.covered = least(self.covered, other.covered);
-        self.ledgers += other.ledgers;
-        self.started_within += other.started_within;
+        self.ledgers = self.ledgers.saturating_add(other.ledgers);
+        self.started_within = self.started_within.saturating_add(other.started_within);
         self.without_detail = self.without_detail.saturating_add(other.without_detail);
         self.lost = self.lost.saturating_add(other.lost);
         for (key, counts) in &other.rows {
--- a/crates/state/src/ledger/times.rs
+++ b/crates/state/src/ledger/times.rs
@@ -32,7 +32,7 @@
         // A bound belongs to its bucket: whole milliseconds, rounded up.
         let ms = took.as_micros().div_ceil(1_000) as u64;
         let at = BOUNDS_MS.partition_point(|bound| *bound < ms);
-        self.buckets[at] += 1;
+        self.buckets[at] = self.buckets[at].saturating_add(1);
     }
 
     /// Adds the counts of `other`.
@@ -44,7 +44,7 @@
 
     /// Number of answers.
     pub fn total(&self) -> u64 {
-        self.buckets.iter().sum()
+        sum(&self.buckets)
     }
 
     /// Number of answers that surely took at most `limit`. Exact when `limit`
@@ -52,7 +52,7 @@
     pub fn within(&self, limit: Duration) -> u64 {
         let ms = limit.as_millis() as u64;
         let whole = BOUNDS_MS.partition_point(|bound| *bound <= ms);
-        self.buckets[..whole].iter().sum()
+        sum(&self.buckets[..whole])
     }
 
     /// Upper bound of the bucket in which the share `ppm` of answers ends;
@@ -62,7 +62,7 @@
         let rank = (u128::from(total) * u128::from(ppm)).div_ceil(1_000_000) as u64;
         let mut seen = 0;
         for (bound, count) in BOUNDS_MS.iter().zip(self.buckets) {
-            seen += count;
+            seen = u64::saturating_add(seen, count);
             if total > 0 && seen >= rank {
                 return Some(Duration::from_millis(*bound));
             }
@@ -75,3 +75,8 @@
         &self.buckets
     }
 }
+
+/// Sum that can't overflow: counts also come from other processes.
+fn sum(counts: &[u64]) -> u64 {
+    counts.iter().fold(0, |sum, n| sum.saturating_add(*n))
+}
