Add answers up as they come, so that a report's memory is bounded

Cause: `report` and `status` held the answers of all processes until the last had come; balancers tell of every member of every service. Ruled out: asking fewer processes at once: all answers were kept anyway. Change: each answer is added up and emptied when it comes; callers in the sum are cut off above 200,000; metrics of operator calls end in _total. Conclusion: memory grows with services, servers and callers, not with answers.

--- a/bramleyramp/src/ask.rs
+++ b/bramleyramp/src/ask.rs
@@ -118,8 +118,10 @@
         self.platform.is_none() && self.processes.is_empty()
     }
 
-    /// Asks everyone for state and counts over `windows`.
-    pub async fn ask(&self, windows: &[Window]) -> Answers {
+    /// Asks everyone for state and counts over `windows`. Each answer goes
+    /// through `visit` as it comes, which takes out what it has added up: not
+    /// all of them would fit into memory at once.
+    pub async fn ask(&self, windows: &[Window], mut visit: impl FnMut(&mut Account)) -> Answers {
         let (fleet, list) = match self.platform {
             Some(at) => (fleet(at).await, instances(at).await),
             None => (Err(Missing::NotNamed), Err(Missing::NotNamed)),
@@ -128,6 +130,12 @@
         let mut asked: Vec<Asked> = stream::iter(targets)
             .map(|target| ask_one(target, windows))
             .buffer_unordered(PARALLEL)
+            .map(|mut asked| {
+                if let Ok(account) = &mut asked.result {
+                    visit(account);
+                }
+                asked
+            })
             .collect()
             .await;
         asked.sort_by_key(|a| (a.name().to_string(), a.target.control));
--- a/bramleyramp/src/cmd/report.rs
+++ b/bramleyramp/src/cmd/report.rs
@@ -10,6 +10,7 @@
 use crate::error::CliResult;
 use crate::report::build;
 use crate::report::html;
+use crate::report::sums::Sums;
 use crate::report::text;
 use crate::runtime;
 
@@ -58,8 +59,10 @@
         return Ok(ExitCode::SUCCESS);
     };
     let windows = build::windows(args.window);
-    let answers = runtime::block_on(args.targets.ask(&windows))?;
-    let report = build::report(&answers, args.window, args.callers);
+    let mut sums = Sums::new();
+    let asking = args.targets.ask(&windows, |account| sums.add(account));
+    let answers = runtime::block_on(asking)?;
+    let report = build::report(&answers, sums, args.window, args.callers);
     if let Some(file) = &args.html {
         fs::write(file, html::render(&report))?;
     }
--- a/bramleyramp/src/cmd/status.rs
+++ b/bramleyramp/src/cmd/status.rs
@@ -6,6 +6,7 @@
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::runtime;
+use crate::status::beliefs::Beliefs;
 use crate::status::build;
 use crate::status::text;
 
@@ -40,8 +41,10 @@
         print!("{USAGE}");
         return Ok(ExitCode::SUCCESS);
     };
-    let answers = runtime::block_on(args.targets.ask(&[]))?;
-    let overview = build::overview(&answers);
+    let mut beliefs = Beliefs::default();
+    let asking = args.targets.ask(&[], |account| beliefs.add(account));
+    let answers = runtime::block_on(asking)?;
+    let overview = build::overview(&answers, beliefs);
     match args.json {
         true => println!("{}", serde_json::to_string_pretty(&overview)?),
         false => print!("{}", text::render(&overview)),
--- a/bramleyramp/src/report/build.rs
+++ b/bramleyramp/src/report/build.rs
@@ -26,7 +26,7 @@
 use crate::report::model::Tally;
 use crate::report::model::What;
 use crate::report::model::Why;
-use crate::report::names::Names;
+use crate::report::sums::Sums;
 
 /// Half, in parts per million.
 const MEDIAN_PPM: u32 = 500_000;
@@ -47,12 +47,14 @@
     std::iter::once(report).chain(burn).collect()
 }
 
-/// Report over `back`, from answers to [`windows`] of it; shows `callers`
-/// callers singly.
-pub fn report(answers: &Answers, back: Duration, callers: usize) -> Report {
-    let merged = merge(answers);
+/// Report over `back`, from `answers` to [`windows`] of it, whose counts are
+/// in `sums`; shows `callers` callers singly.
+pub fn report(answers: &Answers, sums: Sums, back: Duration, callers: usize) -> Report {
+    let Sums { merged, mut names } = sums;
+    if let Some(fleet) = &answers.fleet {
+        names.add_fleet(fleet);
+    }
     let summary = &merged[0];
-    let names = Names::new(answers);
     let gaps = Gap::all(answers);
     let by = |name: &dyn Fn(&RowKey) -> String| lines(summary, name);
     Report {
@@ -82,17 +84,6 @@
     }
 }
 
-/// Sum of all processes, one summary for each window.
-fn merge(answers: &Answers) -> Vec<Summary> {
-    let mut merged = vec![Summary::default(); 1 + WINDOWS.len()];
-    for account in answers.accounts() {
-        for (sum, summary) in merged.iter_mut().zip(&account.summaries) {
-            sum.merge(summary);
-        }
-    }
-    merged
-}
-
 fn lines(summary: &Summary, name: impl Fn(&RowKey) -> String) -> Vec<Line> {
     let mut by_name: IndexMap<String, Counts> = IndexMap::new();
     for (key, counts) in &summary.rows {
--- a/bramleyramp/src/report/mod.rs
+++ b/bramleyramp/src/report/mod.rs
@@ -8,4 +8,5 @@
 pub mod model;
 pub mod names;
 pub mod plot;
+pub mod sums;
 pub mod text;
--- a/bramleyramp/src/report/names.rs
+++ b/bramleyramp/src/report/names.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use ramp_protocol::operator::Status;
 use ramp_state::fleet::Fleet;
 use ramp_state::fleet::Scope;
 use ramp_state::key::InstanceId;
@@ -10,8 +11,6 @@
 use ramp_state::ledger::summary::RowKey;
 use ramp_state::policy::Policy;
 
-use crate::ask::Answers;
-
 /// Data centre of a backend server that nobody knows any more.
 const NO_DATA_CENTRE: &str = "(not in the document)";
 
@@ -33,24 +32,36 @@
 }
 
 impl Names {
-    /// Names in the fleet document, and those that processes told of
-    /// themselves and their members: a server may have left the document.
-    pub fn new(answers: &Answers) -> Names {
-        let mut names = Names::default();
-        for account in answers.accounts() {
-            let status = &account.status;
-            names.add_server(&status.name, &status.data_centre, Policy::default());
-            for service in &status.services {
-                names.add_service(&service.name, Policy::default());
-                for member in &service.members {
-                    names.add_server(&member.name, &member.data_centre, Policy::default());
-                }
+    /// Adds what a process tells of itself and its members: a server may have
+    /// left the document.
+    pub fn add_status(&mut self, status: &Status) {
+        self.add_told(&status.name, &status.data_centre);
+        for service in &status.services {
+            let id = ServiceId::of(&service.name);
+            self.services
+                .entry(id)
+                .or_insert_with(|| (service.name.clone(), Arc::default()));
+            for member in &service.members {
+                self.add_told(&member.name, &member.data_centre);
             }
         }
-        if let Some(fleet) = &answers.fleet {
-            names.add_fleet(fleet);
+    }
+
+    /// Adds the names and policies of the fleet document; they go before what
+    /// processes tell.
+    pub fn add_fleet(&mut self, fleet: &Fleet) {
+        for name in fleet.services.keys() {
+            let service = (name.clone(), Arc::new(service_policy(fleet, name)));
+            self.services.insert(ServiceId::of(name), service);
+        }
+        for (name, server) in &fleet.servers {
+            let known = Known {
+                name: name.clone(),
+                data_centre: server.data_centre.clone(),
+                policy: Arc::new(fleet.policy(name)),
+            };
+            self.servers.insert(InstanceId::of(name), known);
         }
-        names
     }
 
     /// Name of a service.
@@ -95,27 +106,13 @@
         }
     }
 
-    fn add_fleet(&mut self, fleet: &Fleet) {
-        for name in fleet.services.keys() {
-            self.add_service(name, service_policy(fleet, name));
-        }
-        for (name, server) in &fleet.servers {
-            self.add_server(name, &server.data_centre, fleet.policy(name));
-        }
-    }
-
-    fn add_service(&mut self, name: &str, policy: Policy) {
-        let service = (name.to_string(), Arc::new(policy));
-        self.services.insert(ServiceId::of(name), service);
-    }
-
-    fn add_server(&mut self, name: &str, data_centre: &str, policy: Policy) {
-        let known = Known {
+    fn add_told(&mut self, name: &str, data_centre: &str) {
+        let id = InstanceId::of(name);
+        self.servers.entry(id).or_insert_with(|| Known {
             name: name.to_string(),
             data_centre: data_centre.to_string(),
-            policy: Arc::new(policy),
-        };
-        self.servers.insert(InstanceId::of(name), known);
+            policy: Arc::default(),
+        });
     }
 }
 
--- /dev/null
+++ b/bramleyramp/src/report/sums.rs
@@ -0,0 +1,53 @@
+//! Adding up answers as they come, so that memory grows with the names and
+//! callers there are, not with the processes that tell of them.
+
+use ramp_state::burn::WINDOWS;
+use ramp_state::ledger::counts::Counts;
+use ramp_state::ledger::summary::Summary;
+use ramp_transport::operator::Account;
+
+use crate::report::names::Names;
+
+/// Callers kept singly; sums may hold twice as many before they are cut off.
+const CALLERS: usize = 100_000;
+
+/// Sums of all answers so far.
+#[derive(Debug)]
+pub struct Sums {
+    /// One summary for each window.
+    pub merged: Vec<Summary>,
+    /// Names that processes told.
+    pub names: Names,
+}
+
+impl Sums {
+    /// Sums of no answer.
+    pub fn new() -> Sums {
+        Sums {
+            merged: vec![Summary::default(); 1 + WINDOWS.len()],
+            names: Names::default(),
+        }
+    }
+
+    /// Adds one answer and takes out of it what is added up. What is left
+    /// tells the gaps of its process.
+    pub fn add(&mut self, account: &mut Account) {
+        self.names.add_status(&account.status);
+        account.status.services = Vec::new();
+        for (sum, summary) in self.merged.iter_mut().zip(&mut account.summaries) {
+            sum.merge(summary);
+            if sum.callers.top.len() > 2 * CALLERS {
+                sum.callers.truncate(CALLERS);
+            }
+            without_counts(summary);
+        }
+        account.summaries.truncate(1);
+    }
+}
+
+fn without_counts(summary: &mut Summary) {
+    summary.rows = Default::default();
+    summary.other = Counts::default();
+    summary.callers = Default::default();
+    summary.slices = Vec::new();
+}
--- /dev/null
+++ b/bramleyramp/src/status/beliefs.rs
@@ -0,0 +1,105 @@
+//! What processes tell of services and members, added up as answers come.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Warmth;
+use ramp_protocol::operator::MemberStatus;
+use ramp_transport::operator::Account;
+
+use crate::status::model::LoadLine;
+use crate::status::model::MemberLine;
+use crate::status::model::ServiceLine;
+
+/// Services as all processes together see them, by name.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    services: IndexMap<String, Service>,
+}
+
+#[derive(Debug)]
+struct Service {
+    address: SocketAddrV4,
+    members: IndexMap<String, MemberLine>,
+}
+
+impl Beliefs {
+    /// Adds what one process tells, and takes it out of its answer.
+    pub fn add(&mut self, account: &mut Account) {
+        let status = &mut account.status;
+        for told in std::mem::take(&mut status.services) {
+            let service = self.services.entry(told.name).or_insert_with(|| Service {
+                address: told.address,
+                members: IndexMap::new(),
+            });
+            for seen in &told.members {
+                service.add(seen, seen.name == status.name);
+            }
+        }
+    }
+
+    /// Services and members in order of their names.
+    pub fn into_services(mut self) -> Vec<ServiceLine> {
+        self.services.sort_keys();
+        self.services
+            .into_iter()
+            .map(|(name, service)| service.into_line(name))
+            .collect()
+    }
+}
+
+impl Service {
+    /// Adds one process's word on a member; the agent's `own` word on its load
+    /// counts.
+    fn add(&mut self, seen: &MemberStatus, own: bool) {
+        let line = self
+            .members
+            .entry(seen.name.clone())
+            .or_insert_with(|| member(seen));
+        line.known_by += 1;
+        line.dead_for += usize::from(!seen.alive);
+        line.out_for += usize::from(!seen.reachable);
+        line.leaving |= seen.leaving;
+        if own || line.load.is_none() {
+            line.load = seen.load.as_ref().map(load).or(line.load);
+        }
+    }
+
+    fn into_line(mut self, name: String) -> ServiceLine {
+        self.members.sort_keys();
+        ServiceLine {
+            name,
+            address: self.address,
+            members: self.members.into_values().collect(),
+        }
+    }
+}
+
+fn member(seen: &MemberStatus) -> MemberLine {
+    MemberLine {
+        name: seen.name.clone(),
+        data_centre: seen.data_centre.clone(),
+        known_by: 0,
+        dead_for: 0,
+        out_for: 0,
+        leaving: false,
+        slots: seen.slots,
+        connections: seen.connections,
+        load: None,
+    }
+}
+
+fn load(load: &Load) -> LoadLine {
+    LoadLine {
+        flows: load.flows,
+        in_progress: load.in_progress,
+        waiting: load.waiting,
+        slots_now: load.slots,
+        warmth: match load.warmth {
+            Warmth::Cold => "cold",
+            Warmth::Warming => "warming",
+            Warmth::Warm => "warm",
+        },
+    }
+}
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -105,10 +105,10 @@
             }
         };
         let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
-            metrics::counter!("operator_connections_refused").increment(1);
+            metrics::counter!("operator_connections_refused_total").increment(1);
             continue;
         };
-        metrics::counter!("operator_connections").increment(1);
+        metrics::counter!("operator_connections_total").increment(1);
         let source = Rc::clone(&source);
         tokio::task::spawn_local(async move {
             let _permit = permit;
