--- a/bramleyramp/src/cmd/mod.rs
+++ b/bramleyramp/src/cmd/mod.rs
@@ -3,6 +3,8 @@
 mod agent;
 mod balancer;
 mod check;
+mod report;
+mod status;
 
 use std::process::ExitCode;
 
@@ -35,6 +37,16 @@
         about: "find every fault of settings and documents",
         run: check::run,
     },
+    Command {
+        name: "report",
+        about: "tell who got what, and why",
+        run: report::run,
+    },
+    Command {
+        name: "status",
+        about: "tell whether one version is in force everywhere",
+        run: status::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
--- a/crates/coordination/src/flows/step.rs
+++ b/crates/coordination/src/flows/step.rs
@@ -123,6 +123,7 @@
             DropReason::Asked => "asked",
             DropReason::QuestionLimited => "question_limited",
             DropReason::NotOwner => "not_owner",
+            DropReason::DataCentreOut => "data_centre_out",
             DropReason::ResetOfGone => "reset_of_gone",
         }
     }
--- a/crates/protocol/schema/operator.capnp
+++ b/crates/protocol/schema/operator.capnp
@@ -97,6 +97,8 @@
   flowGivenUp @21;
   flowDrainLimitPassed @22;
   flowOwnerLost @23;
+  notRunCallerLeft @24;
+  mayHaveRunKeyRunning @25;
 }
 
 struct Tally {
@@ -158,6 +160,7 @@
   callers @9 :Callers;
   # Newest first, one for each step.
   slices @10 :List(Classes);
+  lost @11 :UInt64;
 }
 
 interface Operator {
--- a/crates/state/src/ledger/callers.rs
+++ b/crates/state/src/ledger/callers.rs
@@ -6,8 +6,8 @@
 //! it entered; up to `unseen` earlier events of that caller are in `rest`.
 //! Entries and `rest` together always make the exact total.
 //!
-//! Merging keeps the union of entries, so it is associative and commutative:
-//! nothing is cut off before the last merge.
+//! Merging keeps the union of entries, so it is associative and commutative.
+//! A process cuts off what it tells, once; nothing is cut off in merging.
 
 use std::net::Ipv4Addr;
 
@@ -55,7 +55,29 @@
     /// before it entered, and those in sketches that don't have it.
     pub fn hidden(&self, entry: &CallerEntry) -> u64 {
         let elsewhere = self.floor.saturating_sub(entry.floor);
-        entry.unseen.saturating_add(elsewhere)
+        let bound = entry.unseen.saturating_add(elsewhere);
+        bound.min(self.rest.events())
+    }
+
+    /// Keeps the `most` callers with the most events, so that what a process
+    /// tells is bounded. The others go to the rest, and the floor rises to
+    /// what they may have had.
+    pub fn truncate(&mut self, most: usize) {
+        if self.top.len() <= most {
+            return;
+        }
+        let mut ranked = self.ranked();
+        for (_, entry) in &mut ranked {
+            entry.unseen = self.hidden(entry);
+        }
+        self.top = ranked.drain(..most).collect();
+        for (_, entry) in &ranked {
+            self.floor = self.floor.max(bound(entry));
+            self.rest.merge(&entry.classes);
+        }
+        for entry in self.top.values_mut() {
+            entry.floor = self.floor;
+        }
     }
 
     /// Callers by the number of their requests and flows, most first.
@@ -147,5 +169,5 @@
 
 /// Events that the entry's caller may have had at most.
 fn bound(entry: &CallerEntry) -> u64 {
-    entry.classes.events() + entry.unseen
+    entry.classes.events().saturating_add(entry.unseen)
 }
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -22,11 +22,15 @@
 use crate::outcome::Record;
 use crate::time::Millis;
 
-/// Rows a bucket holds: the members of the largest groups and more.
-const ROWS: usize = 32;
+/// Rows a bucket holds: the members of the largest groups and more. Seven
+/// eighths of a power of two, which is what a hash table can fill.
+const ROWS: usize = 28;
 
-/// Callers that a bucket counts singly.
-pub const CALLERS: usize = 128;
+/// Callers that a bucket counts singly; seven eighths of a power of two.
+pub const CALLERS: usize = 112;
+
+/// Heap memory that a ledger holds at most, whatever it is fed.
+pub const MEMORY_BOUND_BYTES: usize = 6 * 1024 * 1024;
 
 const RINGS: [RingSize; 3] = [
     RingSize {
@@ -72,6 +76,17 @@
         }
     }
 
+    /// Counts `n` events that were lost on their way here, so that summaries
+    /// say so.
+    pub fn add_lost(&mut self, now: Millis, n: u64) {
+        if n == 0 {
+            return;
+        }
+        for ring in &mut self.rings {
+            ring.add_lost(now, n);
+        }
+    }
+
     /// Counts over `window`, from the finest ring that is long enough. Says
     /// how much it covers when the process is younger than that, or when no
     /// ring is that long.
@@ -84,6 +99,7 @@
             .unwrap_or(coarsest);
         let age = now.since(self.started);
         let mut summary = ring.summary(now, window.back, window.callers);
+        summary.callers.truncate(CALLERS);
         summary.asked = window.back;
         summary.ledgers = 1;
         summary.started_within = u64::from(age < window.back);
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -140,6 +140,7 @@
     };
     let picture = Arc::new(GroupPicture {
         version: Version(1),
+        latest: Version(1),
         loads: members
             .iter()
             .map(|m| (m.id, load))
