Stand in for backend servers; test the fabric against an echo service

Cause: agents need a server with slots, cold start and drain to stand before. Ruled out: a plain file server, which can't fall over or shed. Change: ramplab backend (feeds, claims, uploads, balances, load reports that lag and lie), typed events of its history, tests of the fabric.

--- a/ramplab/src/cmd/fabric.rs
+++ b/ramplab/src/cmd/fabric.rs
@@ -146,12 +146,7 @@
         let listener = TcpListener::bind(counts).await?;
         spawn_local(watch::serve_counts(Rc::clone(&fabric), listener));
     }
-    if let Some(file) = &args.ready_file {
-        // Renamed into place, so that a reader never sees half of it.
-        let part = file.with_extension("part");
-        std::fs::write(&part, ready)?;
-        std::fs::rename(part, file)?;
-    }
+    super::write_ready(args.ready_file.as_deref(), &ready)?;
     super::until_terminated().await?;
     Ok(ExitCode::SUCCESS)
 }
--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! The subcommands, one file each.
 
+mod backend;
 mod fabric;
 mod platform;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use tokio::signal::unix::SignalKind;
@@ -23,6 +25,11 @@
 }
 
 const COMMANDS: &[Command] = &[
+    Command {
+        name: "backend",
+        about: "stand in for a backend server",
+        run: backend::run,
+    },
     Command {
         name: "fabric",
         about: "spray callers' packets over the balancers",
@@ -72,3 +79,15 @@
     }
     Ok(())
 }
+
+/// Writes the ready file, if one is wanted. It is renamed into place, so that
+/// a reader never sees half of it.
+fn write_ready(file: Option<&Path>, text: &str) -> CliResult<()> {
+    let Some(file) = file else {
+        return Ok(());
+    };
+    let part = file.with_extension("part");
+    std::fs::write(&part, text)?;
+    std::fs::rename(part, file)?;
+    Ok(())
+}
--- a/ramplab/src/fabric/tap.rs
+++ b/ramplab/src/fabric/tap.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -11,6 +9,7 @@
 use serde_json::json;
 
 use crate::fabric::link::Fate;
+use crate::history::wall_ms;
 
 /// Packets of one destination or source.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -86,10 +85,3 @@
         self.last_ms = wall_ms();
     }
 }
-
-/// Wall-clock time, in milliseconds since the epoch.
-pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |span| span.as_millis() as u64)
-}
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! The subcommands of the `ramplab` binary are thin shells over these modules.
 
+pub mod answers;
+pub mod backend;
 pub mod fabric;
+pub mod history;
 pub mod http;
 pub mod rng;
