Callers that check every answer, and the fabric's note of each flow's owner

Ruled out: a ready-made load tool, since none checks feeds for gaps and answers byte for byte, or writes a history. Change: ramplab load with retries by the same key; the fabric writes for each connection whether it was established and who answered last.

--- a/ramplab/src/cmd/fabric.rs
+++ b/ramplab/src/cmd/fabric.rs
@@ -13,6 +13,7 @@
 use ramplab::fabric::Fabric;
 use ramplab::fabric::link::Faults;
 use ramplab::fabric::watch;
+use ramplab::history::Writer;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -42,6 +43,7 @@
     --delay-ms F         time each packet takes one way [0]
     --keep-alive-ms N    callers' keep-alive period, 0 for none [2000]
     --counts IP:PORT     where `GET /counts` tells what passed
+    --history FILE       where the end of each connection is appended
     --ready-file FILE    written once all ports are open, one line a service:
                          SERVICE_ADDR LOCAL_ADDR
 ";
@@ -75,6 +77,7 @@
     faults: Faults,
     keep_alive_ms: u64,
     counts: Option<SocketAddr>,
+    history: Option<PathBuf>,
     ready_file: Option<PathBuf>,
 }
 
@@ -96,6 +99,7 @@
         faults: Faults::default(),
         keep_alive_ms: 2000,
         counts: None,
+        history: None,
         ready_file: None,
     };
     while let Some(arg) = parser.next()? {
@@ -114,6 +118,7 @@
             }
             Long("keep-alive-ms") => args.keep_alive_ms = parser.value()?.parse()?,
             Long("counts") => args.counts = Some(parser.value()?.parse()?),
+            Long("history") => args.history = Some(parser.value()?.into()),
             Long("ready-file") => args.ready_file = Some(parser.value()?.into()),
             Long("help") => return Err(CliError::Usage(USAGE.to_string())),
             _ => return Err(arg.unexpected().into()),
@@ -130,6 +135,9 @@
     let socket = UdpSocket::bind(args.packets).await?;
     let fabric = Fabric::new(socket, args.faults, args.keep_alive_ms, args.seed);
     fabric.set_balancers(args.balancers);
+    if let Some(path) = &args.history {
+        fabric.set_history(Writer::create(path, "fabric")?);
+    }
     let mut ready = String::new();
     for mapping in &args.services {
         let listener = TcpListener::bind(mapping.local).await?;
--- /dev/null
+++ b/ramplab/src/cmd/load.rs
@@ -0,0 +1,119 @@
+//! `ramplab load`: callers that check every answer.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::ValueExt;
+use ramplab::history::Writer;
+use ramplab::load::Config;
+use ramplab::load::Load;
+use ramplab::load::Target;
+
+use crate::cmd::on_local_runtime;
+use crate::cmd::until_terminated;
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "\
+Stands in for callers: long feeds, claims, uploads and balances, each answer
+checked. Progress goes to stderr, the counts as JSON to stdout at the end.
+
+Usage:
+    ramplab load --service NAME=LOCAL_ADDR... [<option>...]
+
+Options:
+    --service NAME=ADDR    a service and the fabric's local port for it; feeds,
+                           claims and balances go to the first, uploads to the
+                           last; repeatable
+    --feeds N              feeds open at once [0]
+    --feed-every-ms N      period of a feed's events [250]
+    --claims-per-s F       claims each second [0]
+    --uploads-per-s F      uploads each second [0]
+    --upload-bytes N       length of an upload [262144]
+    --balances-per-s F     balances each second [0]
+    --balance-bytes N      most bytes of a balance [20000]
+    --deadline-ms N        time that callers give a request [5000]
+    --seconds F            time for which load is sent [10]
+    --seed N               seed of all random choices [0]
+    --history FILE         where the events are appended
+";
+
+struct Args {
+    cfg: Config,
+    history: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
+    let args = parse(args)?;
+    on_local_runtime(send(args))
+}
+
+fn parse(mut parser: lexopt::Parser) -> CliResult<Args> {
+    use lexopt::Arg::Long;
+    let mut history = None;
+    let mut cfg = Config {
+        targets: Vec::new(),
+        feeds: 0,
+        feed_period: Duration::from_millis(250),
+        claims_per_s: 0.0,
+        uploads_per_s: 0.0,
+        upload_len: 256 * 1024,
+        balances_per_s: 0.0,
+        balance_len_most: 20_000,
+        span: Duration::from_secs(10),
+        deadline: Duration::from_secs(5),
+        seed: 0,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("service") => cfg.targets.push(parser.value()?.parse_with(target)?),
+            Long("feeds") => cfg.feeds = parser.value()?.parse()?,
+            Long("feed-every-ms") => {
+                cfg.feed_period = Duration::from_millis(parser.value()?.parse()?);
+            }
+            Long("claims-per-s") => cfg.claims_per_s = parser.value()?.parse()?,
+            Long("uploads-per-s") => cfg.uploads_per_s = parser.value()?.parse()?,
+            Long("upload-bytes") => cfg.upload_len = parser.value()?.parse()?,
+            Long("balances-per-s") => cfg.balances_per_s = parser.value()?.parse()?,
+            Long("balance-bytes") => cfg.balance_len_most = parser.value()?.parse()?,
+            Long("deadline-ms") => {
+                cfg.deadline = Duration::from_millis(parser.value()?.parse()?);
+            }
+            Long("seconds") => cfg.span = Duration::from_secs_f64(parser.value()?.parse()?),
+            Long("seed") => cfg.seed = parser.value()?.parse()?,
+            Long("history") => history = Some(parser.value()?.into()),
+            Long("help") => return Err(CliError::Usage(USAGE.to_string())),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    if cfg.targets.is_empty() {
+        return Err(CliError::Usage(USAGE.to_string()));
+    }
+    Ok(Args { cfg, history })
+}
+
+fn target(text: &str) -> Result<Target, String> {
+    let parts = text.split_once('=');
+    let Some((name, Ok(local))) = parts.map(|(name, local)| (name, local.parse())) else {
+        return Err(format!("`{text}` is not NAME=IP:PORT"));
+    };
+    Ok(Target {
+        name: name.to_string(),
+        local,
+    })
+}
+
+async fn send(args: Args) -> CliResult<ExitCode> {
+    let history = match &args.history {
+        Some(path) => Some(Writer::create(path, "load")?),
+        None => None,
+    };
+    let stop = async {
+        let _ = until_terminated().await;
+    };
+    let counts = Load::new(args.cfg, history).run(stop).await;
+    println!("{}", serde_json::json!(counts));
+    Ok(ExitCode::SUCCESS)
+}
--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod fabric;
+mod load;
 mod platform;
 
 use std::path::Path;
@@ -35,6 +36,11 @@
         about: "spray callers' packets over the balancers",
         run: fabric::run,
     },
+    Command {
+        name: "load",
+        about: "call services and check every answer",
+        run: load::run,
+    },
     Command {
         name: "platform",
         about: "stand in for the platform",
--- a/ramplab/src/fabric/carry.rs
+++ b/ramplab/src/fabric/carry.rs
@@ -2,6 +2,7 @@
 //! user space, with closes and resets translated both ways.
 
 use std::io;
+use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +21,10 @@
 use tokio::sync::mpsc;
 
 use crate::fabric::Fabric;
+use crate::fabric::Returned;
 use crate::fabric::Way;
 use crate::fabric::device::Queues;
+use crate::history::What;
 
 /// Send and receive buffer of a connection, in bytes.
 const BUFFER_LEN_BYTES: usize = 64 * 1024;
@@ -42,6 +45,7 @@
 
 struct Conn {
     stream: TcpStream,
+    peer: SocketAddr,
     iface: Interface,
     sockets: SocketSet<'static>,
     handle: SocketHandle,
@@ -49,6 +53,10 @@
     local_eof: bool,
     remote_eof: bool,
     started: tokio::time::Instant,
+    /// Whether the handshake was done.
+    established: bool,
+    /// Agent that sent the last packet.
+    owner: Option<SocketAddr>,
 }
 
 impl Fabric {
@@ -106,6 +114,7 @@
         let mut sockets = SocketSet::new(vec![SocketStorage::EMPTY]);
         let handle = sockets.add(socket);
         Ok(Conn {
+            peer: stream.peer_addr()?,
             stream,
             iface,
             sockets,
@@ -114,10 +123,12 @@
             local_eof: false,
             remote_eof: false,
             started: tokio::time::Instant::now(),
+            established: false,
+            owner: None,
         })
     }
 
-    async fn run(&mut self, fabric: &Fabric, mut rx: mpsc::UnboundedReceiver<Vec<u8>>) {
+    async fn run(&mut self, fabric: &Fabric, mut rx: mpsc::UnboundedReceiver<Returned>) {
         let end = loop {
             self.poll(fabric);
             match self.shuttle().await {
@@ -130,6 +141,11 @@
             }
             self.wait(&mut rx).await;
         };
+        fabric.record(What::FlowCarried {
+            flow: self.peer,
+            established: self.established,
+            owner: self.owner,
+        });
         match end {
             End::Closed => self.linger(fabric, &mut rx).await,
             End::Reset => {
@@ -218,7 +234,9 @@
     fn end(&mut self) -> Option<End> {
         let (local_eof, remote_eof) = (self.local_eof, self.remote_eof);
         let age = self.started.elapsed();
-        match self.socket().state() {
+        let state = self.socket().state();
+        self.established |= !matches!(state, tcp::State::SynSent | tcp::State::Closed);
+        match state {
             tcp::State::Closed if local_eof && remote_eof => Some(End::Closed),
             tcp::State::Closed => Some(End::Reset),
             tcp::State::TimeWait => Some(End::Closed),
@@ -228,7 +246,7 @@
     }
 
     /// Waits until there is something to do.
-    async fn wait(&mut self, rx: &mut mpsc::UnboundedReceiver<Vec<u8>>) {
+    async fn wait(&mut self, rx: &mut mpsc::UnboundedReceiver<Returned>) {
         let now = self.now();
         let limit = OPEN_LIMIT;
         let nap = match self.iface.poll_delay(now, &self.sockets) {
@@ -239,21 +257,30 @@
         let wants_read = !self.local_eof && socket.can_send();
         let wants_write = socket.can_recv();
         tokio::select! {
-            packet = rx.recv() => self.queues.rx.extend(packet),
+            returned = rx.recv() => {
+                if let Some(returned) = returned {
+                    self.take(returned);
+                }
+            }
             _ = self.stream.readable(), if wants_read => {}
             _ = self.stream.writable(), if wants_write => {}
             () = tokio::time::sleep(nap) => {}
         }
-        while let Ok(packet) = rx.try_recv() {
-            self.queues.rx.push_back(packet);
+        while let Ok(returned) = rx.try_recv() {
+            self.take(returned);
         }
     }
 
+    fn take(&mut self, returned: Returned) {
+        self.owner = Some(returned.from);
+        self.queues.rx.push_back(returned.packet);
+    }
+
     /// Answers segments that are repeated because our last one was lost.
-    async fn linger(&mut self, fabric: &Fabric, rx: &mut mpsc::UnboundedReceiver<Vec<u8>>) {
+    async fn linger(&mut self, fabric: &Fabric, rx: &mut mpsc::UnboundedReceiver<Returned>) {
         let until = tokio::time::Instant::now() + LINGER;
-        while let Ok(Some(packet)) = tokio::time::timeout_at(until, rx.recv()).await {
-            self.queues.rx.push_back(packet);
+        while let Ok(Some(returned)) = tokio::time::timeout_at(until, rx.recv()).await {
+            self.take(returned);
             self.poll(fabric);
         }
     }
--- a/ramplab/src/fabric/mod.rs
+++ b/ramplab/src/fabric/mod.rs
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,12 +30,20 @@
 use crate::fabric::link::Faults;
 use crate::fabric::link::Link;
 use crate::fabric::tap::Tap;
+use crate::history::What;
+use crate::history::Writer;
 
 /// Longest packet taken in, in bytes.
 const PACKET_LEN_BYTES: usize = 64 * 1024;
 
 /// Queue of packets towards one connection.
-type Inbox = mpsc::UnboundedSender<Vec<u8>>;
+type Inbox = mpsc::UnboundedSender<Returned>;
+
+/// A packet that came back, and the agent that sent it.
+struct Returned {
+    packet: Vec<u8>,
+    from: SocketAddr,
+}
 
 /// What the tasks of the fabric share.
 pub struct Fabric {
@@ -44,6 +53,7 @@
     tap: RefCell<Tap>,
     callers: RefCell<Callers>,
     inboxes: RefCell<HashMap<SocketAddrV4, Inbox>>,
+    history: RefCell<Option<Writer>>,
     keep_alive_ms: u64,
     seed: u64,
 }
@@ -53,8 +63,8 @@
 pub enum Way {
     /// From a caller to a balancer.
     Inwards,
-    /// From an agent to a caller.
-    Outwards,
+    /// From this agent to a caller.
+    Outwards(SocketAddr),
 }
 
 impl Fabric {
@@ -67,6 +77,7 @@
             tap: RefCell::default(),
             callers: RefCell::default(),
             inboxes: RefCell::default(),
+            history: RefCell::default(),
             keep_alive_ms,
             seed,
         })
@@ -77,6 +88,11 @@
         *self.balancers.borrow_mut() = balancers;
     }
 
+    /// Writes each connection's end to `history` from now on.
+    pub fn set_history(&self, history: Writer) {
+        *self.history.borrow_mut() = Some(history);
+    }
+
     /// Counts so far, as JSON.
     pub fn counts(&self) -> serde_json::Value {
         self.tap.borrow().to_json(self.inboxes.borrow().len())
@@ -105,7 +121,7 @@
                 continue;
             };
             self.tap.borrow_mut().returned(from, len);
-            self.pass(Way::Outwards, buf[..len].to_vec());
+            self.pass(Way::Outwards(from), buf[..len].to_vec());
         }
     }
 
@@ -132,6 +148,12 @@
         self.dispatch(way, packet, fate.delay);
     }
 
+    fn record(&self, what: What) {
+        if let Some(history) = &mut *self.history.borrow_mut() {
+            history.write(what);
+        }
+    }
+
     fn dispatch(&self, way: Way, packet: Vec<u8>, delay: Duration) {
         if delay.is_zero() {
             self.deliver(way, packet);
@@ -143,7 +165,7 @@
     fn deliver(&self, way: Way, packet: Vec<u8>) {
         match way {
             Way::Inwards => self.to_balancer(&packet),
-            Way::Outwards => self.to_caller(packet),
+            Way::Outwards(from) => self.to_caller(packet, from),
         }
     }
 
@@ -163,7 +185,7 @@
         }
     }
 
-    fn to_caller(&self, packet: Vec<u8>) {
+    fn to_caller(&self, packet: Vec<u8>, from: SocketAddr) {
         let Ok(segment) = Segment::parse(&packet) else {
             self.tap.borrow_mut().malformed += 1;
             return;
@@ -171,7 +193,7 @@
         // Read the way it was sent, the destination stands as the service.
         let to = segment.key.service;
         if let Some(inbox) = self.inboxes.borrow().get(&to) {
-            let _ = inbox.send(packet);
+            let _ = inbox.send(Returned { packet, from });
             return;
         }
         self.tap.borrow_mut().unknown += 1;
--- a/ramplab/src/fabric/watch.rs
+++ b/ramplab/src/fabric/watch.rs
@@ -12,11 +12,11 @@
 use hyper::StatusCode;
 use hyper::service::service_fn;
 use ini::Ini;
+use ramp_transport::hyper_io::HyperIo;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 use crate::fabric::Fabric;
-use crate::http::HyperIo;
 use crate::http::ask;
 
 /// Time a watch waits at the platform, in milliseconds.
@@ -110,7 +110,7 @@
         });
         spawn_local(async move {
             let _ = hyper::server::conn::http1::Builder::new()
-                .serve_connection(HyperIo(stream), service)
+                .serve_connection(HyperIo::new(stream), service)
                 .await;
         });
     }
--- a/ramplab/src/http.rs
+++ b/ramplab/src/http.rs
@@ -1,11 +1,7 @@
-//! Glue between tokio sockets and hyper, and one-shot HTTP requests.
+//! One-shot HTTP requests.
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,58 +12,12 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::HOST;
-use hyper::rt::ReadBufCursor;
-use hyper::rt::Sleep;
-use hyper::rt::Timer;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
+use ramp_transport::hyper_io::HyperIo;
 use tokio::net::TcpStream;
 
-/// Most bytes copied in one read.
-const READ_LEN_BYTES: usize = 16 * 1024;
-
 /// Name of the platform's version header.
 pub const VERSION_HEADER: &str = "x-version";
 
-/// Tokio stream as hyper wants it.
-pub struct HyperIo<S>(pub S);
-
-impl<S: AsyncRead + Unpin> hyper::rt::Read for HyperIo<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        // A copy through the stack, since handing out hyper's own buffer
-        // would need unsafe code.
-        let mut space = [0; READ_LEN_BYTES];
-        let len = cursor.remaining().min(READ_LEN_BYTES);
-        let mut buf = ReadBuf::new(&mut space[..len]);
-        ready!(Pin::new(&mut self.0).poll_read(cx, &mut buf))?;
-        cursor.put_slice(buf.filled());
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<S: AsyncWrite + Unpin> hyper::rt::Write for HyperIo<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
-    }
-}
-
 /// Whole answer to a one-shot request.
 #[derive(Debug)]
 pub struct Answer {
@@ -122,7 +72,7 @@
 ) -> io::Result<Answer> {
     let stream = TcpStream::connect(to).await?;
     stream.set_nodelay(true)?;
-    let (mut sender, conn) = hyper::client::conn::http1::handshake(HyperIo(stream))
+    let (mut sender, conn) = hyper::client::conn::http1::handshake(HyperIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let req = Request::builder()
@@ -149,30 +99,3 @@
         _ = &mut conn => exchange.await,
     }
 }
-
-/// Timer for hyper's servers.
-#[derive(Clone, Copy, Debug)]
-pub struct HyperTimer;
-
-struct TimerSleep(Pin<Box<tokio::time::Sleep>>);
-
-impl Future for TimerSleep {
-    type Output = ();
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        self.0.as_mut().poll(cx)
-    }
-}
-
-impl Sleep for TimerSleep {}
-
-impl Timer for HyperTimer {
-    fn sleep(&self, span: Duration) -> Pin<Box<dyn Sleep>> {
-        Box::pin(TimerSleep(Box::pin(tokio::time::sleep(span))))
-    }
-
-    fn sleep_until(&self, deadline: std::time::Instant) -> Pin<Box<dyn Sleep>> {
-        let sleep = tokio::time::sleep_until(deadline.into());
-        Box::pin(TimerSleep(Box::pin(sleep)))
-    }
-}
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fabric;
 pub mod history;
 pub mod http;
+pub mod load;
 pub mod rng;
--- /dev/null
+++ b/ramplab/src/load/counts.rs
@@ -0,0 +1,91 @@
+//! Counts of a run of load.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::history::AnswerCheck;
+use crate::history::FlowEnd;
+use crate::history::Kind;
+use crate::history::Told;
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counts {
+    /// Connections opened.
+    pub flows_opened: u64,
+    /// Connections that did not end in order.
+    pub flows_broken: u64,
+    /// Feeds open now.
+    pub feeds_open: u64,
+    /// Attempts sent.
+    pub requests_sent: u64,
+    /// Attempts served.
+    pub served: u64,
+    /// Attempts told not to have run.
+    pub not_run: u64,
+    /// Attempts told that they may have run.
+    pub may_have_run: u64,
+    /// Attempts of which nothing was told.
+    pub nothing_told: u64,
+    /// Answers that were not the right ones.
+    pub wrong: u64,
+    /// Claims, uploads and balances given up after the last attempt.
+    pub given_up: u64,
+    /// Requests not sent, because too many were in progress.
+    pub held_back: u64,
+    /// Claims served.
+    pub claims: u64,
+    /// Uploads served.
+    pub uploads: u64,
+    /// Balances served.
+    pub balances: u64,
+}
+
+impl Counts {
+    /// Counts the end of a flow.
+    pub fn flow_ended(&mut self, end: FlowEnd) {
+        self.flows_broken += u64::from(end != FlowEnd::Closed);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt_ended(&mut self, kind: Kind, told: Told, answer: AnswerCheck) {
+        self.wrong += u64::from(answer == AnswerCheck::Wrong);
+        match told {
+            Told::Served => self.served += 1,
+            Told::NotRun => self.not_run += 1,
+            Told::MayHaveRun => self.may_have_run += 1,
+            Told::Nothing => self.nothing_told += 1,
+        }
+        if told != Told::Served {
+            return;
+        }
+        match kind {
+            Kind::Claim => self.claims += 1,
+            Kind::Upload => self.uploads += 1,
+            Kind::Balance => self.balances += 1,
+            Kind::Feed => {}
+        }
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "feeds {}  flows {} ({} broken)  claims {}  uploads {}  balances {}  \
+             not run {}  may have run {}  nothing told {}  wrong {}  given up {}",
+            self.feeds_open,
+            self.flows_opened,
+            self.flows_broken,
+            self.claims,
+            self.uploads,
+            self.balances,
+            self.not_run,
+            self.may_have_run,
+            self.nothing_told,
+            self.wrong,
+            self.given_up,
+        )
+    }
+}
