Judge the promises over merged histories

Cause: a run of real processes needs a judge that shows the broken promise. Ruled out: judging event by event in one pass, since events of one millisecond from different files have no true order. Change: ramplab check-history with nine promises, each violation shown by the fewest events; flows given up, lost with a killed process and refused count apart from broken ones. Conclusion: whole for the events that are written.

--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 mod backend;
+mod check_history;
 mod fabric;
 mod load;
 mod platform;
@@ -31,6 +32,11 @@
         about: "stand in for a backend server",
         run: backend::run,
     },
+    Command {
+        name: "check-history",
+        about: "judge the promises over histories",
+        run: check_history::run,
+    },
     Command {
         name: "fabric",
         about: "spray callers' packets over the balancers",
--- a/ramplab/src/history.rs
+++ b/ramplab/src/history.rs
@@ -154,9 +154,19 @@
     },
     /// Operators published a change.
     Published {
+        /// Version of the fleet document that holds it, or of the list of
+        /// instances.
+        version: u64,
         /// The change.
         change: Change,
     },
+    /// A process told which version of the fleet document it obeys.
+    ConfigSeen {
+        /// Name of the process.
+        process: String,
+        /// The version.
+        version: u64,
+    },
     /// Operators killed a process without a drain.
     Killed {
         /// Name of the process.
@@ -248,6 +258,13 @@
     BalancerJoins(String),
 }
 
+impl Change {
+    /// Whether it stands in the fleet document, not in the list of instances.
+    pub fn is_in_fleet(&self) -> bool {
+        !matches!(self, Change::BalancerLeaving(_) | Change::BalancerJoins(_))
+    }
+}
+
 /// Writes the history of one process.
 pub struct Writer {
     file: File,
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answers;
 pub mod backend;
+pub mod check;
 pub mod fabric;
 pub mod history;
 pub mod http;
