--- a/ramplab/src/backend/serve.rs
+++ b/ramplab/src/backend/serve.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use ramp_transport::hyper_io::HyperIo;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -58,7 +58,7 @@
         let mut falls = self.falls.subscribe();
         let mut draining = self.draining.subscribe();
         let service = service_fn(|req| self.clone().handle(req).boxed_local());
-        let mut conn = http1::Builder::new().serve_connection(HyperIo::new(stream), service);
+        let mut conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         let mut told = false;
         loop {
             tokio::select! {
@@ -69,7 +69,7 @@
                     return;
                 }
                 _ = falls.changed() => {
-                    reset(conn.into_parts().io.get_ref());
+                    reset(conn.into_parts().io.inner());
                     return;
                 }
                 _ = draining.wait_for(|&d| d), if !told => {
--- a/ramplab/src/fabric/watch.rs
+++ b/ramplab/src/fabric/watch.rs
@@ -11,8 +11,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use ini::Ini;
-use ramp_transport::hyper_io::HyperIo;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -110,7 +110,7 @@
         });
         spawn_local(async move {
             let _ = hyper::server::conn::http1::Builder::new()
-                .serve_connection(HyperIo::new(stream), service)
+                .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
     }
--- a/ramplab/src/http.rs
+++ b/ramplab/src/http.rs
@@ -12,7 +12,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::HOST;
-use ramp_transport::hyper_io::HyperIo;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
 /// Name of the platform's version header.
@@ -72,7 +72,7 @@
 ) -> io::Result<Answer> {
     let stream = TcpStream::connect(to).await?;
     stream.set_nodelay(true)?;
-    let (mut sender, conn) = hyper::client::conn::http1::handshake(HyperIo::new(stream))
+    let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let req = Request::builder()
--- a/ramplab/src/load/connection.rs
+++ b/ramplab/src/load/connection.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use ramp_transport::hyper_io::HyperIo;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -84,7 +84,7 @@
             flow: addr,
             service: target.name.clone(),
         });
-        let (sender, conn) = http1::handshake(HyperIo::new(stream))
+        let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let flow = Rc::new(Flow::default());
@@ -130,7 +130,7 @@
     load: Rc<Load>,
     flow: Rc<Flow>,
     addr: SocketAddr,
-    conn: http1::Connection<HyperIo<TcpStream>, Full<Bytes>>,
+    conn: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
 ) {
     let result = conn.await;
     // The reader may still hold the last bytes of an answer that came whole.
