Run a whole fleet on loopback with planned changes

Cause: the main job must be seen at the users' sizes by one command. Ruled out: fixed ports, since two runs would meet; threads in place of processes, since kills and freezes need processes.

--- /dev/null
+++ b/ramplab/src/cmd/demo.rs
@@ -0,0 +1,108 @@
+//! `ramplab demo`: the main job on one machine.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::ValueExt;
+use ramplab::demo::plan::Plan;
+use ramplab::demo::run::Demo;
+use ramplab::demo::run::Options;
+use ramplab::demo::run::Outcome;
+
+use crate::cmd::check_history;
+use crate::cmd::on_local_runtime;
+use crate::cmd::until_terminated;
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "\
+Runs a whole fleet on loopback under load: takes a data centre out and brings
+it back, drains a server, replaces a balancer; prints the report, the broken
+promises and, last, one JSON object. Exit code 1 when a promise was broken.
+
+Usage:
+    ramplab demo [quillfield|helvetia] [<option>...]
+
+Options:
+    --seconds N    time for which load is sent, 20 to 45 [40]
+    --seed N       seed of all random choices [1]
+    --bin PATH     the bramleyramp program [beside this one]
+    --keep         keep the logs and histories
+";
+
+/// Shortest and longest load; a run must end within a minute.
+const SECONDS: std::ops::RangeInclusive<u64> = 20..=45;
+
+/// Runs the command.
+pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
+    let (plan, options) = parse(args)?;
+    on_local_runtime(show(plan, options))
+}
+
+fn parse(mut parser: lexopt::Parser) -> CliResult<(Plan, Options)> {
+    use lexopt::Arg::Long;
+    use lexopt::Arg::Value;
+    let ramplab = std::env::current_exe()?;
+    let mut plan = Plan::quillfield();
+    let mut options = Options {
+        span: Duration::from_secs(40),
+        seed: 1,
+        bramleyramp: ramplab.with_file_name("bramleyramp"),
+        ramplab,
+        keep: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(name) => {
+                let name = name.to_string_lossy();
+                let Some(named) = Plan::named(&name) else {
+                    return Err(CliError::Usage(USAGE.to_string()));
+                };
+                plan = named;
+            }
+            Long("seconds") => {
+                let seconds: u64 = parser.value()?.parse()?;
+                if !SECONDS.contains(&seconds) {
+                    return Err(CliError::Usage(USAGE.to_string()));
+                }
+                options.span = Duration::from_secs(seconds);
+            }
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("bin") => options.bramleyramp = PathBuf::from(parser.value()?),
+            Long("keep") => options.keep = true,
+            Long("help") => return Err(CliError::Usage(USAGE.to_string())),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok((plan, options))
+}
+
+async fn show(plan: Plan, options: Options) -> CliResult<ExitCode> {
+    let mut demo = Demo::new(plan, options)?;
+    eprintln!("demo: files in {}", demo.dir().display());
+    let outcome = tokio::select! {
+        outcome = demo.run() => outcome?,
+        _ = until_terminated() => {
+            // Dropping the demo ends its processes.
+            return Err(CliError::Other("demo: interrupted".to_string()));
+        }
+    };
+    Ok(print(&outcome))
+}
+
+fn print(outcome: &Outcome) -> ExitCode {
+    if let Some(report) = &outcome.report {
+        println!("{report}");
+    }
+    for name in &outcome.ended_badly {
+        println!("{name} did not end well when asked to");
+    }
+    check_history::print(&outcome.judgement);
+    println!("{}", serde_json::json!(outcome.judgement.summary));
+    if outcome.judgement.violations.is_empty() && outcome.ended_badly.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod check_history;
+mod demo;
 mod fabric;
 mod load;
 mod platform;
@@ -37,6 +38,11 @@
         about: "judge the promises over histories",
         run: check_history::run,
     },
+    Command {
+        name: "demo",
+        about: "run a whole fleet on loopback",
+        run: demo::run,
+    },
     Command {
         name: "fabric",
         about: "spray callers' packets over the balancers",
@@ -81,13 +87,15 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM, SIGINT or SIGHUP.
 async fn until_terminated() -> CliResult<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
     }
     Ok(())
 }
--- /dev/null
+++ b/ramplab/src/demo/children.rs
@@ -0,0 +1,217 @@
+//! The processes of a demo, none of which outlives it, and its directory.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time between two looks at a process.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Lines of a log shown when its process fails.
+const LOG_LINES_SHOWN: usize = 12;
+
+/// Directory of a demo's files; gone when dropped.
+#[derive(Debug)]
+pub struct WorkDir {
+    path: PathBuf,
+    keep: bool,
+}
+
+impl WorkDir {
+    /// Creates the directory.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub fn create(keep: bool) -> io::Result<WorkDir> {
+        let path = std::env::temp_dir().join(format!("ramplab-demo-{}", std::process::id()));
+        fs::create_dir_all(&path)?;
+        Ok(WorkDir { path, keep })
+    }
+
+    /// A file in it.
+    pub fn file(&self, name: impl AsRef<Path>) -> PathBuf {
+        self.path.join(name)
+    }
+
+    /// The directory itself.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for WorkDir {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    log: PathBuf,
+    child: Child,
+}
+
+/// Processes, killed when dropped.
+#[derive(Debug, Default)]
+pub struct Children {
+    processes: Vec<Process>,
+}
+
+impl Drop for Children {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.child.kill();
+        }
+        for process in &mut self.processes {
+            let _ = process.child.wait();
+        }
+    }
+}
+
+impl Children {
+    /// Starts a process whose output goes to log files in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be started.
+    pub fn start(&mut self, dir: &WorkDir, name: &str, command: &mut Command) -> io::Result<()> {
+        let log = dir.file(format!("{name}.log"));
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(File::create(dir.file(format!("{name}.out")))?)
+            .stderr(File::create(&log)?)
+            .spawn()?;
+        self.processes.push(Process {
+            name: name.to_string(),
+            log,
+            child,
+        });
+        Ok(())
+    }
+
+    /// Adds a process that was started elsewhere.
+    pub fn adopt(&mut self, dir: &WorkDir, name: &str, child: Child) {
+        self.processes.push(Process {
+            name: name.to_string(),
+            log: dir.file(format!("{name}.log")),
+            child,
+        });
+    }
+
+    /// Fails when a process has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Its name, exit status and last log lines.
+    pub fn check(&mut self) -> io::Result<()> {
+        for process in &mut self.processes {
+            if let Some(status) = process.child.try_wait()? {
+                return Err(io::Error::other(process.obituary(status)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks a process to end and waits for it; past `limit` it is killed.
+    /// Tells whether it ended in time and with success.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub async fn stop(&mut self, name: &str, limit: Duration) -> io::Result<bool> {
+        let Some(position) = self.processes.iter().position(|p| p.name == name) else {
+            return Ok(true);
+        };
+        let mut process = self.processes.swap_remove(position);
+        process.terminate()?;
+        process.wait(limit).await
+    }
+
+    /// Asks all processes to end and waits for them; past `limit` they are
+    /// killed. Returns the names of those that did not end well.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub async fn stop_all(&mut self, limit: Duration) -> io::Result<Vec<String>> {
+        for process in &mut self.processes {
+            process.terminate()?;
+        }
+        let until = Instant::now() + limit;
+        let mut failed = Vec::new();
+        while let Some(mut process) = self.processes.pop() {
+            let left = until.duration_since(Instant::now());
+            if !process.wait(left).await? {
+                failed.push(process.name);
+            }
+        }
+        Ok(failed)
+    }
+
+    /// Waits for a process that ends by itself.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system, and when it failed or took too long.
+    pub async fn wait(&mut self, name: &str, limit: Duration) -> io::Result<()> {
+        let Some(position) = self.processes.iter().position(|p| p.name == name) else {
+            return Ok(());
+        };
+        let mut process = self.processes.swap_remove(position);
+        if process.wait(limit).await? {
+            return Ok(());
+        }
+        let status = process.child.wait()?;
+        Err(io::Error::other(process.obituary(status)))
+    }
+}
+
+impl Process {
+    fn terminate(&mut self) -> io::Result<()> {
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        // The library can only kill; the shell can ask.
+        Command::new("sh")
+            .args(["-c", "kill -TERM \"$0\""])
+            .arg(self.child.id().to_string())
+            .status()
+            .map(|_| ())
+    }
+
+    async fn wait(&mut self, limit: Duration) -> io::Result<bool> {
+        let until = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            if Instant::now() >= until {
+                self.child.kill()?;
+                self.child.wait()?;
+                return Ok(false);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    fn obituary(&self, status: ExitStatus) -> String {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let shown = &lines[lines.len().saturating_sub(LOG_LINES_SHOWN)..];
+        format!("{} ended: {status}\n{}", self.name, shown.join("\n"))
+    }
+}
--- /dev/null
+++ b/ramplab/src/demo/mod.rs
@@ -0,0 +1,10 @@
+//! The demo: a whole fleet on loopback, planned changes under load, and the
+//! promises judged at the end.
+
+pub mod children;
+pub mod documents;
+pub mod layout;
+pub mod plan;
+pub mod run;
+pub mod steps;
+pub mod watcher;
--- /dev/null
+++ b/ramplab/src/demo/run.rs
@@ -0,0 +1,339 @@
+//! A whole demo from the first process to the last.
+
+use std::cell::RefCell;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::check::Judgement;
+use crate::check::judge;
+use crate::demo::children::Children;
+use crate::demo::children::WorkDir;
+use crate::demo::documents;
+use crate::demo::documents::Wishes;
+use crate::demo::layout::Layout;
+use crate::demo::layout::Node;
+use crate::demo::plan::Plan;
+use crate::demo::plan::Timeline;
+use crate::demo::steps::Operators;
+use crate::demo::watcher;
+use crate::history;
+use crate::history::Writer;
+use crate::http::ask;
+
+/// Time for all processes to be up.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time for the load to end after its span.
+const LOAD_END_LIMIT: Duration = Duration::from_secs(12);
+
+/// Time for a process to end when asked.
+const STOP_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time for the fabric to leave a leaving balancer alone.
+const LEAVE_TIME: Duration = Duration::from_millis(2500);
+
+/// How a demo is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Time for which load is sent.
+    pub span: Duration,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// The program under trial.
+    pub bramleyramp: PathBuf,
+    /// This program.
+    pub ramplab: PathBuf,
+    /// Whether the files are kept.
+    pub keep: bool,
+}
+
+/// What a demo showed.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Judgement over its history.
+    pub judgement: Judgement,
+    /// The report of the program, if it gave one.
+    pub report: Option<String>,
+    /// Processes that did not end well when asked.
+    pub ended_badly: Vec<String>,
+}
+
+/// A demo under way. Its processes are ended before its directory goes.
+pub struct Demo {
+    plan: Plan,
+    options: Options,
+    layout: Layout,
+    children: Children,
+    dir: WorkDir,
+}
+
+impl Demo {
+    /// Prepares a demo; starts nothing.
+    ///
+    /// # Errors
+    ///
+    /// When ports or the directory can't be had.
+    pub fn new(plan: Plan, options: Options) -> io::Result<Demo> {
+        Ok(Demo {
+            layout: Layout::pick(&plan)?,
+            dir: WorkDir::create(options.keep)?,
+            children: Children::default(),
+            plan,
+            options,
+        })
+    }
+
+    /// Directory of its files.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Runs it to its end.
+    ///
+    /// # Errors
+    ///
+    /// When a process does not start or ends by itself, or the platform does
+    /// not take a change.
+    pub async fn run(&mut self) -> io::Result<Outcome> {
+        let layout = self.layout.clone();
+        let plan = self.plan.clone();
+        let spare = layout.balancers[layout.balancers.len() - 1].clone();
+        let writer = Writer::create(&self.dir.file("operators.history"), "operators")?;
+        let mut operators = Operators {
+            plan: &plan,
+            layout: &layout,
+            wishes: Wishes {
+                absent_balancers: vec![spare.name.clone()],
+                ..Wishes::default()
+            },
+            history: Rc::new(RefCell::new(writer)),
+        };
+        operators.record_list();
+        self.start_fleet(&operators.wishes, &spare).await?;
+        let mut watchers = JoinSet::new();
+        for node in layout.nodes() {
+            let history = operators.history.clone();
+            watchers.spawn_local(watcher::watch(node.clone(), history));
+        }
+        self.start_load()?;
+        self.change(&mut operators, &spare).await?;
+        self.children.wait("load", LOAD_END_LIMIT).await?;
+        watchers.abort_all();
+        let report = self.report();
+        let ended_badly = self.children.stop_all(STOP_LIMIT).await?;
+        Ok(Outcome {
+            judgement: self.judge()?,
+            report,
+            ended_badly,
+        })
+    }
+
+    async fn start_fleet(&mut self, wishes: &Wishes, spare: &Node) -> io::Result<()> {
+        let fleet = self.dir.file("fleet.ini");
+        let instances = self.dir.file("instances.ini");
+        fs::write(&fleet, documents::fleet(&self.plan, &self.layout, wishes))?;
+        fs::write(&instances, documents::instances(&self.layout, wishes))?;
+        let mut platform = Command::new(&self.options.ramplab);
+        platform
+            .args(["platform", "--listen"])
+            .arg(self.layout.platform.to_string())
+            .arg("--fleet")
+            .arg(fleet)
+            .arg("--instances")
+            .arg(instances)
+            .arg("--ready-file")
+            .arg(self.dir.file("platform.ready"));
+        self.children.start(&self.dir, "platform", &mut platform)?;
+        self.until_file("platform.ready").await?;
+        self.start_backends()?;
+        let nodes: Vec<Node> = self.layout.nodes().cloned().collect();
+        for node in nodes.iter().filter(|node| node.name != spare.name) {
+            self.start_node(node)?;
+        }
+        self.start_fabric()?;
+        self.until_file("fabric.ready").await?;
+        for node in nodes.iter().filter(|node| node.name != spare.name) {
+            self.until_serving(node).await?;
+        }
+        Ok(())
+    }
+
+    fn start_backends(&mut self) -> io::Result<()> {
+        for (number, server) in self.layout.servers.iter().enumerate() {
+            let name = &server.agent.name;
+            let mut command = Command::new(&self.options.ramplab);
+            command
+                .args(["backend", "--cold", "--listen"])
+                .arg(server.backend.to_string())
+                .args(["--name", name, "--service", server.service])
+                .args(["--data-centre", server.agent.data_centre])
+                .args(["--slots", &self.plan.slots.to_string()])
+                .args(["--connections", &self.plan.connections.to_string()])
+                .args(["--service-ms", &self.plan.service_ms.to_string()])
+                .args(["--warm-after", &self.plan.warm_after.to_string()])
+                .args(["--seed", &(self.options.seed + number as u64).to_string()])
+                .arg("--history")
+                .arg(self.dir.file(format!("{name}.history")));
+            let process = format!("backend-{name}");
+            self.children.start(&self.dir, &process, &mut command)?;
+        }
+        Ok(())
+    }
+
+    fn start_node(&mut self, node: &Node) -> io::Result<()> {
+        let settings = self.dir.file(format!("{}.ini", node.name));
+        fs::write(&settings, documents::settings(&self.layout, node))?;
+        let is_balancer = self.layout.balancers.iter().any(|b| b.name == node.name);
+        let role = if is_balancer { "balancer" } else { "agent" };
+        let mut command = Command::new(&self.options.bramleyramp);
+        command.args([role, "--settings"]).arg(settings);
+        self.children.start(&self.dir, &node.name, &mut command)
+    }
+
+    fn start_fabric(&mut self) -> io::Result<()> {
+        let mut command = Command::new(&self.options.ramplab);
+        command
+            .args(["fabric", "--packets", &self.layout.packets.to_string()])
+            .args(["--platform", &self.layout.platform.to_string()])
+            .args(["--counts", &self.layout.counts.to_string()])
+            .args(["--seed", &self.options.seed.to_string()])
+            .args(["--lose", &self.plan.lose.to_string()])
+            .args(["--delay-ms", &self.plan.caller_delay_ms.to_string()])
+            .arg("--history")
+            .arg(self.dir.file("fabric.history"))
+            .arg("--ready-file")
+            .arg(self.dir.file("fabric.ready"));
+        for service in &self.plan.services {
+            command.args(["--service", &format!("{}=127.0.0.1:0", service.address)]);
+        }
+        self.children.start(&self.dir, "fabric", &mut command)
+    }
+
+    fn start_load(&mut self) -> io::Result<()> {
+        let plan = &self.plan;
+        let ready = fs::read_to_string(self.dir.file("fabric.ready"))?;
+        let mut command = Command::new(&self.options.ramplab);
+        command
+            .args(["load", "--feeds", &plan.feeds.to_string()])
+            .args(["--claims-per-s", &plan.claims_per_s.to_string()])
+            .args(["--uploads-per-s", &plan.uploads_per_s.to_string()])
+            .args(["--balances-per-s", &plan.balances_per_s.to_string()])
+            .args(["--seconds", &self.options.span.as_secs_f64().to_string()])
+            .args(["--seed", &self.options.seed.to_string()])
+            .arg("--history")
+            .arg(self.dir.file("load.history"));
+        for (service, line) in plan.services.iter().zip(ready.lines()) {
+            let local = line.split(' ').next_back().unwrap_or_default();
+            command.args(["--service", &format!("{}={local}", service.name)]);
+        }
+        // Its progress is shown.
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).spawn()?;
+        self.children.adopt(&self.dir, "load", child);
+        Ok(())
+    }
+
+    /// Makes the planned changes, each at its time.
+    async fn change(&mut self, operators: &mut Operators<'_>, spare: &Node) -> io::Result<()> {
+        let started = Instant::now();
+        let times = Timeline::over(self.options.span);
+        let out = self.plan.data_centres[1];
+        let drained = self.layout.servers[0].agent.name.clone();
+        let replaced = self.layout.balancers[0].name.clone();
+
+        self.until(started + times.out, &format!("takes {out} out"))
+            .await?;
+        operators.take_out(out).await?;
+        // Its servers restart meanwhile, as they would.
+        tokio::time::sleep_until(started + (times.out + times.back) / 2).await;
+        self.restart_cold(out).await;
+        self.until(started + times.back, &format!("brings {out} back"))
+            .await?;
+        operators.bring_back().await?;
+        self.until(started + times.drain, &format!("drains {drained}"))
+            .await?;
+        operators.drain(&drained).await?;
+
+        let label = format!("replaces {replaced} by {}", spare.name);
+        self.until(started + times.replace, &label).await?;
+        self.start_node(spare)?;
+        self.until_serving(spare).await?;
+        operators.add_balancer(&spare.name).await?;
+        operators.retire_balancer(&replaced).await?;
+        tokio::time::sleep(LEAVE_TIME).await;
+        self.children.stop(&replaced, STOP_LIMIT).await?;
+        operators.remove_balancer(&replaced).await?;
+        self.children.check()?;
+        let left = (started + times.end).duration_since(Instant::now());
+        tokio::time::sleep(left).await;
+        Ok(())
+    }
+
+    async fn until(&mut self, moment: Instant, label: &str) -> io::Result<()> {
+        tokio::time::sleep_until(moment).await;
+        eprintln!("demo: {label}");
+        self.children.check()
+    }
+
+    async fn restart_cold(&self, data_centre: &str) {
+        let servers = self.layout.servers.iter();
+        for server in servers.filter(|s| s.agent.data_centre == data_centre) {
+            let to = server.backend.into();
+            let _ = ask(to, Method::PUT, "/cold", Bytes::new(), STOP_LIMIT).await;
+        }
+    }
+
+    async fn until_file(&mut self, name: &str) -> io::Result<()> {
+        let file = self.dir.file(name);
+        let until = Instant::now() + START_LIMIT;
+        while !file.exists() {
+            self.children.check()?;
+            if Instant::now() > until {
+                return Err(io::Error::other(format!("no {name} in time")));
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    async fn until_serving(&mut self, node: &Node) -> io::Result<()> {
+        let serving = watcher::until_serving(node.control, START_LIMIT).await;
+        self.children.check()?;
+        if serving {
+            return Ok(());
+        }
+        Err(io::Error::other(format!("{} does not serve", node.name)))
+    }
+
+    /// Text of the program's report, if it has one.
+    fn report(&self) -> Option<String> {
+        let output = Command::new(&self.options.bramleyramp)
+            .args(["report", "--platform", &self.layout.platform.to_string()])
+            .stdin(Stdio::null())
+            .output()
+            .ok()?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (!text.is_empty()).then_some(text)
+    }
+
+    fn judge(&self) -> io::Result<Judgement> {
+        let mut histories = Vec::new();
+        for entry in fs::read_dir(self.dir.path())? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|e| e == "history") {
+                histories.push(history::read(&path)?);
+            }
+        }
+        Ok(judge(&history::merge(histories)))
+    }
+}
--- /dev/null
+++ b/ramplab/src/demo/steps.rs
@@ -0,0 +1,151 @@
+//! The planned changes of a demo, as operators make them.
+
+use std::io;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::StatusCode;
+
+use crate::demo::documents;
+use crate::demo::documents::Wishes;
+use crate::demo::layout::Layout;
+use crate::demo::plan::Plan;
+use crate::demo::watcher::SharedWriter;
+use crate::history::Change;
+use crate::history::What;
+use crate::http::ask;
+
+/// Time for an answer of the platform.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Publishes what operators want.
+pub struct Operators<'a> {
+    /// Sizes of the fleet.
+    pub plan: &'a Plan,
+    /// Addresses of the fleet.
+    pub layout: &'a Layout,
+    /// What they want now.
+    pub wishes: Wishes,
+    /// Where their changes are noted.
+    pub history: SharedWriter,
+}
+
+impl Operators<'_> {
+    /// Notes all balancers and agents.
+    pub fn record_list(&self) {
+        let mut history = self.history.borrow_mut();
+        for balancer in &self.layout.balancers {
+            history.write(What::BalancerListed {
+                name: balancer.name.clone(),
+                address: balancer.address.into(),
+                data_centre: balancer.data_centre.to_string(),
+            });
+        }
+        for server in &self.layout.servers {
+            history.write(What::AgentListed {
+                server: server.agent.name.clone(),
+                address: server.agent.address.into(),
+                data_centre: server.agent.data_centre.to_string(),
+            });
+        }
+    }
+
+    /// Takes a data centre out: the fleet first, then its balancers.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn take_out(&mut self, data_centre: &str) -> io::Result<()> {
+        self.wishes.out = Some(data_centre.to_string());
+        let change = Change::DataCentreOut(data_centre.to_string());
+        self.publish_fleet(change).await?;
+        self.publish_instances(None).await
+    }
+
+    /// Brings the data centre back.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn bring_back(&mut self) -> io::Result<()> {
+        let Some(data_centre) = self.wishes.out.take() else {
+            return Ok(());
+        };
+        self.publish_fleet(Change::DataCentreIn(data_centre))
+            .await?;
+        self.publish_instances(None).await
+    }
+
+    /// Drains a backend server.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn drain(&mut self, server: &str) -> io::Result<()> {
+        self.wishes.leaving_server = Some(server.to_string());
+        self.publish_fleet(Change::ServerLeaving(server.to_string()))
+            .await
+    }
+
+    /// Lists a balancer that has started.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn add_balancer(&mut self, name: &str) -> io::Result<()> {
+        self.wishes.absent_balancers.retain(|absent| absent != name);
+        let change = Change::BalancerJoins(name.to_string());
+        self.publish_instances(Some(change)).await
+    }
+
+    /// Lists a balancer as leaving.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn retire_balancer(&mut self, name: &str) -> io::Result<()> {
+        self.wishes.leaving_balancers.push(name.to_string());
+        let change = Change::BalancerLeaving(name.to_string());
+        self.publish_instances(Some(change)).await
+    }
+
+    /// Takes a balancer that has ended off the list.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn remove_balancer(&mut self, name: &str) -> io::Result<()> {
+        self.wishes.absent_balancers.push(name.to_string());
+        self.publish_instances(None).await
+    }
+
+    async fn publish_fleet(&self, change: Change) -> io::Result<()> {
+        let text = documents::fleet(self.plan, self.layout, &self.wishes);
+        let version = self.put("/fleet", text).await?;
+        self.record(version, change);
+        Ok(())
+    }
+
+    async fn publish_instances(&self, change: Option<Change>) -> io::Result<()> {
+        let text = documents::instances(self.layout, &self.wishes);
+        let version = self.put("/instances", text).await?;
+        if let Some(change) = change {
+            self.record(version, change);
+        }
+        Ok(())
+    }
+
+    fn record(&self, version: u64, change: Change) {
+        let what = What::Published { version, change };
+        self.history.borrow_mut().write(what);
+    }
+
+    async fn put(&self, path: &str, text: String) -> io::Result<u64> {
+        let platform = self.layout.platform.into();
+        let answer = ask(platform, Method::PUT, path, text, ANSWER_LIMIT).await?;
+        if answer.status != StatusCode::OK {
+            return Err(io::Error::other(format!("{path}: {}", answer.text())));
+        }
+        Ok(answer.version())
+    }
+}
--- a/ramplab/src/fabric/mod.rs
+++ b/ramplab/src/fabric/mod.rs
@@ -178,7 +178,11 @@
         }
         let to = balancers[self.link.pick(balancers.len())];
         match self.socket.try_send_to(packet, to.into()) {
-            Ok(len) => tap.sent(to, len),
+            Ok(len) => {
+                if tap.sent(to, len) {
+                    self.record(What::PacketAt { address: to.into() });
+                }
+            }
             // A full socket loses packets, as a real link does.
             Err(err) if err.kind() == io::ErrorKind::WouldBlock => tap.full += 1,
             Err(_) => tap.failed += 1,
--- a/ramplab/src/fabric/tap.rs
+++ b/ramplab/src/fabric/tap.rs
@@ -11,6 +11,9 @@
 use crate::fabric::link::Fate;
 use crate::history::wall_ms;
 
+/// Time between two notes of packets to one balancer, in milliseconds.
+const NOTE_PERIOD_MS: u64 = 100;
+
 /// Packets of one destination or source.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Passed {
@@ -20,6 +23,8 @@
     pub bytes: u64,
     /// Wall-clock time of the last one, in milliseconds.
     pub last_ms: u64,
+    #[serde(skip)]
+    noted_ms: u64,
 }
 
 /// Counts of all packets.
@@ -43,9 +48,16 @@
 }
 
 impl Tap {
-    /// Counts a packet sent to a balancer.
-    pub fn sent(&mut self, to: SocketAddrV4, len: usize) {
-        self.to_balancers.entry(to).or_default().count(len);
+    /// Counts a packet sent to a balancer; true when it is time to note that
+    /// in the history.
+    pub fn sent(&mut self, to: SocketAddrV4, len: usize) -> bool {
+        let passed = self.to_balancers.entry(to).or_default();
+        passed.count(len);
+        let due = passed.last_ms >= passed.noted_ms + NOTE_PERIOD_MS;
+        if due {
+            passed.noted_ms = passed.last_ms;
+        }
+        due
     }
 
     /// Counts a packet that an agent sent back.
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answers;
 pub mod backend;
 pub mod check;
+pub mod demo;
 pub mod fabric;
 pub mod history;
 pub mod http;
