Test the backend server's capacity and the callers' checks

Cause: a stand-in that errs would hide or invent broken promises. Change: tests of capacity, lagging reports, feed reading, and of callers and a server alone.

--- /dev/null
+++ b/ramplab/tests/backend.rs
@@ -0,0 +1,191 @@
+//! The backend server's capacity and reports, the callers' checks, and both
+//! together without a fleet between them.
+
+use std::fs;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use ramplab::answers;
+use ramplab::backend;
+use ramplab::backend::Backend;
+use ramplab::backend::capacity::Capacity;
+use ramplab::backend::capacity::Entry;
+use ramplab::backend::capacity::OVERLOAD_SLOWDOWN;
+use ramplab::backend::report::LoadReport;
+use ramplab::backend::report::LoadReports;
+use ramplab::check::judge;
+use ramplab::history;
+use ramplab::history::Writer;
+use ramplab::load;
+use ramplab::load::Load;
+use ramplab::load::Target;
+use ramplab::load::feed::Ending;
+use ramplab::load::feed::Reader;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+#[test]
+fn a_warm_server_takes_its_slots_and_no_more() {
+    let mut capacity = Capacity::new(3, 10, false);
+    for _ in 0..3 {
+        assert_eq!(capacity.begin(), Entry::Taken);
+    }
+    assert_eq!(capacity.begin(), Entry::Full);
+    capacity.end(true);
+    assert_eq!(capacity.begin(), Entry::Taken);
+}
+
+#[test]
+fn a_cold_server_warms_by_finished_work_only() {
+    let mut capacity = Capacity::new(4, 8, true);
+    let mut borne = Vec::new();
+    for number in 0..16 {
+        assert_eq!(capacity.begin(), Entry::Taken);
+        // Every second request is abandoned.
+        capacity.end(number % 2 == 0);
+        borne.push(capacity.bears());
+    }
+    assert_eq!(borne, [1, 1, 2, 2, 2, 2, 3, 3, 3, 3, 4, 4, 4, 4, 4, 4]);
+}
+
+#[test]
+fn a_cold_server_slows_down_and_then_falls_over() {
+    let mut capacity = Capacity::new(5, 50, true);
+    assert_eq!(capacity.begin(), Entry::Taken);
+    assert_eq!(capacity.slowdown(), 1);
+    assert_eq!(capacity.begin(), Entry::Overloaded);
+    assert_eq!(capacity.slowdown(), OVERLOAD_SLOWDOWN);
+    assert_eq!(capacity.begin(), Entry::Overloaded);
+    assert_eq!(capacity.begin(), Entry::FellOver);
+}
+
+#[test]
+fn load_reports_are_as_old_as_told() {
+    let start = Instant::now();
+    let mut reports = LoadReports::new(Duration::from_secs(5));
+    let mut told = Vec::new();
+    for second in 0..8 {
+        let load = LoadReport {
+            in_progress: second,
+            ..LoadReport::default()
+        };
+        reports.note(start + Duration::from_secs(u64::from(second)), load);
+        told.push(reports.told().in_progress);
+    }
+    assert_eq!(told, [0, 0, 0, 0, 0, 0, 1, 2]);
+}
+
+#[test]
+fn a_feed_is_read_however_it_is_cut_and_gaps_are_seen() {
+    fn property(cuts: Vec<u8>, skipped: Option<u8>) -> bool {
+        let skipped = skipped.map(|s| u64::from(s % 9 + 1));
+        let mut bytes = String::new();
+        for number in (1..=9).filter(|n| Some(*n) != skipped) {
+            bytes += &format!("id: {number}\ndata: f {number}\n\n");
+        }
+        bytes += "event: end\ndata: end\n\n";
+        let mut reader = Reader::new("f");
+        let mut rest = bytes.as_bytes();
+        let mut ending = None;
+        for cut in cuts.iter().chain(&[255, 255]) {
+            let (piece, after) = rest.split_at(rest.len().min(usize::from(*cut)));
+            ending = ending.or_else(|| reader.push(piece));
+            rest = after;
+        }
+        // The last event's absence shows as an early end, which is no gap.
+        let gap = skipped.is_some_and(|s| s < 9);
+        ending == Some(if gap { Ending::Gap } else { Ending::Told })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 5))
+        .tests(200)
+        .quickcheck(property as fn(Vec<u8>, Option<u8>) -> bool);
+}
+
+#[test]
+fn answers_depend_on_the_identity_alone() {
+    assert_eq!(answers::derived("a", 1000), answers::derived("a", 1000));
+    assert_eq!(answers::derived("a", 10), answers::derived("a", 1000)[..10]);
+    assert_ne!(answers::derived("a", 1000), answers::derived("b", 1000));
+    let query = Some("id=7&attempt=3");
+    assert_eq!(answers::parameter(query, "attempt"), Some("3"));
+    assert_eq!(answers::parameter(query, "d"), None);
+}
+
+fn backend_config() -> backend::Config {
+    backend::Config {
+        name: "s1".to_string(),
+        service: "ledger".to_string(),
+        data_centre: "west".to_string(),
+        slots: 50,
+        connections: 100,
+        service_time: Duration::from_millis(2),
+        cold: false,
+        warm_after: 10,
+        lag: Duration::ZERO,
+        lie: 0.0,
+        seed: 1,
+    }
+}
+
+fn load_config(target: Target) -> load::Config {
+    load::Config {
+        targets: vec![target],
+        feeds: 5,
+        feed_period: Duration::from_millis(20),
+        claims_per_s: 50.0,
+        uploads_per_s: 10.0,
+        upload_len: 100_000,
+        balances_per_s: 50.0,
+        balance_len_most: 5000,
+        span: Duration::from_secs(1),
+        deadline: Duration::from_secs(5),
+        seed: 1,
+    }
+}
+
+#[test]
+fn callers_and_a_server_alone_keep_every_promise() {
+    let dir = std::env::temp_dir().join(format!("ramplab-backend-{}", std::process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let files: [PathBuf; 2] = [dir.join("server"), dir.join("load")];
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let counts = LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Target {
+            name: "ledger".to_string(),
+            local: listener.local_addr().unwrap(),
+        };
+        let history = Writer::create(&files[0], "s1").unwrap();
+        let server = Rc::new(Backend::new(backend_config(), Some(history)));
+        let (stop, stopped) = oneshot::channel::<()>();
+        let serving = spawn_local(server.serve(listener, async {
+            let _ = stopped.await;
+        }));
+        let history = Writer::create(&files[1], "load").unwrap();
+        let load = Load::new(load_config(target), Some(history));
+        let counts = load.run(std::future::pending()).await;
+        stop.send(()).unwrap();
+        serving.await.unwrap();
+        counts
+    });
+    let histories = files.map(|file| history::read(&file).unwrap());
+    let judgement = judge(&history::merge(histories));
+    assert_eq!(judgement.violations, []);
+    assert_eq!(judgement.summary.served, counts.served);
+    assert_eq!(
+        (counts.wrong, counts.flows_broken, counts.nothing_told),
+        (0, 0, 0)
+    );
+    assert!(counts.claims > 0 && counts.uploads > 0 && counts.balances > 0);
+    fs::remove_dir_all(&dir).unwrap();
+}
