Stand in for the network between data centres

Cause: the users' delays between data centres could not be shown, nor packets to a data centre that is out be counted. Ruled out: counters of the processes themselves, since a process can't be its own witness. Change: ramplab relay, with delay, cuts and a tap; the demo lists processes under its addresses. Conclusion: whole; the daemons have not run over it yet.

--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod fabric;
 mod load;
 mod platform;
+mod relay;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -58,6 +59,11 @@
         about: "stand in for the platform",
         run: platform::run,
     },
+    Command {
+        name: "relay",
+        about: "stand between processes of different data centres",
+        run: relay::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
--- a/ramplab/src/demo/documents.rs
+++ b/ramplab/src/demo/documents.rs
@@ -48,8 +48,8 @@
         let Node {
             name,
             data_centre,
-            address,
-            control,
+            listed_address: address,
+            listed_control: control,
             ..
         } = &server.agent;
         let leaving = wishes.leaving_server.as_ref() == Some(name);
@@ -86,7 +86,7 @@
     let _ = writeln!(
         text,
         "[instance {}]\nrole={role}\ndata_centre={}\naddress={}\ncontrol={}\nstate={state}\n",
-        node.name, node.data_centre, node.address, node.control,
+        node.name, node.data_centre, node.listed_address, node.listed_control,
     );
 }
 
@@ -95,7 +95,7 @@
     let peers: Vec<String> = layout
         .nodes()
         .filter(|peer| peer.name != node.name)
-        .map(|peer| peer.control.to_string())
+        .map(|peer| peer.listed_control.to_string())
         .collect();
     let mut text = format!(
         "[instance]\nname={}\ndata_centre={}\naddress={}\ncontrol={}\nmetrics={}\nkey={KEY}\n\n\
--- a/ramplab/src/demo/layout.rs
+++ b/ramplab/src/demo/layout.rs
@@ -32,6 +32,11 @@
     pub control: SocketAddrV4,
     /// Where it shows its metrics.
     pub metrics: SocketAddrV4,
+    /// Where others send it packets: the relay's, but for balancers, whose
+    /// packets come from the fabric.
+    pub listed_address: SocketAddrV4,
+    /// Where others send it control messages: the relay's.
+    pub listed_control: SocketAddrV4,
 }
 
 /// A backend server and its agent.
@@ -76,7 +81,8 @@
         };
         for number in 0..=BALANCERS {
             let name = format!("balancer-{}", number + 1);
-            let node = node(plan, name, number, BALANCER_HOST + number as u8)?;
+            let mut node = node(plan, name, number, BALANCER_HOST + number as u8)?;
+            node.listed_address = node.address;
             layout.balancers.push(node);
         }
         for service in &plan.services {
@@ -109,6 +115,8 @@
         address: free(ip)?,
         control: free(ip)?,
         metrics: free(ip)?,
+        listed_address: free(ip)?,
+        listed_control: free(ip)?,
     })
 }
 
--- a/ramplab/src/demo/plan.rs
+++ b/ramplab/src/demo/plan.rs
@@ -31,6 +31,8 @@
     pub connections: u32,
     /// Time from callers to a data centre, one way, in milliseconds.
     pub caller_delay_ms: f64,
+    /// Time between two data centres, one way, in milliseconds.
+    pub data_centre_delay_ms: f64,
     /// Share of packets lost between callers and the fleet.
     pub lose: f64,
     /// Feeds open at once.
@@ -97,6 +99,7 @@
             slots: 5,
             connections: 2000,
             caller_delay_ms: 1.0,
+            data_centre_delay_ms: 1.5,
             lose: 0.001,
             feeds: 400,
             claims_per_s: 60,
@@ -127,6 +130,7 @@
             ],
             slots: 4,
             caller_delay_ms: 3.0,
+            data_centre_delay_ms: 1.0,
             warm_after: 12,
             ..Plan::quillfield()
         }
--- a/ramplab/src/demo/run.rs
+++ b/ramplab/src/demo/run.rs
@@ -156,6 +156,8 @@
             .arg(self.dir.file("platform.ready"));
         self.children.start(&self.dir, "platform", &mut platform)?;
         self.until_file("platform.ready").await?;
+        self.start_relay()?;
+        self.until_file("relay.ready").await?;
         self.start_backends()?;
         let nodes: Vec<Node> = self.layout.nodes().cloned().collect();
         for node in nodes.iter().filter(|node| node.name != spare.name) {
@@ -169,6 +171,26 @@
         Ok(())
     }
 
+    fn start_relay(&mut self) -> io::Result<()> {
+        let mut command = Command::new(&self.options.ramplab);
+        command
+            .args(["relay", "--delay-ms"])
+            .arg(self.plan.data_centre_delay_ms.to_string())
+            .arg("--history")
+            .arg(self.dir.file("relay.history"))
+            .arg("--ready-file")
+            .arg(self.dir.file("relay.ready"));
+        for node in self.layout.nodes() {
+            if node.listed_address != node.address {
+                let pair = format!("{}={}", node.listed_address, node.address);
+                command.args(["--address", &pair]);
+            }
+            let pair = format!("{}={}", node.listed_control, node.control);
+            command.args(["--control", &pair]);
+        }
+        self.children.start(&self.dir, "relay", &mut command)
+    }
+
     fn start_backends(&mut self) -> io::Result<()> {
         for (number, server) in self.layout.servers.iter().enumerate() {
             let name = &server.agent.name;
--- a/ramplab/src/demo/steps.rs
+++ b/ramplab/src/demo/steps.rs
@@ -1,6 +1,7 @@
 //! The planned changes of a demo, as operators make them.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::Method;
@@ -9,6 +10,8 @@
 use crate::demo::documents;
 use crate::demo::documents::Wishes;
 use crate::demo::layout::Layout;
+use crate::demo::layout::Node;
+use crate::demo::layout::Server;
 use crate::demo::plan::Plan;
 use crate::demo::watcher::SharedWriter;
 use crate::history::Change;
@@ -31,22 +34,26 @@
 }
 
 impl Operators<'_> {
-    /// Notes all balancers and agents.
+    /// Notes all addresses of balancers and agents.
     pub fn record_list(&self) {
         let mut history = self.history.borrow_mut();
         for balancer in &self.layout.balancers {
-            history.write(What::BalancerListed {
-                name: balancer.name.clone(),
-                address: balancer.address.into(),
-                data_centre: balancer.data_centre.to_string(),
-            });
+            for address in addresses(balancer) {
+                history.write(What::BalancerListed {
+                    name: balancer.name.clone(),
+                    address,
+                    data_centre: balancer.data_centre.to_string(),
+                });
+            }
         }
-        for server in &self.layout.servers {
-            history.write(What::AgentListed {
-                server: server.agent.name.clone(),
-                address: server.agent.address.into(),
-                data_centre: server.agent.data_centre.to_string(),
-            });
+        for Server { agent, .. } in &self.layout.servers {
+            for address in addresses(agent) {
+                history.write(What::AgentListed {
+                    server: agent.name.clone(),
+                    address,
+                    data_centre: agent.data_centre.to_string(),
+                });
+            }
         }
     }
 
@@ -149,3 +156,8 @@
         Ok(answer.version())
     }
 }
+
+/// The address that a node sends from, and those under which it is listed.
+fn addresses(node: &Node) -> [SocketAddr; 3] {
+    [node.address, node.listed_address, node.listed_control].map(SocketAddr::from)
+}
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod history;
 pub mod http;
 pub mod load;
+pub mod relay;
 pub mod rng;
