Let membership make the pictures and views

Cause: the control threads published the configuration alone; a member that died stayed a home, and no load was known to others. Ruled out: a guard against replays at the socket besides the one in membership (the same logic twice; the socket's was removed). Change: the agent's role drives Membership, the balancer's BalancerMembership; messages that are late or replayed are refused there and counted. Conclusion: heartbeats and digests now flow between processes.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod picture;
 pub mod published;
 pub mod random;
-pub mod replay;
 pub mod request;
 pub mod retry;
 pub mod wake;
--- a/crates/transport/src/control/agent.rs
+++ b/crates/transport/src/control/agent.rs
@@ -1,10 +1,11 @@
 //! Control state of an agent: the picture of its group.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use flume::Sender;
-use indexmap::IndexMap;
+use ramp_coordination::group::Membership;
+use ramp_coordination::group::Output;
+use ramp_coordination::outgoing::Outgoing;
 use ramp_coordination::picture::GroupPicture;
 use ramp_coordination::wake::Wake;
 use ramp_protocol::message::Envelope;
@@ -12,10 +13,9 @@
 use ramp_protocol::message::Message;
 use ramp_protocol::operator::ServiceStatus;
 use ramp_state::fleet::Fleet;
+use ramp_state::instances;
 use ramp_state::instances::InstanceList;
-use ramp_state::key::InstanceId;
 use ramp_state::time::Millis;
-use ramp_state::view::View;
 
 use crate::agent::traffic::Event;
 use crate::agent::traffic::Update;
@@ -26,11 +26,12 @@
 
 /// Control state of an agent.
 pub struct AgentRole {
-    name: String,
+    membership: Membership,
     updates: Sender<Update>,
     wake: Wake,
     picture: Option<Arc<GroupPicture>>,
     load: Load,
+    draining: bool,
     drained: bool,
     sends: Vec<Dispatch>,
 }
@@ -40,11 +41,12 @@
     /// traffic thread behind `updates`.
     pub fn new(name: &str, updates: Sender<Update>) -> AgentRole {
         AgentRole {
-            name: name.to_string(),
+            membership: Membership::new(name),
             updates,
             wake: Wake::default(),
             picture: None,
             load: Load::default(),
+            draining: false,
             drained: false,
             sends: Vec::new(),
         }
@@ -55,92 +57,105 @@
         let _ = self.updates.send(update);
     }
 
-    fn send(&mut self, to: InstanceId, message: Message) {
+    /// Sends a message of the traffic thread to another member.
+    fn send(&mut self, outgoing: Outgoing) {
         let Some(picture) = &self.picture else {
             return;
         };
-        let Some(member) = picture.group.member(to).filter(|m| m.reachable) else {
+        let member = picture.group.member(outgoing.to);
+        let Some(member) = member.filter(|m| m.reachable) else {
             return;
         };
         self.sends.push(Dispatch {
             to: member.control,
-            message,
+            message: outgoing.message,
         });
     }
+
+    fn take_load(&mut self, now: Millis, load: Load) {
+        self.load = Load {
+            leaving: load.leaving || self.draining,
+            ..load
+        };
+        self.membership.load(now, self.load);
+    }
+
+    fn take_outputs(&mut self) {
+        let outputs: Vec<Output> = self.membership.take_outputs().collect();
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.sends.push(Dispatch { to, message }),
+                Output::Picture(picture) => {
+                    self.picture = Some(Arc::clone(&picture));
+                    self.tell(Update::Picture(picture));
+                }
+            }
+        }
+    }
 }
 
 impl Role for AgentRole {
     type Event = Event;
 
-    fn install(&mut self, _now: Millis, fleet: Arc<Fleet>) {
-        let Some(server) = fleet.servers.get(&self.name) else {
-            return;
-        };
-        let view = View::compile(&fleet, &HashSet::new());
-        let address = fleet.services[&server.service].address;
-        let Some(group) = view.group(address) else {
-            return;
-        };
-        let picture = Arc::new(GroupPicture {
-            version: fleet.version,
-            latest: fleet.version,
-            group: Arc::clone(group),
-            loads: IndexMap::new(),
-            gone: HashSet::new(),
-        });
-        self.picture = Some(Arc::clone(&picture));
-        self.tell(Update::Picture(picture));
+    fn install(&mut self, now: Millis, fleet: Arc<Fleet>) {
+        self.membership.install(now, fleet);
+        self.take_outputs();
     }
 
-    fn instances(&mut self, _now: Millis, _list: &InstanceList) {}
+    fn instances(&mut self, now: Millis, list: &InstanceList) {
+        self.membership.instances(now, list);
+    }
 
-    fn receive(&mut self, _now: Millis, envelope: &Envelope) {
-        self.tell(Update::Message {
-            from: envelope.sender,
-            message: envelope.message.clone(),
-        });
+    fn receive(&mut self, now: Millis, envelope: &Envelope) -> bool {
+        if !self.membership.receive(now, envelope) {
+            return false;
+        }
+        if is_about_traffic(&envelope.message) {
+            self.tell(Update::Message {
+                from: envelope.sender,
+                message: envelope.message.clone(),
+            });
+        }
+        true
     }
 
-    fn event(&mut self, _now: Millis, event: Event) -> News {
+    fn event(&mut self, now: Millis, event: Event) -> News {
         match event {
             Event::WokeLate(wake) => {
                 self.wake = wake;
-                News::WokeLate
-            }
-            Event::Send(outgoing) => {
-                self.send(outgoing.to, outgoing.message);
-                News::Done
-            }
-            Event::Load(load) => {
-                self.load = load;
-                News::Done
-            }
-            Event::StaleSender(sender) => News::StaleSender(sender),
-            Event::NewerConfig(version) => News::NewerConfig(version),
-            Event::Record(record) => News::Record(record),
-            Event::Drained => {
-                self.drained = true;
-                News::Done
+                return News::WokeLate;
             }
+            Event::Send(outgoing) => self.send(outgoing),
+            Event::Load(load) => self.take_load(now, load),
+            Event::StaleSender(sender) => return News::StaleSender(sender),
+            Event::NewerConfig(version) => return News::NewerConfig(version),
+            Event::Record(record) => return News::Record(record),
+            Event::Drained => self.drained = true,
         }
+        News::Done
     }
 
     fn confirm(&mut self) {
         self.tell(Update::Confirm(self.wake));
     }
 
-    fn drain(&mut self, _now: Millis) {
+    fn drain(&mut self, now: Millis) {
+        self.draining = true;
+        self.take_load(now, self.load);
         self.tell(Update::Drain);
     }
 
-    fn tick(&mut self, _now: Millis) {}
+    fn tick(&mut self, now: Millis) {
+        self.membership.tick(now);
+        self.take_outputs();
+    }
 
     fn is_done(&self, _now: Millis) -> bool {
         self.drained
     }
 
-    fn kind(&self) -> ramp_state::instances::Role {
-        ramp_state::instances::Role::Agent
+    fn kind(&self) -> instances::Role {
+        instances::Role::Agent
     }
 
     fn services(&self) -> Vec<ServiceStatus> {
@@ -158,3 +173,22 @@
         std::mem::take(&mut self.sends)
     }
 }
+
+/// Whether a message concerns flows or idempotency keys.
+fn is_about_traffic(message: &Message) -> bool {
+    match message {
+        Message::WhoOwns { .. }
+        | Message::OwnerIs { .. }
+        | Message::Register { .. }
+        | Message::Release { .. }
+        | Message::Claim { .. }
+        | Message::ClaimIs { .. }
+        | Message::Settle { .. } => true,
+        Message::Heartbeat { .. }
+        | Message::Digest { .. }
+        | Message::AskVersion
+        | Message::Announce { .. }
+        | Message::AskDelta { .. }
+        | Message::Delta(_) => false,
+    }
+}
--- a/crates/transport/src/control/balancer.rs
+++ b/crates/transport/src/control/balancer.rs
@@ -1,15 +1,16 @@
 //! Control state of a balancer: the view by which packets are routed.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Sender;
 use indexmap::IndexMap;
+use ramp_coordination::group::BalancerMembership;
 use ramp_coordination::wake::Wake;
 use ramp_protocol::message::Envelope;
 use ramp_protocol::operator::ServiceStatus;
 use ramp_state::fleet::Fleet;
+use ramp_state::instances;
 use ramp_state::instances::InstanceList;
 use ramp_state::time::Millis;
 use ramp_state::view::View;
@@ -27,6 +28,7 @@
 
 /// Control state of a balancer.
 pub struct BalancerRole {
+    membership: BalancerMembership,
     updates: Sender<Update>,
     wake: Wake,
     view: Arc<View>,
@@ -37,6 +39,7 @@
     /// Role that hands its views to the traffic thread behind `updates`.
     pub fn new(updates: Sender<Update>) -> BalancerRole {
         BalancerRole {
+            membership: BalancerMembership::new(),
             updates,
             wake: Wake::default(),
             view: Arc::default(),
@@ -48,19 +51,31 @@
         // A traffic thread that is gone has ended the process already.
         let _ = self.updates.send(update);
     }
+
+    fn hand_over_view(&mut self) {
+        let Some(view) = self.membership.take_view() else {
+            return;
+        };
+        self.view = Arc::clone(&view);
+        self.tell(Update::View(view));
+    }
 }
 
 impl Role for BalancerRole {
     type Event = Event;
 
-    fn install(&mut self, _now: Millis, fleet: Arc<Fleet>) {
-        self.view = Arc::new(View::compile(&fleet, &HashSet::new()));
-        self.tell(Update::View(Arc::clone(&self.view)));
+    fn install(&mut self, now: Millis, fleet: Arc<Fleet>) {
+        self.membership.install(now, fleet);
+        self.hand_over_view();
     }
 
-    fn instances(&mut self, _now: Millis, _list: &InstanceList) {}
+    fn instances(&mut self, now: Millis, list: &InstanceList) {
+        self.membership.instances(now, list);
+    }
 
-    fn receive(&mut self, _now: Millis, _envelope: &Envelope) {}
+    fn receive(&mut self, now: Millis, envelope: &Envelope) -> bool {
+        self.membership.receive(now, envelope)
+    }
 
     fn event(&mut self, _now: Millis, event: Event) -> News {
         let Event::WokeLate(wake) = event;
@@ -76,14 +91,17 @@
         self.end_at = Some(now + LINGER);
     }
 
-    fn tick(&mut self, _now: Millis) {}
+    fn tick(&mut self, now: Millis) {
+        self.membership.tick(now);
+        self.hand_over_view();
+    }
 
     fn is_done(&self, now: Millis) -> bool {
         self.end_at.is_some_and(|at| now >= at)
     }
 
-    fn kind(&self) -> ramp_state::instances::Role {
-        ramp_state::instances::Role::Balancer
+    fn kind(&self) -> instances::Role {
+        instances::Role::Balancer
     }
 
     fn services(&self) -> Vec<ServiceStatus> {
--- a/crates/transport/src/control/core.rs
+++ b/crates/transport/src/control/core.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::counter;
 use ramp_coordination::published::Failure;
 use ramp_coordination::published::Published;
 use ramp_coordination::published::Reply;
@@ -123,7 +124,7 @@
         self.now = now;
         self.start();
         match input {
-            Input::Message(received) => self.role.receive(now, &received.envelope),
+            Input::Message(received) => self.message(now, &received),
             Input::Traffic(event) => self.traffic(now, event),
             Input::Platform(reply) => self.platform(now, reply),
             Input::Turn => {}
@@ -165,6 +166,12 @@
         }));
     }
 
+    fn message(&mut self, now: Millis, received: &Received) {
+        if !self.role.receive(now, &received.envelope) {
+            counter!("control_messages_refused_total", "reason" => "replayed").increment(1);
+        }
+    }
+
     fn traffic(&mut self, now: Millis, event: R::Event) {
         match self.role.event(now, event) {
             News::Done | News::StaleSender(_) | News::NewerConfig(_) => {}
--- a/crates/transport/src/control/role.rs
+++ b/crates/transport/src/control/role.rs
@@ -54,8 +54,9 @@
     /// Takes a list of instances.
     fn instances(&mut self, now: Millis, list: &InstanceList);
 
-    /// Takes a message that is not about the configuration.
-    fn receive(&mut self, now: Millis, envelope: &Envelope);
+    /// Takes a message. False when it is late or repeated; then nobody else
+    /// may use it either.
+    fn receive(&mut self, now: Millis, envelope: &Envelope) -> bool;
 
     /// Takes news of the traffic thread.
     fn event(&mut self, now: Millis, event: Self::Event) -> News;
--- a/crates/transport/src/control/socket.rs
+++ b/crates/transport/src/control/socket.rs
@@ -1,5 +1,5 @@
-//! Socket for control messages: seals, numbers, and refuses what is forged,
-//! late or replayed.
+//! Socket for control messages: seals and numbers them, and refuses what is
+//! forged or malformed. Late and replayed ones are for membership to refuse.
 
 use std::io;
 use std::net::SocketAddr;
@@ -7,8 +7,6 @@
 
 use metrics::counter;
 use quick_error::quick_error;
-use ramp_coordination::replay::ReplayError;
-use ramp_coordination::replay::ReplayGuard;
 use ramp_protocol::codec;
 use ramp_protocol::codec::CodecError;
 use ramp_protocol::message::Envelope;
@@ -35,11 +33,6 @@
             display("{}", err)
             from()
         }
-        /// Late, repeated or replayed.
-        Replay(err: ReplayError) {
-            display("{}", err)
-            from()
-        }
         /// From this process itself.
         Own {
             display("from this process itself")
@@ -63,7 +56,6 @@
     me: InstanceId,
     incarnation: Incarnation,
     sequence: u64,
-    guard: ReplayGuard,
     buf: Vec<u8>,
 }
 
@@ -87,7 +79,6 @@
             me,
             incarnation,
             sequence: 0,
-            guard: ReplayGuard::default(),
             buf: vec![0; udp::DATAGRAM_LIMIT_BYTES],
         })
     }
@@ -139,8 +130,6 @@
         if envelope.sender == self.me {
             return Err(Refusal::Own);
         }
-        self.guard
-            .accept(envelope.sender, envelope.incarnation, envelope.sequence)?;
         Ok(envelope)
     }
 }
@@ -149,7 +138,6 @@
     let reason = match refusal {
         Refusal::Seal(_) => "forged",
         Refusal::Codec(_) => "malformed",
-        Refusal::Replay(_) => "replayed",
         Refusal::Own => "own",
     };
     counter!("control_messages_refused_total", "reason" => reason).increment(1);
