--- /dev/null
+++ b/crates/coordination/src/configuration/mod.rs
@@ -0,0 +1,556 @@
+//! The configuration of one process: which version is in force, and how newer
+//! ones are found.
+//!
+//! The version only rises. In each group a few readers watch the platform;
+//! whoever learns of a newer version there tells its group, and heartbeats and
+//! digests carry the version to everybody else, who ask a peer for the delta.
+//! A peer that can't give one (too long for a datagram, or from a version too
+//! old) answers with its version, and the whole document is fetched from it.
+//! A document with faults is refused alike by everyone who reads it, and the
+//! last good one stays in force.
+//!
+//! The driver passes in the moment and what came: answers of the platform
+//! ([`Configuration::platform`]), whole documents of peers
+//! ([`Configuration::document`]), messages ([`Configuration::message`]),
+//! versions in headers of packets ([`Configuration::newer_seen`]), who is
+//! alive in the group ([`Configuration::set_members`]) and jumps of time
+//! ([`Configuration::woke_late`]). It calls [`Configuration::tick`] at
+//! [`Configuration::next_timer`], and after each input carries out what
+//! [`Configuration::next_output`] gives until that is empty.
+
+pub mod catch_up;
+pub mod hold;
+pub mod start;
+pub mod store;
+pub mod watch;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_protocol::message::Message;
+use ramp_state::fault::Faults;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::Role;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::key::mix;
+use ramp_state::time::Millis;
+
+use crate::configuration::catch_up::CatchUp;
+use crate::configuration::catch_up::Step;
+use crate::configuration::hold::Hold;
+use crate::configuration::start::Start;
+use crate::configuration::store::Applied;
+use crate::configuration::store::Offer;
+use crate::configuration::store::Store;
+use crate::configuration::watch::Attention;
+use crate::configuration::watch::Call;
+use crate::configuration::watch::CallId;
+use crate::configuration::watch::Watcher;
+use crate::dice::Dice;
+use crate::published::Failure;
+use crate::published::Published;
+use crate::published::Reply;
+
+/// Members of a group that watch the platform.
+pub const READERS_PER_GROUP: usize = 2;
+
+/// Time without a word of any peer after which a process watches the platform
+/// itself.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Peers asked in one round to confirm the version after waking late.
+const CONFIRMING_PEERS: usize = 3;
+
+/// Salt of the choice of readers.
+const READER_SALT: u64 = 0x7265_6164_6572;
+
+/// A live member of the own group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its identity.
+    pub id: InstanceId,
+    /// Where it takes control messages.
+    pub control: SocketAddrV4,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Call the platform, and drop a call still in progress; the result goes
+    /// to [`Configuration::platform`].
+    Watch(Call),
+    /// Send a control message.
+    Send {
+        /// Control address of the receiver.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Fetch the whole document of a peer over its control address (TCP); the
+    /// result goes to [`Configuration::document`]. A driver that can't answers
+    /// with a failure, which leads to a read of the platform.
+    FetchDocument {
+        /// Control address of the peer.
+        from: SocketAddrV4,
+    },
+    /// Put a fleet in force. The first one lets the process serve.
+    Install(Arc<Fleet>),
+    /// Log and count a document that was refused.
+    Refuse {
+        /// Its version.
+        version: Version,
+        /// All its faults.
+        faults: Faults,
+    },
+    /// Hold traffic.
+    Hold,
+    /// Let traffic go on.
+    Resume(Confirmation),
+}
+
+/// How a hold ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// A peer or the platform confirmed the version in force.
+    Confirmed,
+    /// Nobody did within [`hold::HOLD_LIMIT`].
+    TimedOut,
+}
+
+/// What happened so far, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Calls of the platform.
+    pub platform_calls: u64,
+    /// Calls that failed.
+    pub platform_failures: u64,
+    /// Answers of replicas that were behind the version in force.
+    pub stale_answers: u64,
+    /// Versions put in force.
+    pub installed: u64,
+    /// Documents refused.
+    pub refused: u64,
+    /// Deltas asked for.
+    pub deltas_asked: u64,
+    /// Whole documents fetched from peers.
+    pub documents_fetched: u64,
+    /// Holds after waking late.
+    pub holds: u64,
+}
+
+/// Where a document came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Platform,
+    Peer,
+}
+
+/// The configuration of one process.
+#[derive(Debug)]
+pub struct Configuration {
+    id: InstanceId,
+    role: Role,
+    peers: Vec<SocketAddrV4>,
+    members: Vec<Peer>,
+    dice: Dice,
+    store: Store,
+    watcher: Watcher,
+    catch_up: CatchUp,
+    start: Option<Start>,
+    hold: Option<Hold>,
+    last_heard: Millis,
+    counts: Counts,
+    outputs: VecDeque<Output>,
+}
+
+impl Configuration {
+    /// Configuration of a process that starts at `now`. All jitter follows
+    /// from `seed`, which must differ between processes; `peers` are asked at
+    /// start.
+    pub fn new(
+        now: Millis,
+        seed: u64,
+        id: InstanceId,
+        role: Role,
+        peers: Vec<SocketAddrV4>,
+    ) -> Configuration {
+        let mut dice = Dice::new(seed);
+        let watcher = Watcher::new(now, dice.next_u64());
+        let catch_up = CatchUp::new(dice.next_u64());
+        let start = Start::new(now, &peers, watcher.last(), &mut dice);
+        Configuration {
+            id,
+            role,
+            peers,
+            members: Vec::new(),
+            dice,
+            store: Store::default(),
+            watcher,
+            catch_up,
+            start: Some(start),
+            hold: None,
+            last_heard: now,
+            counts: Counts::default(),
+            outputs: VecDeque::new(),
+        }
+    }
+
+    /// Version in force; zero when there is none yet.
+    pub fn version(&self) -> Version {
+        match self.is_serving() {
+            true => self.store.version(),
+            false => Version(0),
+        }
+    }
+
+    /// Whether a version is in force.
+    pub fn is_serving(&self) -> bool {
+        self.start.is_none()
+    }
+
+    /// Whether traffic is held.
+    pub fn is_held(&self) -> bool {
+        self.hold.is_some()
+    }
+
+    /// How this process follows the platform.
+    pub fn attention(&self) -> Attention {
+        self.watcher.attention()
+    }
+
+    /// Newest good document, for a peer that asks for the whole.
+    pub fn published(&self) -> Option<Published> {
+        self.store.published()
+    }
+
+    /// What happened so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Next thing to do.
+    pub fn next_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// Moment of the next [`Configuration::tick`].
+    pub fn next_timer(&self) -> Millis {
+        let silence = match self.watcher.attention() {
+            Attention::Checker => Some(self.last_heard + SILENCE_LIMIT),
+            _ => None,
+        };
+        let others = [
+            self.catch_up.timer(),
+            self.start.as_ref().map(Start::timer),
+            self.hold.as_ref().map(Hold::timer),
+            silence,
+        ];
+        let first = others.into_iter().flatten().min();
+        first.map_or(self.watcher.timer(), |t| t.min(self.watcher.timer()))
+    }
+
+    /// Learns who else is alive in the own group. A balancer has no group.
+    pub fn set_members(&mut self, now: Millis, mut members: Vec<Peer>) {
+        members.retain(|peer| peer.id != self.id);
+        self.members = members;
+        self.settle(now);
+    }
+
+    /// Takes the result of a call of the platform.
+    pub fn platform(&mut self, now: Millis, call: CallId, result: Result<Reply, Failure>) {
+        let useful = match &result {
+            Ok(reply) => self.replied(now, call, reply),
+            Err(_) => {
+                self.counts.platform_failures += 1;
+                false
+            }
+        };
+        self.watcher.result(now, call, useful);
+        self.settle(now);
+    }
+
+    /// Takes the result of [`Output::FetchDocument`].
+    pub fn document(
+        &mut self,
+        now: Millis,
+        from: SocketAddrV4,
+        result: Result<Published, Failure>,
+    ) {
+        let before = self.store.version();
+        if let Ok(published) = &result {
+            self.counts.documents_fetched += 1;
+            self.offer(now, published, Source::Peer);
+        }
+        if self.store.version() == before
+            && let Some(step) = self.catch_up.fetch_failed(now, from)
+        {
+            self.take_step(now, step);
+        }
+        self.settle(now);
+    }
+
+    /// Takes a control message of the process at `from`. Messages that don't
+    /// concern the configuration change nothing.
+    pub fn message(&mut self, now: Millis, from: SocketAddrV4, message: &Message) {
+        match message {
+            Message::Heartbeat { config, .. } | Message::Digest { config, .. } => {
+                self.heard(now, from, *config);
+            }
+            Message::Announce { config } => self.announced(now, from, *config),
+            Message::AskVersion => self.announce_to(from),
+            Message::AskDelta { have } => self.asked_for_delta(now, from, *have),
+            Message::Delta(delta) => {
+                self.last_heard = now;
+                match self.store.apply(delta) {
+                    Applied::Taken(fleet) => self.install(now, fleet, Source::Peer),
+                    Applied::Unusable if self.catch_up.awaits(from) => {
+                        let step = self.catch_up.fetch(now, from);
+                        self.take_step(now, step);
+                    }
+                    Applied::Unusable => self.heard(now, from, delta.to),
+                    Applied::Old => {}
+                }
+            }
+            _ => return,
+        }
+        self.settle(now);
+    }
+
+    /// Hears of a version from somebody whose control address is not known,
+    /// as in the header of a packet.
+    pub fn newer_seen(&mut self, now: Millis, version: Version) {
+        if self.store.wants(version) {
+            self.catch_up.heard(now, None, version);
+            self.settle(now);
+        }
+    }
+
+    /// Time jumped: what is in force may long be out of date.
+    pub fn woke_late(&mut self, now: Millis) {
+        self.last_heard = now;
+        let last_call = self.watcher.last();
+        if let Some(start) = &mut self.start {
+            *start = Start::new(now, &self.peers, last_call, &mut self.dice);
+            self.watcher.call_now(now);
+            return;
+        }
+        if self.hold.replace(Hold::new(now, last_call)).is_none() {
+            self.counts.holds += 1;
+            self.outputs.push_back(Output::Hold);
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Millis) {
+        if let Some(start) = &mut self.start {
+            let asks = start.due(now).iter().map(|to| ask_version(*to));
+            self.outputs.extend(asks);
+        }
+        if let Some(round) = self.hold.as_mut().and_then(|hold| hold.due(now)) {
+            self.ask_to_confirm(now, round);
+        }
+        if self.hold.as_ref().is_some_and(|hold| hold.is_over(now)) {
+            self.resume(Confirmation::TimedOut);
+        }
+        if let Some(step) = self.catch_up.due(now) {
+            self.take_step(now, step);
+        }
+        self.settle(now);
+        if let Some(call) = self.watcher.due(now, self.store.seen()) {
+            self.counts.platform_calls += 1;
+            self.outputs.push_back(Output::Watch(call));
+        }
+    }
+
+    /// Takes an answer of the platform; false when its replica is stale.
+    fn replied(&mut self, now: Millis, call: CallId, reply: &Reply) -> bool {
+        if let Reply::Newer(published) = reply {
+            self.offer(now, published, Source::Platform);
+        }
+        if let Some(start) = &mut self.start {
+            start.platform_answered(call);
+        }
+        let version = match reply {
+            Reply::Newer(published) => published.version,
+            Reply::Unchanged { version } => *version,
+        };
+        if version < self.store.version() || self.is_behind() {
+            self.counts.stale_answers += 1;
+            return false;
+        }
+        if self.hold.as_ref().is_some_and(|hold| hold.heeds_call(call)) {
+            self.resume(Confirmation::Confirmed);
+        }
+        true
+    }
+
+    /// Whether peers have a version that this process wants.
+    fn is_behind(&self) -> bool {
+        self.store.wants(self.catch_up.newest())
+    }
+
+    fn heard(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
+        self.last_heard = now;
+        if self.store.wants(version) {
+            self.catch_up.heard(now, Some(from), version);
+        }
+    }
+
+    fn announced(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
+        self.heard(now, from, version);
+        if let Some(start) = &mut self.start {
+            start.peer_answered(from);
+        }
+        if self.store.wants(version) && self.catch_up.awaits(from) {
+            let step = self.catch_up.fetch(now, from);
+            self.take_step(now, step);
+        }
+        let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
+        if heeded && version == self.store.version() {
+            self.resume(Confirmation::Confirmed);
+        }
+    }
+
+    fn asked_for_delta(&mut self, now: Millis, from: SocketAddrV4, have: Version) {
+        self.heard(now, from, have);
+        if have >= self.store.version() {
+            self.announce_to(from);
+            return;
+        }
+        match self.store.delta_since(have) {
+            Some(delta) => self.send(from, Message::Delta(delta)),
+            None => self.announce_to(from),
+        }
+    }
+
+    /// Tells a peer the newest good version. A process on hold keeps silent,
+    /// lest it confirm to another one what it is not sure of itself.
+    fn announce_to(&mut self, to: SocketAddrV4) {
+        if self.hold.is_none() {
+            let config = self.store.version();
+            self.send(to, Message::Announce { config });
+        }
+    }
+
+    fn offer(&mut self, now: Millis, published: &Published, source: Source) {
+        match self.store.offer(published) {
+            Offer::Old => {}
+            Offer::Taken(fleet) => self.install(now, fleet, source),
+            Offer::Refused(faults) => {
+                self.counts.refused += 1;
+                self.catch_up.reached(now, self.store.seen());
+                self.outputs.push_back(Output::Refuse {
+                    version: published.version,
+                    faults,
+                });
+            }
+        }
+    }
+
+    fn install(&mut self, now: Millis, fleet: Arc<Fleet>, source: Source) {
+        self.watcher.set_servers(fleet.servers.len());
+        self.catch_up.reached(now, fleet.version);
+        if self.start.is_some() {
+            return;
+        }
+        self.counts.installed += 1;
+        self.outputs.push_back(Output::Install(fleet));
+        if source == Source::Platform {
+            let members: Vec<SocketAddrV4> = self.members.iter().map(|m| m.control).collect();
+            members.into_iter().for_each(|to| self.announce_to(to));
+        }
+        let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
+        if source == Source::Peer && heeded && !self.is_behind() {
+            self.resume(Confirmation::Confirmed);
+        }
+    }
+
+    /// Ends the start when it may end, and fits the attention to the group.
+    fn settle(&mut self, now: Millis) {
+        self.end_start(now);
+        let attention = self.attention_at(now);
+        let rank = self.rank();
+        self.watcher.set_attention(now, attention, rank);
+    }
+
+    fn end_start(&mut self, now: Millis) {
+        let behind = self.is_behind();
+        let over = self.start.as_ref().is_some_and(|s| s.is_over(now, behind));
+        let Some(fleet) = self.store.fleet().filter(|_| over) else {
+            return;
+        };
+        self.counts.installed += 1;
+        self.outputs.push_back(Output::Install(fleet.clone()));
+        self.start = None;
+        self.last_heard = now;
+    }
+
+    fn attention_at(&self, now: Millis) -> Attention {
+        let silent = now >= self.last_heard + SILENCE_LIMIT;
+        let chosen = self.role == Role::Agent && self.rank() < READERS_PER_GROUP;
+        if !self.is_serving() {
+            Attention::Starting
+        } else if chosen {
+            Attention::Reader
+        } else if silent {
+            Attention::Alone
+        } else {
+            Attention::Checker
+        }
+    }
+
+    /// How many live members of the group come before this process in the
+    /// choice of readers.
+    fn rank(&self) -> usize {
+        let score = |id: InstanceId| mix(id.0 ^ READER_SALT);
+        let own = score(self.id);
+        self.members.iter().filter(|m| score(m.id) > own).count()
+    }
+
+    fn ask_to_confirm(&mut self, now: Millis, round: u32) {
+        let mut known = self.peers.clone();
+        known.extend(self.members.iter().map(|member| member.control));
+        for _ in 0..CONFIRMING_PEERS.min(known.len()) {
+            let at = self.dice.below(known.len() as u64) as usize;
+            self.outputs.push_back(ask_version(known.swap_remove(at)));
+        }
+        // Peers answer sooner, and spare the platform when many wake at once.
+        let nobody = self.peers.is_empty() && self.members.is_empty();
+        let turn_of_platform = if nobody { 1 } else { 2 };
+        if round == turn_of_platform {
+            self.watcher.call_now(now);
+        }
+    }
+
+    fn resume(&mut self, confirmation: Confirmation) {
+        if self.hold.take().is_some() {
+            self.outputs.push_back(Output::Resume(confirmation));
+        }
+    }
+
+    fn take_step(&mut self, now: Millis, step: Step) {
+        match step {
+            Step::Ask(to) => {
+                self.counts.deltas_asked += 1;
+                let have = self.store.version();
+                self.send(to, Message::AskDelta { have });
+            }
+            Step::Fetch(from) => self.outputs.push_back(Output::FetchDocument { from }),
+            Step::Platform => self.watcher.hurry(now),
+        }
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: Message) {
+        self.outputs.push_back(Output::Send { to, message });
+    }
+}
+
+fn ask_version(to: SocketAddrV4) -> Output {
+    Output::Send {
+        to,
+        message: Message::AskVersion,
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,9 @@
 //! seeds and times are passed in, messages go out as typed values.
 
 pub mod balancer;
+pub mod configuration;
+pub mod delta;
+pub mod dice;
 pub mod flows;
 pub mod outgoing;
 pub mod picture;
--- /dev/null
+++ b/crates/coordination/tests/configuration/main.rs
@@ -0,0 +1,691 @@
+//! The configuration of processes under lost, late, doubled and reordered
+//! messages, stale and silent replicas, restarts, freezes and partitions.
+
+mod network;
+
+use std::time::Duration;
+
+use network::BAD;
+use network::Network;
+use network::Replica;
+use network::address;
+use quickcheck::quickcheck;
+use ramp_coordination::configuration::Configuration;
+use ramp_coordination::configuration::Confirmation;
+use ramp_coordination::configuration::Output;
+use ramp_coordination::configuration::READERS_PER_GROUP;
+use ramp_coordination::configuration::hold::HOLD_LIMIT;
+use ramp_coordination::configuration::start::PEERS_LIMIT;
+use ramp_coordination::configuration::start::START_LIMIT;
+use ramp_coordination::configuration::store::HISTORY_VERSIONS;
+use ramp_coordination::configuration::watch::Attention;
+use ramp_coordination::configuration::watch::CHECK_PERIOD;
+use ramp_coordination::configuration::watch::CallId;
+use ramp_coordination::configuration::watch::WATCH_WAIT;
+use ramp_coordination::configuration::watch::spread;
+use ramp_coordination::dice::Dice;
+use ramp_coordination::published::Failure;
+use ramp_coordination::published::Published;
+use ramp_coordination::published::Reply;
+use ramp_protocol::message::Delta;
+use ramp_protocol::message::Message;
+use ramp_protocol::message::Section;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::Role;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+/// Time in which a published version must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// Time in which a start is over when all goes well.
+const STARTED: Duration = Duration::from_secs(6);
+
+/// Processes at the size to come, and the calls that the platform bears from
+/// all of them in a second.
+const PROCESSES: usize = 4_860;
+const SERVERS: usize = 4_200;
+const GROUPS: usize = 340;
+const CALLS_A_SECOND: usize = 2_000;
+
+fn text(slots: u32) -> String {
+    format!(
+        "[defaults]\nslots = {slots}\n[data-centre boston]\nregion = east\n\
+         [service ledger]\naddress = 10.0.0.1:443\n"
+    )
+}
+
+/// A change of this document does not fit into a datagram.
+fn long_text(slots: u32) -> String {
+    let exceptions: String = (0..40)
+        .map(|i| format!("[service s{i}]\naddress = 10.0.1.{i}:{slots}\n"))
+        .collect();
+    text(slots) + &exceptions
+}
+
+/// Seeds of a test; more by hand with BRAMLEYRAMP_SEEDS.
+fn seeds() -> std::ops::Range<u64> {
+    let seeds = std::env::var("BRAMLEYRAMP_SEEDS").ok();
+    0..seeds.and_then(|n| n.parse().ok()).unwrap_or(100)
+}
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// Two groups of five agents and two balancers, with version 1 in force.
+fn started(seed: u64) -> Network {
+    let mut network = Network::new(seed, 2, 5, 2);
+    network.publish(text(1));
+    network.start_all();
+    network.run(STARTED);
+    assert_eq!(network.lowest(), Version(1));
+    network
+}
+
+#[test]
+fn every_version_is_in_force_everywhere_within_4_s() {
+    for seed in seeds() {
+        let mut dice = Dice::new(seed);
+        let mut network = started(seed);
+        network.link = BAD;
+        for slots in 2..12 {
+            network.run(Duration::from_millis(dice.below(3_000)));
+            let version = network.publish(text(slots));
+            network.run(IN_FORCE);
+            assert!(
+                network.lowest() >= version,
+                "seed {seed}, version {version}"
+            );
+        }
+    }
+}
+
+#[test]
+fn faults_two_at_a_time_never_revert_a_version() {
+    for seed in seeds() {
+        let mut dice = Dice::new(seed);
+        let mut network = started(seed);
+        network.link = BAD;
+        for slots in 2..20 {
+            for _ in 0..2 {
+                break_something(&mut network, &mut dice);
+            }
+            network.publish(text(slots));
+            network.run(Duration::from_millis(dice.below(3_000)));
+        }
+        mend(&mut network);
+        network.run(STARTED + IN_FORCE);
+        let last = network.published.last().unwrap().version;
+        assert_eq!(network.lowest(), last, "seed {seed}");
+    }
+}
+
+fn break_something(network: &mut Network, dice: &mut Dice) {
+    let node = dice.below(network.nodes.len() as u64) as usize;
+    let version = Version(1 + dice.below(network.published.len() as u64));
+    match dice.below(9) {
+        0 => network.start(node),
+        1 => network.kill(node),
+        2 => network.freeze(node),
+        3 if network.nodes[node].frozen => network.wake(node),
+        4 => network.cut([node, node / 2]),
+        5 => network.heal(),
+        6 => network.set_replicas(&[Replica::Stale(version), Replica::Up]),
+        7 => network.set_replicas(&[Replica::Silent, Replica::Down]),
+        _ => network.nodes[node].platform_cut ^= true,
+    }
+}
+
+fn mend(network: &mut Network) {
+    network.heal();
+    network.set_replicas(&[Replica::Up]);
+    for node in 0..network.nodes.len() {
+        network.nodes[node].platform_cut = false;
+        if network.nodes[node].frozen {
+            network.wake(node);
+        }
+        if network.nodes[node].config.is_none() {
+            network.start(node);
+        }
+    }
+}
+
+#[test]
+fn stale_replica_is_ignored() {
+    let mut network = started(1);
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    network.set_replicas(&[Replica::Stale(Version(1))]);
+    network.run(seconds(60));
+    assert_eq!(network.lowest(), version);
+    let stale: u64 = counts(&network, |config| config.counts().stale_answers);
+    assert!(stale > 0);
+}
+
+#[test]
+fn start_takes_the_highest_of_a_stale_platform_and_peers() {
+    let mut network = started(2);
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    network.set_replicas(&[Replica::Stale(Version(1))]);
+    for node in [0, 6, 11] {
+        network.start(node);
+    }
+    network.run(START_LIMIT + seconds(1));
+    assert_eq!(network.lowest(), version);
+}
+
+#[test]
+fn start_takes_the_highest_of_peers_that_are_behind_and_the_platform() {
+    let mut network = started(3);
+    for node in 0..network.nodes.len() {
+        network.nodes[node].platform_cut = true;
+    }
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), Version(1));
+    network.start(0);
+    network.nodes[0].platform_cut = false;
+    network.run(STARTED);
+    assert_eq!(network.version(0), version);
+}
+
+#[test]
+fn start_during_an_outage_takes_the_version_of_peers() {
+    for replica in [Replica::Down, Replica::Silent] {
+        let mut network = started(4);
+        network.set_replicas(&[replica]);
+        network.run(seconds(30));
+        for node in [0, 1, 11] {
+            network.start(node);
+        }
+        network.run(START_LIMIT + seconds(1));
+        assert_eq!(network.lowest(), Version(1), "{replica:?}");
+    }
+}
+
+#[test]
+fn start_without_platform_and_peers_waits_and_does_not_serve() {
+    let mut network = Network::new(5, 1, 1, 1);
+    network.publish(text(1));
+    network.set_replicas(&[Replica::Down]);
+    network.start_all();
+    network.run(seconds(120));
+    assert_eq!(network.lowest(), Version(0));
+    assert!(!network.nodes[0].config.as_ref().unwrap().is_serving());
+    network.set_replicas(&[Replica::Up]);
+    network.run(seconds(8));
+    assert_eq!(network.lowest(), Version(1));
+}
+
+#[test]
+fn publication_after_an_outage_is_in_force_within_4_s() {
+    for replica in [Replica::Down, Replica::Stale(Version(1))] {
+        let mut network = started(6);
+        network.set_replicas(&[replica]);
+        network.run(seconds(300));
+        assert_eq!(network.lowest(), Version(1));
+        network.set_replicas(&[Replica::Up]);
+        let version = network.publish(text(2));
+        network.run(IN_FORCE);
+        assert_eq!(network.lowest(), version, "{replica:?}");
+    }
+}
+
+#[test]
+fn second_replica_is_read_when_the_first_is_gone() {
+    for replica in [Replica::Down, Replica::Stale(Version(1))] {
+        let mut network = started(7);
+        network.set_replicas(&[replica, Replica::Up]);
+        network.run(seconds(60));
+        let version = network.publish(text(2));
+        network.run(IN_FORCE);
+        assert_eq!(network.lowest(), version, "{replica:?}");
+    }
+}
+
+#[test]
+fn partition_leaves_each_part_its_version_and_heals() {
+    let mut network = started(8);
+    let away = [0, 1, 2, 10];
+    network.cut(away);
+    for node in away {
+        network.nodes[node].platform_cut = true;
+    }
+    let version = network.publish(text(2));
+    network.run(seconds(60));
+    for node in 0..network.nodes.len() {
+        let expected = if away.contains(&node) {
+            Version(1)
+        } else {
+            version
+        };
+        assert_eq!(network.version(node), expected);
+    }
+    network.heal();
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), version);
+}
+
+#[test]
+fn process_that_hears_no_peer_watches_the_platform_itself() {
+    let mut network = started(9);
+    network.cut([11]);
+    network.run(seconds(10));
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    assert_eq!(network.version(11), version);
+}
+
+#[test]
+fn group_whose_readers_are_cut_off_hears_by_packets() {
+    let mut network = started(10);
+    // Watches end that began before all knew their group.
+    network.run(WATCH_WAIT);
+    for node in 0..5 {
+        let config = network.nodes[node].config.as_ref().unwrap();
+        network.nodes[node].platform_cut = config.attention() == Attention::Reader;
+    }
+    network.run(seconds(1));
+    let version = network.publish(text(2));
+    network.run(seconds(1));
+    assert_eq!(network.version(0), Version(1));
+    let now = network.now;
+    for node in 0..5 {
+        network.drive(node, |config| config.newer_seen(now, version));
+    }
+    network.run(seconds(3));
+    assert_eq!(network.lowest(), version);
+}
+
+#[test]
+fn bad_document_is_refused_alike_and_the_last_good_one_stays() {
+    let mut network = started(11);
+    let bad = network.publish(text(0));
+    network.run(seconds(60));
+    assert_eq!(network.lowest(), Version(1));
+    let refused: Vec<_> = network.nodes.iter().flat_map(|n| &n.refused).collect();
+    assert!(refused.len() >= 2 * READERS_PER_GROUP);
+    assert!(refused.iter().all(|other| other == &refused[0]));
+    assert_eq!(refused[0].0, bad);
+    for node in &network.nodes {
+        assert!(node.refused.len() <= 1, "{} refused it again", node.name);
+    }
+    let good = network.publish(text(3));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), good);
+}
+
+#[test]
+fn start_with_a_bad_document_takes_the_good_one_of_peers() {
+    let mut network = started(12);
+    network.publish(text(0));
+    network.run(seconds(5));
+    network.start(0);
+    network.run(STARTED);
+    assert_eq!(network.version(0), Version(1));
+}
+
+#[test]
+fn two_publishers_at_once_leave_the_later_version_everywhere() {
+    let mut network = started(13);
+    network.publish(text(7));
+    let last = network.publish(text(3));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), last);
+    let slots = |node: usize| {
+        network.nodes[node]
+            .installed
+            .as_ref()
+            .unwrap()
+            .defaults
+            .slots
+    };
+    assert!((0..network.nodes.len()).all(|node| slots(node) == 3));
+}
+
+#[test]
+fn changes_travel_as_deltas() {
+    let mut network = started(14);
+    let calls = network.calls();
+    network.publish(text(2));
+    network.run(IN_FORCE);
+    let deltas = counts(&network, |config| config.counts().deltas_asked);
+    let documents = counts(&network, |config| config.counts().documents_fetched);
+    let before = counts(&started(14), |config| config.counts().documents_fetched);
+    assert!(deltas >= 8, "{deltas}");
+    assert_eq!(documents, before);
+    // A reader reads once and watches anew.
+    let readers = 2 * READERS_PER_GROUP;
+    assert!(
+        network.calls() - calls <= 2 * readers,
+        "{}",
+        network.calls() - calls
+    );
+}
+
+#[test]
+fn long_change_is_fetched_whole_from_a_peer() {
+    let mut network = started(15);
+    for slots in 2..4 {
+        let version = network.publish(long_text(slots));
+        network.run(IN_FORCE);
+        assert_eq!(network.lowest(), version);
+    }
+    assert!(counts(&network, |config| config.counts().documents_fetched) >= 16);
+}
+
+#[test]
+fn version_too_old_for_a_delta_is_fetched_whole() {
+    let mut network = started(16);
+    let fetched = |network: &Network| {
+        let config = network.nodes[0].config.as_ref().unwrap();
+        config.counts().documents_fetched
+    };
+    let before = fetched(&network);
+    network.freeze(0);
+    for slots in 2..HISTORY_VERSIONS as u32 + 4 {
+        network.publish(text(slots));
+        network.run(seconds(2));
+    }
+    network.nodes[0].platform_cut = true;
+    network.wake(0);
+    network.run(IN_FORCE);
+    assert_eq!(
+        network.version(0),
+        network.published.last().unwrap().version
+    );
+    assert_eq!(fetched(&network), before + 1);
+}
+
+#[test]
+fn platform_is_read_when_peers_can_not_give_the_document() {
+    let mut network = started(17);
+    for node in &mut network.nodes {
+        node.can_fetch = false;
+    }
+    let fetched = |config: &Configuration| config.counts().documents_fetched;
+    let before = counts(&network, fetched);
+    let version = network.publish(long_text(2));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), version);
+    assert_eq!(counts(&network, fetched), before);
+}
+
+#[test]
+fn waking_late_holds_until_a_peer_confirms() {
+    let mut network = started(18);
+    network.set_replicas(&[Replica::Down]);
+    network.freeze(3);
+    network.run(seconds(30));
+    network.wake(3);
+    assert!(network.nodes[3].held);
+    network.run(Duration::from_millis(500));
+    assert_eq!(network.nodes[3].resumed, [Confirmation::Confirmed]);
+}
+
+#[test]
+fn waking_late_holds_until_the_platform_confirms() {
+    let mut network = started(19);
+    network.freeze(3);
+    network.run(seconds(30));
+    network.cut([3]);
+    network.wake(3);
+    network.run(Duration::from_millis(500));
+    assert_eq!(network.nodes[3].resumed, [Confirmation::Confirmed]);
+}
+
+#[test]
+fn waking_late_takes_the_newer_version_before_traffic_goes_on() {
+    for platform_cut in [false, true] {
+        for seed in 20..40 {
+            let mut network = started(seed);
+            network.freeze(3);
+            network.run(seconds(5));
+            let version = network.publish(text(2));
+            network.run(seconds(10));
+            network.nodes[3].platform_cut = platform_cut;
+            network.wake(3);
+            while network.nodes[3].held {
+                network.run(Duration::from_millis(1));
+            }
+            assert_eq!(network.version(3), version, "seed {seed}");
+            assert_eq!(network.nodes[3].resumed, [Confirmation::Confirmed]);
+        }
+    }
+}
+
+#[test]
+fn hold_ends_at_its_limit_when_nobody_answers() {
+    for replica in [Replica::Down, Replica::Silent, Replica::Stale(Version(0))] {
+        let mut network = started(41);
+        network.freeze(3);
+        network.run(seconds(10));
+        network.cut([3]);
+        network.set_replicas(&[replica]);
+        network.wake(3);
+        network.run(HOLD_LIMIT - Duration::from_millis(1));
+        assert!(network.nodes[3].held);
+        network.run(Duration::from_millis(1));
+        assert_eq!(network.nodes[3].resumed, [Confirmation::TimedOut]);
+    }
+}
+
+#[test]
+fn messages_from_before_the_jump_confirm_nothing() {
+    let mut network = started(42);
+    network.freeze(3);
+    network.run(seconds(1));
+    network.publish(text(2));
+    network.run(seconds(10));
+    network.cut([3]);
+    network.nodes[3].platform_cut = true;
+    network.wake(3);
+    let now = network.now;
+    let old = Message::Announce { config: Version(1) };
+    network.drive(3, |config| config.message(now, address(4), &old));
+    network.run(Duration::from_millis(40));
+    assert!(network.nodes[3].held);
+}
+
+#[test]
+fn results_of_calls_from_before_the_jump_confirm_nothing() {
+    let mut network = started(43);
+    network.freeze(3);
+    network.run(seconds(1));
+    network.cut([3]);
+    network.nodes[3].platform_cut = true;
+    network.wake(3);
+    let now = network.now;
+    let reply = Reply::Unchanged {
+        version: Version(1),
+    };
+    // Calls are numbered from 1.
+    for call in 0..=network.nodes[3].calls.len() as u64 {
+        let reply = Ok(reply.clone());
+        network.drive(3, |config| config.platform(now, CallId(call), reply));
+    }
+    assert!(network.nodes[3].held);
+}
+
+#[test]
+fn processes_that_hold_do_not_confirm_one_another() {
+    let mut network = started(44);
+    for node in 0..12 {
+        network.freeze(node);
+    }
+    network.run(seconds(10));
+    network.set_replicas(&[Replica::Down]);
+    for node in 0..12 {
+        network.wake(node);
+    }
+    network.run(HOLD_LIMIT);
+    for node in &network.nodes {
+        assert_eq!(node.resumed, [Confirmation::TimedOut], "{}", node.name);
+    }
+}
+
+#[test]
+fn process_frozen_while_it_starts_asks_the_platform_again() {
+    let silent = vec![address(7)];
+    let mut config = Configuration::new(Millis(0), 1, InstanceId(1), Role::Agent, silent);
+    let published = |version, slots| {
+        let text = text(slots);
+        Ok(Reply::Newer(Published { version, text }))
+    };
+    // The peer still has some of its time when the platform answers.
+    let early = Millis(PEERS_LIMIT.as_millis() as u64 - 1);
+    config.tick(early);
+    config.platform(early, CallId(1), published(Version(1), 1));
+    assert!(!config.is_serving());
+    let late = Millis(3_600_000);
+    config.woke_late(late);
+    config.tick(late);
+    let mut last_call = CallId(0);
+    while let Some(output) = config.next_output() {
+        if let Output::Watch(call) = output {
+            last_call = call.id;
+        }
+    }
+    config.tick(late + PEERS_LIMIT);
+    assert!(!config.is_serving());
+    config.platform(late + PEERS_LIMIT, last_call, published(Version(2), 2));
+    assert_eq!(config.version(), Version(2));
+}
+
+#[test]
+fn quiet_fleet_calls_the_platform_seldom() {
+    let mut network = started(45);
+    let before = network.calls();
+    let span = seconds(600);
+    network.run(span);
+    let calls = network.calls() - before;
+    let readers = 2 * READERS_PER_GROUP;
+    let others = network.nodes.len() - readers;
+    // Each check comes after between half and one and a half periods.
+    let most = readers * (span.as_secs() / WATCH_WAIT.as_secs()) as usize
+        + others * (2 * span.as_secs() / CHECK_PERIOD.as_secs()) as usize;
+    println!("{calls} calls of 12 processes in 600 s, bound {most}");
+    assert!(calls <= most, "{calls} > {most}");
+}
+
+/// Moments at which one process calls a platform that always answers alike.
+fn calls_of_a_start(seed: u64, answer: &Result<Reply, Failure>, span: Duration) -> Vec<Millis> {
+    let id = InstanceId(seed);
+    let mut config = Configuration::new(Millis(0), seed, id, Role::Agent, Vec::new());
+    let mut calls = Vec::new();
+    while config.next_timer() < Millis(0) + span {
+        let now = config.next_timer();
+        config.tick(now);
+        while let Some(output) = config.next_output() {
+            if let Output::Watch(call) = output {
+                calls.push(now);
+                config.platform(now, call.id, answer.clone());
+            }
+        }
+        // Most processes of a group are not its readers.
+        if config.is_serving() && config.attention() == Attention::Reader {
+            return calls;
+        }
+    }
+    calls
+}
+
+/// Most calls in any second.
+fn busiest_second(mut calls: Vec<Millis>) -> usize {
+    calls.sort_unstable();
+    let within = |from: &Millis| calls.partition_point(|at| at.since(*from) < seconds(1));
+    let counts = calls.iter().enumerate().map(|(i, from)| within(from) - i);
+    counts.max().unwrap_or_default()
+}
+
+#[test]
+fn start_of_the_whole_fleet_at_once_stays_below_the_platforms_limit() {
+    let document = Published {
+        version: Version(1),
+        text: text(1),
+    };
+    let up = Ok(Reply::Newer(document));
+    let down = Err(Failure::TimedOut);
+    for answer in [up, down] {
+        let calls = (0..PROCESSES as u64)
+            .flat_map(|seed| calls_of_a_start(seed, &answer, seconds(60)))
+            .collect();
+        let most = busiest_second(calls);
+        println!("busiest second of a start of {PROCESSES}: {most} calls");
+        assert!(most < CALLS_A_SECOND, "{most}");
+    }
+}
+
+#[test]
+fn calls_of_a_whole_fleet_for_one_cause_stay_below_the_platforms_limit() {
+    let mut dice = Dice::new(46);
+    let span = spread(SERVERS);
+    let calls = (0..PROCESSES)
+        .map(|_| dice.within(Millis(0), span))
+        .collect();
+    let most = busiest_second(calls);
+    let idle =
+        2 * GROUPS / WATCH_WAIT.as_secs() as usize + PROCESSES / CHECK_PERIOD.as_secs() as usize;
+    println!("busiest second of {PROCESSES} for one cause: {most}; quiet: {idle} a second");
+    assert!(most + idle < CALLS_A_SECOND, "{most} + {idle}");
+}
+
+fn counts(network: &Network, count: impl Fn(&Configuration) -> u64) -> u64 {
+    let configs = network.nodes.iter().filter_map(|n| n.config.as_ref());
+    configs.map(count).sum()
+}
+
+quickcheck! {
+    // Forged content can't come here, but mistakes of another process can.
+    fn arbitrary_messages_never_revert_or_panic(inputs: Vec<(u8, u64, String)>) -> bool {
+        let mut config = serving();
+        let mut now = Millis(100_000);
+        for (kind, number, text) in inputs {
+            now = now + Duration::from_millis(number % 500);
+            let version = Version(number % 4);
+            let from = address(usize::from(kind) % 7);
+            match kind % 8 {
+                0 => config.message(now, from, &Message::Announce { config: version }),
+                1 => config.message(now, from, &Message::AskDelta { have: version }),
+                2 => config.message(now, from, &Message::Delta(delta(version, text))),
+                3 => config.platform(now, CallId(number % 9), Ok(Reply::Newer(Published { version, text }))),
+                4 => config.platform(now, CallId(number % 9), Ok(Reply::Unchanged { version })),
+                5 => config.document(now, from, Ok(Published { version, text })),
+                6 => config.woke_late(now),
+                _ => config.tick(now),
+            }
+            while config.next_output().is_some() {}
+        }
+        config.is_serving() && config.version() == Version(2)
+    }
+}
+
+/// A process with version 2 in force.
+fn serving() -> Configuration {
+    let id = InstanceId(1);
+    let mut config = Configuration::new(Millis(0), 1, id, Role::Agent, Vec::new());
+    let document = Published {
+        version: Version(2),
+        text: text(1),
+    };
+    assert!(Fleet::parse(document.version, &document.text).is_ok());
+    let now = Millis(10_000);
+    config.tick(now);
+    config.platform(now, CallId(1), Ok(Reply::Newer(document)));
+    assert_eq!(config.version(), Version(2));
+    config
+}
+
+fn delta(to: Version, text: String) -> Delta {
+    let name = "defaults".to_string();
+    Delta {
+        from: Version(2),
+        to,
+        hash: 0,
+        changed: vec![Section { name, text }],
+        removed: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/configuration/network.rs
@@ -0,0 +1,495 @@
+//! A fake link, platform and clock for many configurations at once. Messages
+//! are lost, late, doubled and reordered by a seed.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_coordination::configuration::Configuration;
+use ramp_coordination::configuration::Confirmation;
+use ramp_coordination::configuration::Output;
+use ramp_coordination::configuration::Peer;
+use ramp_coordination::configuration::watch::Call;
+use ramp_coordination::configuration::watch::CallId;
+use ramp_coordination::dice::Dice;
+use ramp_coordination::published::Failure;
+use ramp_coordination::published::Published;
+use ramp_coordination::published::Reply;
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Message;
+use ramp_state::fault::Faults;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::Role;
+use ramp_state::key::InstanceId;
+use ramp_state::key::ServiceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+/// Time between two heartbeats.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// Time after which a silent member is no longer believed alive.
+const BELIEF: Duration = Duration::from_secs(2);
+
+/// What the link does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub lost_percent: u64,
+    pub doubled_percent: u64,
+    pub delay_ms: u64,
+}
+
+pub const GOOD: Link = Link {
+    lost_percent: 0,
+    doubled_percent: 0,
+    delay_ms: 5,
+};
+
+pub const BAD: Link = Link {
+    lost_percent: 5,
+    doubled_percent: 5,
+    delay_ms: 100,
+};
+
+/// How a replica of the platform answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Replica {
+    Up,
+    Down,
+    Silent,
+    Stale(Version),
+}
+
+enum Event {
+    Beat,
+    Deliver(SocketAddrV4, SocketAddrV4, Message),
+    Called(usize, CallId, Result<Reply, Failure>),
+    Fetched(usize, SocketAddrV4, Result<Published, Failure>),
+}
+
+struct Watching {
+    node: usize,
+    call: Call,
+    until: Millis,
+}
+
+/// One process; it has a configuration while it runs.
+pub struct Node {
+    pub name: String,
+    pub role: Role,
+    pub group: usize,
+    pub side: u8,
+    pub platform_cut: bool,
+    pub can_fetch: bool,
+    pub frozen: bool,
+    pub config: Option<Configuration>,
+    pub installed: Option<Arc<Fleet>>,
+    pub refused: Vec<(Version, Faults)>,
+    pub resumed: Vec<Confirmation>,
+    pub held: bool,
+    pub calls: Vec<Millis>,
+    backlog: Vec<(SocketAddrV4, Message)>,
+}
+
+pub struct Network {
+    pub now: Millis,
+    pub link: Link,
+    pub nodes: Vec<Node>,
+    pub replicas: Vec<Replica>,
+    pub published: Vec<Published>,
+    dice: Dice,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    events: HashMap<u64, Event>,
+    next_event: u64,
+    watching: Vec<Watching>,
+}
+
+impl Network {
+    /// Groups of agents, and balancers; nothing runs yet.
+    pub fn new(seed: u64, groups: usize, members: usize, balancers: usize) -> Network {
+        let mut network = Network {
+            now: Millis(1_000_000),
+            link: GOOD,
+            nodes: Vec::new(),
+            replicas: vec![Replica::Up],
+            published: Vec::new(),
+            dice: Dice::new(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            watching: Vec::new(),
+        };
+        for group in 0..groups {
+            for member in 0..members {
+                network.add(format!("agent-{group}-{member}"), Role::Agent, group);
+            }
+        }
+        for balancer in 0..balancers {
+            network.add(format!("balancer-{balancer}"), Role::Balancer, usize::MAX);
+        }
+        network.push(BEAT, Event::Beat);
+        network
+    }
+
+    fn add(&mut self, name: String, role: Role, group: usize) {
+        self.nodes.push(Node {
+            name,
+            role,
+            group,
+            side: 0,
+            platform_cut: false,
+            can_fetch: true,
+            frozen: false,
+            config: None,
+            installed: None,
+            refused: Vec::new(),
+            resumed: Vec::new(),
+            held: false,
+            calls: Vec::new(),
+            backlog: Vec::new(),
+        });
+    }
+
+    /// Starts or restarts a process; its peers are three others.
+    pub fn start(&mut self, node: usize) {
+        let all = self.nodes.len();
+        let peers = (1..=3.min(all - 1)).map(|i| address((node + i) % all));
+        let seed = self.dice.next_u64();
+        let id = InstanceId::of(&self.nodes[node].name);
+        let role = self.nodes[node].role;
+        let config = Configuration::new(self.now, seed, id, role, peers.collect());
+        self.nodes[node].config = Some(config);
+        self.nodes[node].installed = None;
+        self.nodes[node].held = false;
+        self.nodes[node].frozen = false;
+        self.nodes[node].backlog.clear();
+        self.watching.retain(|w| w.node != node);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.nodes.len()).for_each(|node| self.start(node));
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].config = None;
+        self.nodes[node].installed = None;
+        self.watching.retain(|w| w.node != node);
+    }
+
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    /// Wakes a frozen process: it learns of the jump, then reads its backlog.
+    pub fn wake(&mut self, node: usize) {
+        let now = self.now;
+        self.nodes[node].frozen = false;
+        let backlog = std::mem::take(&mut self.nodes[node].backlog);
+        self.drive(node, |config| config.woke_late(now));
+        for (from, message) in backlog {
+            self.drive(node, |config| config.message(now, from, &message));
+        }
+    }
+
+    /// Publishes `text` under the next version.
+    pub fn publish(&mut self, text: impl Into<String>) -> Version {
+        let version = Version(self.published.len() as u64 + 1);
+        let text = text.into();
+        self.published.push(Published { version, text });
+        self.answer_watches();
+        version
+    }
+
+    pub fn set_replicas(&mut self, replicas: &[Replica]) {
+        self.replicas = replicas.to_vec();
+        self.answer_watches();
+    }
+
+    pub fn cut(&mut self, nodes: impl IntoIterator<Item = usize>) {
+        nodes.into_iter().for_each(|n| self.nodes[n].side = 1);
+    }
+
+    pub fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|n| n.side = 0);
+    }
+
+    /// Version in force at a process; zero when it does not serve.
+    pub fn version(&self, node: usize) -> Version {
+        let installed = self.nodes[node].installed.as_ref();
+        installed.map_or(Version(0), |fleet| fleet.version)
+    }
+
+    pub fn lowest(&self) -> Version {
+        let all = 0..self.nodes.len();
+        all.map(|n| self.version(n)).min().unwrap()
+    }
+
+    pub fn calls(&self) -> usize {
+        self.nodes.iter().map(|n| n.calls.len()).sum()
+    }
+
+    /// Lets `span` pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(at) = self.next_moment().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Hands a call to one process and carries out what it asks for.
+    pub fn drive(&mut self, node: usize, input: impl FnOnce(&mut Configuration)) {
+        let Some(mut config) = self.nodes[node].config.take() else {
+            return;
+        };
+        input(&mut config);
+        while let Some(output) = config.next_output() {
+            self.carry_out(node, &config, output);
+        }
+        self.nodes[node].config = Some(config);
+    }
+
+    fn next_moment(&self) -> Option<Millis> {
+        let timers = self.nodes.iter().filter(|n| !n.frozen);
+        let timers = timers.filter_map(|n| n.config.as_ref().map(Configuration::next_timer));
+        let event = self.queue.peek().map(|Reverse((at, _))| *at);
+        let watch = self.watching.iter().map(|w| w.until).min();
+        timers.chain(event).chain(watch).min()
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.queue.pop();
+            let event = self.events.remove(&number).unwrap();
+            self.happen(event);
+        }
+        self.answer_watches();
+        for node in 0..self.nodes.len() {
+            let due = self.nodes[node].config.as_ref();
+            let due = due.is_some_and(|config| config.next_timer() <= now);
+            if due && !self.nodes[node].frozen {
+                self.drive(node, |config| config.tick(now));
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Beat => {
+                self.push(BEAT, Event::Beat);
+                self.beat();
+            }
+            Event::Deliver(from, to, message) => {
+                let node = index(to);
+                if self.nodes[node].frozen {
+                    self.nodes[node].backlog.push((from, message));
+                } else if self.connected(index(from), node) {
+                    self.drive(node, |config| config.message(now, from, &message));
+                }
+            }
+            Event::Called(node, call, result) => {
+                if self.nodes[node].frozen {
+                    self.push(BEAT, Event::Called(node, call, result));
+                } else {
+                    self.drive(node, |config| config.platform(now, call, result));
+                }
+            }
+            Event::Fetched(node, from, result) => {
+                self.drive(node, |config| config.document(now, from, result));
+            }
+        }
+    }
+
+    /// Heartbeats inside groups, digests to balancers, and who is alive.
+    fn beat(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].frozen || self.nodes[node].config.is_none() {
+                continue;
+            }
+            let config = self.version(node);
+            let load = Load::default();
+            for other in 0..self.nodes.len() {
+                if other == node || self.nodes[node].role == Role::Balancer {
+                    continue;
+                }
+                if self.nodes[other].group == self.nodes[node].group {
+                    self.send(node, other, Message::Heartbeat { config, load });
+                } else if self.nodes[other].role == Role::Balancer && self.speaks(node) {
+                    let digest = Message::Digest {
+                        service: ServiceId(self.nodes[node].group as u64),
+                        config,
+                        dead: Vec::new(),
+                    };
+                    self.send(node, other, digest);
+                }
+            }
+            self.tell_members(node);
+        }
+    }
+
+    /// Whether a member is the one that sends its group's digests.
+    fn speaks(&self, node: usize) -> bool {
+        let group = self.nodes[node].group;
+        let first = (0..node).find(|other| {
+            let other = &self.nodes[*other];
+            other.group == group && other.config.is_some() && !other.frozen
+        });
+        first.is_none()
+    }
+
+    fn tell_members(&mut self, node: usize) {
+        let members: Vec<Peer> = (0..self.nodes.len())
+            .filter(|other| self.nodes[*other].group == self.nodes[node].group)
+            .filter(|other| self.nodes[*other].config.is_some() && self.connected(node, *other))
+            .filter(|_| self.nodes[node].role == Role::Agent)
+            .map(|other| Peer {
+                id: InstanceId::of(&self.nodes[other].name),
+                control: address(other),
+            })
+            .collect();
+        // Who has fallen silent is known only after a while.
+        let later = self.now + BELIEF;
+        let now = self.now;
+        if later > now && self.nodes[node].installed.is_some() {
+            self.drive(node, |config| config.set_members(now, members));
+        }
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        self.nodes[a].side == self.nodes[b].side
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.dice.below(100) < self.link.lost_percent || !self.connected(from, to) {
+            return;
+        }
+        let doubled = self.dice.below(100) < self.link.doubled_percent;
+        for _ in 0..1 + usize::from(doubled) {
+            let delay = Duration::from_millis(1 + self.dice.below(self.link.delay_ms));
+            let event = Event::Deliver(address(from), address(to), message.clone());
+            self.push(delay, event);
+        }
+    }
+
+    fn push(&mut self, delay: Duration, event: Event) {
+        let number = self.next_event;
+        self.next_event += 1;
+        self.queue.push(Reverse((self.now + delay, number)));
+        self.events.insert(number, event);
+    }
+
+    fn carry_out(&mut self, node: usize, config: &Configuration, output: Output) {
+        match output {
+            Output::Watch(call) => self.call(node, call),
+            Output::Send { to, message } => self.send(node, index(to), message),
+            Output::FetchDocument { from } => self.fetch(node, from),
+            Output::Install(fleet) => self.install(node, config, fleet),
+            Output::Refuse { version, faults } => {
+                self.nodes[node].refused.push((version, faults));
+            }
+            Output::Hold => {
+                assert!(!self.nodes[node].held);
+                self.nodes[node].held = true;
+            }
+            Output::Resume(confirmation) => {
+                assert!(self.nodes[node].held);
+                self.nodes[node].held = false;
+                self.nodes[node].resumed.push(confirmation);
+            }
+        }
+    }
+
+    /// No version reverts, and each is what the platform published under it.
+    fn install(&mut self, node: usize, config: &Configuration, fleet: Arc<Fleet>) {
+        let name = &self.nodes[node].name;
+        let before = self.version(node);
+        assert!(
+            fleet.version > before,
+            "{name}: {} after {before}",
+            fleet.version
+        );
+        assert_eq!(config.version(), fleet.version, "{name}");
+        let published = &self.published[fleet.version.0 as usize - 1];
+        let expected = Fleet::parse(published.version, &published.text).unwrap();
+        assert_eq!(*fleet, expected, "{name}");
+        self.nodes[node].installed = Some(fleet);
+    }
+
+    fn call(&mut self, node: usize, call: Call) {
+        self.nodes[node].calls.push(self.now);
+        self.watching.retain(|w| w.node != node);
+        let until = self.now + call.wait;
+        self.watching.push(Watching { node, call, until });
+        self.answer_watches();
+    }
+
+    fn answer_watches(&mut self) {
+        let watching = std::mem::take(&mut self.watching);
+        for watch in watching {
+            match self.answer(&watch) {
+                Some((delay, result)) => {
+                    let event = Event::Called(watch.node, watch.call.id, result);
+                    self.push(delay, event);
+                }
+                None => self.watching.push(watch),
+            }
+        }
+    }
+
+    fn answer(&self, watch: &Watching) -> Option<(Duration, Result<Reply, Failure>)> {
+        let delay = Duration::from_millis(3);
+        let replica = self.replicas[watch.call.replica % self.replicas.len()];
+        let most = match replica {
+            _ if self.nodes[watch.node].platform_cut => {
+                return Some((delay, Err(Failure::Unreachable(String::new()))));
+            }
+            Replica::Down => return Some((delay, Err(Failure::Unreachable(String::new())))),
+            Replica::Silent => {
+                let limit = watch.call.wait + Duration::from_secs(2);
+                return Some((limit, Err(Failure::TimedOut)));
+            }
+            Replica::Up => Version(u64::MAX),
+            Replica::Stale(version) => version,
+        };
+        let newest = self.published.iter().rev().find(|p| p.version <= most);
+        if let Some(newest) = newest.filter(|p| p.version > watch.call.after) {
+            return Some((delay, Ok(Reply::Newer(newest.clone()))));
+        }
+        let version = newest.map(|p| p.version).unwrap_or_default();
+        (self.now >= watch.until).then_some((delay, Ok(Reply::Unchanged { version })))
+    }
+
+    fn fetch(&mut self, node: usize, from: SocketAddrV4) {
+        let peer = index(from);
+        let reachable = self.connected(node, peer) && !self.nodes[peer].frozen;
+        let config = self.nodes[peer].config.as_ref();
+        let document = config.and_then(Configuration::published);
+        let result = match document.filter(|_| reachable && self.nodes[node].can_fetch) {
+            Some(document) => Ok(document),
+            None => Err(Failure::Unreachable(String::new())),
+        };
+        self.push(
+            Duration::from_millis(20),
+            Event::Fetched(node, from, result),
+        );
+    }
+}
+
+/// Control address of a process.
+pub fn address(node: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, node as u16 + 1)
+}
+
+fn index(address: SocketAddrV4) -> usize {
+    usize::from(address.port()) - 1
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plain data. Nothing in this crate knows a socket, a
 //! clock or a thread; times are passed in as [`time::Millis`].
 
+pub mod document;
 pub mod document_kind;
 pub mod fault;
 pub mod fleet;
