--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod admission;
 pub mod balancer;
 pub mod cold_start;
+pub mod configuration;
+pub mod delta;
+pub mod dice;
 pub mod flows;
 pub mod group;
 pub mod outgoing;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,6 +4,7 @@
 //! clock or a thread; times are passed in as [`time::Millis`].
 
 pub mod burn;
+pub mod document;
 pub mod document_kind;
 pub mod fault;
 pub mod fleet;
