Send operator calls without delay and together

Cause: a report of many processes waited for delayed acknowledgements: seven calls one after the other, each with small messages both ways. Change: no delay of small segments on both sides; the calls of one connection are sent together.

--- a/crates/state/benches/ledger.rs
+++ b/crates/state/benches/ledger.rs
@@ -41,6 +41,7 @@
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     count(&mut criterion);
+    tell(&mut criterion);
     merge(&mut criterion);
     criterion.final_summary();
 }
@@ -66,6 +67,21 @@
     group.finish();
 }
 
+fn tell(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("tell of 10 minutes");
+    let ledger = filled(CALLERS);
+    let now = Millis(600_000);
+    let without = Window {
+        callers: false,
+        ..WINDOW
+    };
+    group.bench_function("with callers", |b| b.iter(|| ledger.summary(now, WINDOW)));
+    group.bench_function("without callers", |b| {
+        b.iter(|| ledger.summary(now, without))
+    });
+    group.finish();
+}
+
 fn merge(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("merge 500 summaries");
     let summaries: Vec<Summary> = (0..PROCESSES).map(summary).collect();
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -16,6 +16,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use futures::AsyncReadExt;
+use futures::future;
 use quick_error::quick_error;
 use ramp_protocol::codec::CodecError;
 use ramp_protocol::operator::Document;
@@ -178,6 +179,7 @@
 }
 
 async fn answer(stream: TcpStream, source: Rc<impl OperatorSource + 'static>) -> capnp::Result<()> {
+    stream.set_nodelay(true)?;
     let client: operator::Client = capnp_rpc::new_client(Answerer { source });
     rpc_system(stream, Side::Server, CALL_LIMIT_WORDS, Some(client)).await
 }
@@ -192,6 +194,8 @@
 {
     let whole = async {
         let stream = TcpStream::connect(address).await?;
+        // Calls and answers are small messages that wait for each other.
+        stream.set_nodelay(true)?;
         let mut system = rpc_system(stream, Side::Client, ANSWER_LIMIT_WORDS, None);
         let client: operator::Client = system.bootstrap(Side::Server);
         tokio::select! {
@@ -252,11 +256,11 @@
 }
 
 async fn account_of(client: operator::Client, windows: Vec<Window>) -> Result<Account, RpcError> {
-    let status = status_of(client.clone()).await?;
-    let mut summaries = Vec::new();
-    for window in windows {
-        summaries.push(ledger_of(client.clone(), window).await?);
-    }
+    let status = status_of(client.clone());
+    let summaries = windows
+        .into_iter()
+        .map(|window| ledger_of(client.clone(), window));
+    let (status, summaries) = future::try_join(status, future::try_join_all(summaries)).await?;
     Ok(Account { status, summaries })
 }
 
