--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod balancer;
+pub mod claims;
 pub mod cold_start;
 pub mod configuration;
 pub mod delta;
--- a/crates/state/src/policy.rs
+++ b/crates/state/src/policy.rs
@@ -25,6 +25,8 @@
     pub retry_percent: u32,
     /// Shortest time told to refused callers.
     pub retry_after: Duration,
+    /// Time for which the outcome of an idempotency key is kept.
+    pub key_retention: Duration,
     /// Objective: share of requests served, in parts per million.
     pub served_objective_ppm: u32,
     /// Objective: time in which a request is answered.
@@ -44,6 +46,7 @@
             queue_limit: Duration::from_millis(200),
             retry_percent: 20,
             retry_after: Duration::from_secs(1),
+            key_retention: Duration::from_secs(600),
             served_objective_ppm: 999_000,
             answer_objective: Duration::from_secs(1),
         }
@@ -192,6 +195,15 @@
         get: |p| p.retry_after.as_millis() as u32,
         set: |p, x| p.retry_after = span(x),
     },
+    PolicyKey {
+        name: "key_retention_ms",
+        unit: "milliseconds",
+        least: 0,
+        most: LONGEST_MS,
+        about: "time for which the outcome of an idempotency key is kept",
+        get: |p| p.key_retention.as_millis() as u32,
+        set: |p, x| p.key_retention = span(x),
+    },
     PolicyKey {
         name: "served_objective_ppm",
         unit: "parts per million",
