Claim a request's idempotency key before it is sent

Cause: the decisions about keys were not asked by anybody. Ruled out: claiming after a slot is held; each claim would keep a slot idle for a round trip. A request without any chance is refused before it costs messages. Change: the agent that keeps the flow claims the key, sends only while the grant is fresh, and settles by the verdict. A retry is answered 409: 'served', or 'may have run' while the first attempt runs or nobody knows. 'Not run' would be read as 'the payment did not happen', which nobody can promise then. Conclusion: keys hold from the caller's header to the group and back.

--- a/crates/coordination/src/request.rs
+++ b/crates/coordination/src/request.rs
@@ -151,6 +151,16 @@
         self.reachable && (here || elsewhere)
     }
 
+    /// Refusal of a request for which [`Requests::has_room`] finds no room.
+    pub fn refuse_full(&mut self, now: Millis, ask: &Ask) -> Step {
+        let reason = match self.is_barred(now, ask) {
+            Some(reason) => reason,
+            None if self.is_leaving() => NotRun::Leaving,
+            None => self.admission.reason(now),
+        };
+        self.refuse(reason)
+    }
+
     /// First step of a request.
     pub fn begin(&mut self, now: Millis, ask: &Ask) -> Step {
         if !ask.handed_on {
--- a/crates/transport/src/requests/context.rs
+++ b/crates/transport/src/requests/context.rs
@@ -7,33 +7,46 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use flume::Receiver;
 use flume::Sender;
 use metrics::counter;
 use ramp_coordination::admission::PermitKey;
 use ramp_coordination::admission::TicketKey;
+use ramp_coordination::claims::AttemptId;
+use ramp_coordination::claims::ClaimConfig;
+use ramp_coordination::claims::Claims;
+use ramp_coordination::claims::Decision;
 use ramp_coordination::outgoing::Outgoing;
 use ramp_coordination::picture::GroupPicture;
 use ramp_coordination::request::Requests;
+use ramp_protocol::message::ClaimKey;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
 use ramp_protocol::seal::FleetKey;
 use ramp_state::fleet::Policy;
+use ramp_state::key::Incarnation;
 use ramp_state::key::InstanceId;
 use ramp_state::key::ServiceId;
 use ramp_state::outcome::Record;
 use ramp_state::time::Millis;
 use slotmap::SecondaryMap;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::claim::ClaimDesk;
 use super::handoff::Challenge;
 use super::handoff::Challenges;
 
 /// Records that may wait for the ledger.
 const RECORD_QUEUE_LIMIT: usize = 65_536;
 
+/// Idempotency keys that an agent keeps for its group.
+const KEY_LIMIT: usize = 50_000;
+
 /// How often a drain looks whether all requests have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -41,7 +54,7 @@
 pub struct RequestConfig {
     /// The agent.
     pub me: InstanceId,
-    /// Service that its backend server belongs to.
+    /// Service that its backend server belongs to, until a picture tells.
     pub service: ServiceId,
     /// Its backend server.
     pub backend_server: SocketAddrV4,
@@ -49,6 +62,8 @@
     pub key: FleetKey,
     /// Seed of its choices between peers and of spread retry times.
     pub seed: u64,
+    /// Start of the agent's process.
+    pub incarnation: Incarnation,
     /// Moment from which [`Millis`] count on this agent.
     pub epoch: Instant,
 }
@@ -70,6 +85,8 @@
     /// The decisions. Never borrowed across an await.
     pub(super) requests: RefCell<Requests>,
     picture: RefCell<Option<Arc<GroupPicture>>>,
+    claims: RefCell<ClaimDesk>,
+    outbox_filled: Notify,
     waiters: RefCell<SecondaryMap<TicketKey, oneshot::Sender<PermitKey>>>,
     challenges: RefCell<Challenges>,
     flows: Cell<u32>,
@@ -83,10 +100,18 @@
     /// State of an agent that has no picture of its group yet.
     pub fn new(cfg: RequestConfig) -> Rc<RequestContext> {
         let now = millis_since(cfg.epoch);
+        let claims = ClaimConfig {
+            me: cfg.me,
+            incarnation: cfg.incarnation,
+            unix_ms_at_zero: unix_ms().saturating_sub(now.0),
+            key_limit: KEY_LIMIT,
+        };
         Rc::new(RequestContext {
             requests: RefCell::new(Requests::new(now, cfg.me, cfg.seed)),
             cfg,
             picture: RefCell::new(None),
+            claims: RefCell::new(ClaimDesk::new(claims)),
+            outbox_filled: Notify::new(),
             waiters: RefCell::default(),
             challenges: RefCell::default(),
             flows: Cell::new(0),
@@ -100,6 +125,7 @@
     pub fn install(&self, picture: Arc<GroupPicture>) {
         let now = self.now();
         self.requests.borrow_mut().install(now, picture.clone());
+        self.with_claims(|claims| claims.install(now, &picture));
         self.picture.replace(Some(picture));
         self.wake();
     }
@@ -110,11 +136,58 @@
     }
 
     /// Takes a message of another agent about an idempotency key.
-    pub fn message(&self, _now: Millis, _from: InstanceId, _message: &Message) {}
+    pub fn message(&self, now: Millis, from: InstanceId, message: &Message) {
+        self.with_claims(|claims| claims.message(now, from, message));
+    }
 
     /// Messages to other agents since the last call.
     pub fn take_outbox(&self) -> Vec<Outgoing> {
-        Vec::new()
+        self.claims.borrow_mut().take_outbox()
+    }
+
+    /// Completes with messages to other agents as soon as there are any.
+    pub async fn outgoing(&self) -> Vec<Outgoing> {
+        loop {
+            let found = self.take_outbox();
+            if !found.is_empty() {
+                return found;
+            }
+            self.outbox_filled.notified().await;
+        }
+    }
+
+    /// Repeats and renews what other agents have to hear. [`serve_peers`]
+    /// does it regularly.
+    ///
+    /// [`serve_peers`]: super::serve_peers
+    pub fn tick(&self) {
+        let now = self.now();
+        self.with_claims(|claims| claims.tick(now));
+    }
+
+    /// Lets `act` change the claims, then passes on what came of it.
+    pub(super) fn with_claims<T>(&self, act: impl FnOnce(&mut Claims) -> T) -> T {
+        let result = self.claims.borrow_mut().act(act);
+        self.announce_outbox();
+        result
+    }
+
+    /// Begins an attempt of `key`; the decision goes to `tx`.
+    pub(super) fn begin_claim(
+        &self,
+        now: Millis,
+        key: ClaimKey,
+        tx: oneshot::Sender<Decision>,
+    ) -> AttemptId {
+        let attempt = self.claims.borrow_mut().begin(now, key, tx);
+        self.announce_outbox();
+        attempt
+    }
+
+    fn announce_outbox(&self) {
+        if self.claims.borrow().has_outgoing() {
+            self.outbox_filled.notify_one();
+        }
     }
 
     /// Where the ledger finds what became of requests.
@@ -147,7 +220,7 @@
     }
 
     /// The present moment on the agent's clock.
-    pub(super) fn now(&self) -> Millis {
+    pub fn now(&self) -> Millis {
         millis_since(self.cfg.epoch)
     }
 
@@ -156,6 +229,14 @@
         self.requests.borrow().policy().clone()
     }
 
+    /// Service that the agent's group serves.
+    pub(super) fn service(&self) -> ServiceId {
+        let picture = self.picture.borrow();
+        picture
+            .as_ref()
+            .map_or(self.cfg.service, |p| p.group.service)
+    }
+
     /// Where another agent takes requests.
     pub(super) fn address_of(&self, peer: InstanceId) -> Option<SocketAddrV4> {
         let picture = self.picture.borrow();
@@ -220,6 +301,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
+
 fn millis_since(epoch: Instant) -> Millis {
     Millis(epoch.elapsed().as_millis() as u64)
 }
--- a/crates/transport/src/requests/hand_on.rs
+++ b/crates/transport/src/requests/hand_on.rs
@@ -52,6 +52,9 @@
         visit.refused();
         return Tried::not_run(job, NotRun::NoServer);
     };
+    if let Some(stale) = job.is_stale() {
+        return job.give_up(stale);
+    }
     let mut head = job.head();
     handoff::sign(&job.cx.cfg.key, challenge, job.cx.cfg.me, to, &mut head);
     let Some((body, _)) = job.payload.take() else {
--- a/crates/transport/src/requests/local.rs
+++ b/crates/transport/src/requests/local.rs
@@ -39,6 +39,9 @@
         held.learn(Sign::Unreachable);
         return Tried::not_run(job, NotRun::NoServer);
     };
+    if let Some(stale) = job.is_stale() {
+        return job.give_up(stale);
+    }
     let head = job.head();
     let Some((body, sent)) = job.payload.take() else {
         return Tried::not_run(job, NotRun::NoServer);
--- a/crates/transport/src/requests/mod.rs
+++ b/crates/transport/src/requests/mod.rs
@@ -6,6 +6,7 @@
 //! themselves are in `ramp_coordination`; this module reads and writes HTTP.
 
 mod body;
+mod claim;
 mod context;
 mod flow;
 mod hand_on;
--- a/crates/transport/src/requests/peer.rs
+++ b/crates/transport/src/requests/peer.rs
@@ -37,8 +37,23 @@
     }
 }
 
-/// Serves requests that other agents hand on over `listener`.
+/// Time between two looks at what other agents have to hear again.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Serves requests that other agents hand on over `listener`, and keeps the
+/// agent's claims of idempotency keys going.
 pub async fn serve_peers(cx: Rc<RequestContext>, listener: TcpListener) {
+    tokio::join!(accept_peers(&cx, listener), tick(&cx));
+}
+
+async fn tick(cx: &RequestContext) {
+    loop {
+        tokio::time::sleep(TICK_PERIOD).await;
+        cx.tick();
+    }
+}
+
+async fn accept_peers(cx: &Rc<RequestContext>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/transport/src/requests/progress.rs
+++ b/crates/transport/src/requests/progress.rs
@@ -10,6 +10,7 @@
 use ramp_coordination::admission::PermitKey;
 use ramp_coordination::admission::TicketKey;
 use ramp_coordination::admission::Waiting;
+use ramp_coordination::claims::Decision;
 use ramp_coordination::cold_start::Sign;
 use ramp_coordination::request::Refusal;
 use ramp_state::key::InstanceId;
@@ -23,6 +24,7 @@
 use tokio::time::Instant;
 
 use super::body::AnswerBody;
+use super::claim::Claim;
 use super::context::RequestContext;
 use super::refusal::refuse;
 use super::serve::Origin;
@@ -35,6 +37,8 @@
     server: Option<InstanceId>,
     /// Whether any byte of it may have reached a backend server.
     written: Rc<Cell<bool>>,
+    /// Its attempt of an idempotency key.
+    claim: Option<Claim>,
     ended: bool,
 }
 
@@ -48,6 +52,7 @@
             origin,
             server: None,
             written: Rc::default(),
+            claim: None,
             ended: false,
         }
     }
@@ -69,12 +74,25 @@
         self.written.get()
     }
 
+    /// It was granted `claim`, or waits for it.
+    pub fn claims(&mut self, claim: Claim) {
+        self.claim = Some(claim);
+    }
+
+    /// Whether its key, if it has one, still allows it to be sent.
+    pub fn may_send(&self) -> bool {
+        self.claim.as_ref().is_none_or(Claim::may_send)
+    }
+
     /// Ends it; only the first call counts.
     pub fn end(&mut self, verdict: Verdict) {
         if self.ended {
             return;
         }
         self.ended = true;
+        if let Some(claim) = &mut self.claim {
+            claim.settle(verdict);
+        }
         self.cx.request_ended();
         // The agent that keeps the flow records the request, nobody else.
         let Origin::Caller(caller) = self.origin else {
@@ -82,7 +100,7 @@
         };
         self.cx.record(Record {
             caller,
-            service: self.cx.cfg.service,
+            service: self.cx.service(),
             server: self.server,
             outcome: Outcome::Request {
                 verdict,
@@ -97,6 +115,23 @@
         refuse(verdict, None)
     }
 
+    /// Ends it because its key does not allow it to run.
+    pub fn refuse_key(mut self, decision: Decision) -> Response<AnswerBody> {
+        let verdict = match decision {
+            Decision::Served => Verdict::Served,
+            Decision::Running => Verdict::MayHaveRun(MayHaveRun::KeyRunning),
+            Decision::Granted | Decision::Unknown => Verdict::MayHaveRun(MayHaveRun::KeyUnknown),
+        };
+        // What the key's other attempt did is told to the caller, but to the
+        // group this attempt did nothing.
+        if let Some(mut claim) = self.claim.take() {
+            claim.settle(Verdict::NotRun(NotRun::KeyRunning));
+        }
+        self.end(verdict);
+        let again = decision == Decision::Running;
+        refuse(verdict, again.then(|| self.cx.policy().retry_after))
+    }
+
     /// Ends it with a refusal.
     pub fn refuse(mut self, refusal: Refusal) -> Response<AnswerBody> {
         let verdict = Verdict::NotRun(refusal.reason);
--- a/crates/transport/src/requests/refusal.rs
+++ b/crates/transport/src/requests/refusal.rs
@@ -15,10 +15,13 @@
 
 use super::body::AnswerBody;
 
+/// Reason told when an earlier attempt of an idempotency key was served.
+const KEY_SERVED: &str = "a request with the same idempotency key was served";
+
 /// Answer that tells the caller the verdict. `retry_after` is told only with
 /// refusals that a later try may escape.
 pub fn refuse(verdict: Verdict, retry_after: Option<Duration>) -> Response<AnswerBody> {
-    let text = format!("{verdict}\n");
+    let text = format!("{}: {}\n", verdict.as_header(), reason(verdict));
     let mut res = Response::new(AnswerBody::Own(Full::from(text)));
     *res.status_mut() = status(verdict);
     let headers = res.headers_mut();
@@ -41,17 +44,21 @@
 
 fn status(verdict: Verdict) -> StatusCode {
     match verdict {
-        Verdict::Served => StatusCode::OK,
+        // Only a repeated idempotency key is answered so by us.
+        Verdict::Served => StatusCode::CONFLICT,
         Verdict::NotRun(NotRun::BadRequest) => StatusCode::BAD_REQUEST,
         Verdict::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
         Verdict::MayHaveRun(MayHaveRun::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        Verdict::MayHaveRun(MayHaveRun::KeyRunning | MayHaveRun::KeyUnknown) => {
+            StatusCode::CONFLICT
+        }
         Verdict::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
     }
 }
 
 fn reason(verdict: Verdict) -> String {
     match verdict {
-        Verdict::Served => String::new(),
+        Verdict::Served => KEY_SERVED.to_string(),
         Verdict::NotRun(reason) => reason.to_string(),
         Verdict::MayHaveRun(reason) => reason.to_string(),
     }
--- a/crates/transport/src/requests/serve.rs
+++ b/crates/transport/src/requests/serve.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
+use ramp_coordination::claims::Decision;
 use ramp_coordination::request::Ask;
 use ramp_coordination::request::Step;
 use ramp_state::key::InstanceId;
@@ -18,6 +19,8 @@
 use tokio::time::timeout;
 
 use super::body::AnswerBody;
+use super::claim::Claim;
+use super::claim::decision;
 use super::context::RequestContext;
 use super::hand_on::hand_on;
 use super::head;
@@ -51,6 +54,15 @@
     pub ask: Ask,
 }
 
+/// Why a request must not be sent any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stale {
+    /// Others may have given its attempt of the key up.
+    Key,
+    /// Its time is up.
+    Deadline,
+}
+
 /// How one try of a request ended.
 pub enum Tried {
     /// With an answer, or the head of one.
@@ -84,6 +96,26 @@
         parts
     }
 
+    /// Why it must not be sent any more, looked at right before it is: this
+    /// process may have slept since it was admitted.
+    pub fn is_stale(&self) -> Option<Stale> {
+        if !self.progress.may_send() {
+            Some(Stale::Key)
+        } else if self.left().is_zero() {
+            Some(Stale::Deadline)
+        } else {
+            None
+        }
+    }
+
+    /// Ends it unsent.
+    pub fn give_up(self, stale: Stale) -> Tried {
+        match stale {
+            Stale::Key => Tried::Answered(self.progress.refuse_key(Decision::Unknown)),
+            Stale::Deadline => Tried::not_run(self, NotRun::DeadlinePassed),
+        }
+    }
+
     /// Tells the caller that it may have run.
     pub fn answer(self, verdict: Verdict) -> Response<AnswerBody> {
         self.progress.answer(verdict)
@@ -116,7 +148,25 @@
         parts,
         payload,
     };
-    place(job).await
+    match found.key {
+        Some(key) if matches!(origin, Origin::Caller(_)) => place_once(job, &key).await,
+        // The agent that handed a request on has claimed its key.
+        _ => place(job).await,
+    }
+}
+
+/// Lets the group say whether the request may run, then finds a server.
+async fn place_once(mut job: Job, key: &[u8]) -> Response<AnswerBody> {
+    let cx = job.cx.clone();
+    if let Some(refused) = refuse_full(&job) {
+        return follow(job, refused).await;
+    }
+    let (claim, rx) = Claim::begin(cx.clone(), key);
+    job.progress.claims(claim);
+    match decision(&cx, rx).await {
+        Decision::Granted => place(job).await,
+        refused => job.progress.refuse_key(refused),
+    }
 }
 
 fn ask(origin: Origin, found: &Head, deadline: Millis) -> Ask {
@@ -128,10 +178,24 @@
     }
 }
 
+/// Refusal of a request that has no chance now. Found out before the group is
+/// asked about its key, which costs messages.
+fn refuse_full(job: &Job) -> Option<Step> {
+    let now = job.cx.now();
+    let mut requests = job.cx.requests.borrow_mut();
+    let has_room = requests.has_room(now, &job.ask);
+    (!has_room).then(|| requests.refuse_full(now, &job.ask))
+}
+
 /// Finds a server for the request and returns its answer.
-async fn place(mut job: Job) -> Response<AnswerBody> {
+async fn place(job: Job) -> Response<AnswerBody> {
+    let step = job.cx.requests.borrow_mut().begin(job.cx.now(), &job.ask);
+    follow(job, step).await
+}
+
+/// Follows the steps of a request to its answer.
+async fn follow(mut job: Job, mut step: Step) -> Response<AnswerBody> {
     let cx = job.cx.clone();
-    let mut step = cx.requests.borrow_mut().begin(cx.now(), &job.ask);
     loop {
         let tried = match step {
             Step::Refuse(refusal) => return job.progress.refuse(refusal),
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use ramp_protocol::seal::FleetKey;
 use ramp_state::fleet::Policy;
 use ramp_state::fleet::ServerState;
+use ramp_state::key::Incarnation;
 use ramp_state::key::InstanceId;
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
@@ -88,6 +89,7 @@
             backend_server,
             key: fleet_key(),
             seed: 1,
+            incarnation: Incarnation(1),
             epoch: Instant::now(),
         });
         let (listener, address) = listen().await;
--- a/crates/transport/tests/requests.rs
+++ b/crates/transport/tests/requests.rs
@@ -498,3 +498,105 @@
         assert_eq!(agent.verdicts(), [cut]);
     });
 }
+
+fn claim(key: &str) -> String {
+    CLAIM.replace("\r\n\r\n", &format!("\r\nidempotency-key: {key}\r\n\r\n"))
+}
+
+/// Three agents that pass claims on, all of which know all keys.
+async fn group(backends: [&Backend; 3]) -> [Agent; 3] {
+    let agents = [
+        Agent::start("a", backends[0].at).await,
+        Agent::start("b", backends[1].at).await,
+        Agent::start("c", backends[2].at).await,
+    ];
+    let policy = Policy {
+        key_retention: Duration::from_secs(1),
+        ..warm_policy(5)
+    };
+    acquaint(&[&agents[0], &agents[1], &agents[2]], &policy, &[]);
+    carry(&agents);
+    tokio::time::sleep(policy.key_retention).await;
+    agents
+}
+
+/// Carries the agents' messages to one another.
+fn carry(agents: &[Agent; 3]) {
+    let all: Vec<_> = agents.iter().map(|a| (a.id, a.cx.clone())).collect();
+    for (from, cx) in all.clone() {
+        let all = all.clone();
+        spawn_local(async move {
+            loop {
+                for out in cx.outgoing().await {
+                    let to = all.iter().find(|(id, _)| *id == out.to).unwrap();
+                    to.1.message(to.1.now(), from, &out.message);
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn a_retry_with_the_same_key_does_not_run_again() {
+    run(async {
+        let held = Backend::start(Script::Hold).await;
+        let dying = Backend::start(Script::DieBeforeAnswer).await;
+        let serving = Backend::start(Script::Serve).await;
+        let [a, b, c] = group([&held, &dying, &serving]).await;
+        // While the first attempt runs, and after it was served.
+        let mut first = a.flow().await;
+        first.write_all(claim("one").as_bytes()).await.unwrap();
+        held.until_begun(1).await;
+        let answer = c.ask(&claim("one")).await;
+        assert_eq!(answer.status(), 409);
+        assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        assert!(answer.header("retry-after").is_some());
+        held.let_go();
+        assert_eq!(Answer::read(&mut first).await.body(), b"ok");
+        let answer = c.ask(&claim("one")).await;
+        assert_eq!(answer.status(), 409);
+        assert_eq!(answer.verdict().as_deref(), Some("served"));
+        // After one that may have run.
+        for agent in [&b, &c, &a] {
+            let answer = agent.ask(&claim("two")).await;
+            assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        }
+        // Another key is another request.
+        assert_eq!(c.ask(&claim("three")).await.body(), b"ok");
+        let begun = [&held, &dying, &serving].map(|s| s.seen.begun.get());
+        assert_eq!(begun, [1, 1, 1]);
+    });
+}
+
+#[test]
+fn a_retry_with_the_same_key_runs_when_the_first_did_not() {
+    run(async {
+        let refusing = Backend::start(Script::Refuse).await;
+        let serving = Backend::start(Script::Serve).await;
+        let [a, b, _c] = group([&refusing, &serving, &refusing]).await;
+        // A streamed body is not tried elsewhere, so the caller is told.
+        let head = claim("one").replace("content-length: 5", "content-length: 300000");
+        let upload = head.replace("\r\n\r\nclaim", "\r\n\r\n") + &"u".repeat(UPLOAD_LEN_BYTES);
+        let answer = a.ask(&upload).await;
+        assert_eq!(answer.verdict().as_deref(), Some("not-run"));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(b.ask(&upload).await.body(), b"ok");
+        assert_eq!(serving.seen.begun.get(), 1);
+    });
+}
+
+#[test]
+fn a_key_that_nobody_can_know_is_not_told_as_not_run() {
+    run(async {
+        let backend = Backend::start(Script::Serve).await;
+        let agent = Agent::start("a", backend.at).await;
+        acquaint(&[&agent], &warm_policy(5), &[]);
+        let answer = agent.ask(&claim("one")).await;
+        assert_eq!(answer.verdict().as_deref(), Some("may-have-run"));
+        assert_eq!(
+            agent.verdicts(),
+            [Verdict::MayHaveRun(MayHaveRun::KeyUnknown)]
+        );
+        assert_eq!(backend.seen.begun.get(), 0);
+    });
+}
