Keep configuration by its state machine in every process

Cause: the control threads watched the platform each for itself, took what came and confirmed nothing after a late wake. Before: configuration in force by each process's own watch.

--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -437,6 +437,10 @@
         for outgoing in self.traffic.requests.take_outbox() {
             self.tell(Event::Send(outgoing));
         }
+        let records = self.traffic.requests.records();
+        for record in records.try_iter() {
+            self.tell(Event::Record(record));
+        }
         self.tell_load();
     }
 
--- a/crates/transport/src/control/agent.rs
+++ b/crates/transport/src/control/agent.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use flume::Sender;
+use ramp_coordination::configuration::Peer;
 use ramp_coordination::group::Membership;
 use ramp_coordination::group::Output;
 use ramp_coordination::outgoing::Outgoing;
@@ -150,6 +151,18 @@
         self.take_outputs();
     }
 
+    fn peers(&self) -> Vec<Peer> {
+        let picture = self.picture.iter();
+        let members = picture.flat_map(|p| &p.group.members);
+        members
+            .filter(|m| m.is_home())
+            .map(|m| Peer {
+                id: m.id,
+                control: m.control,
+            })
+            .collect()
+    }
+
     fn is_done(&self, _now: Millis) -> bool {
         self.drained
     }
--- a/crates/transport/src/control/balancer.rs
+++ b/crates/transport/src/control/balancer.rs
@@ -5,6 +5,7 @@
 
 use flume::Sender;
 use indexmap::IndexMap;
+use ramp_coordination::configuration::Peer;
 use ramp_coordination::group::BalancerMembership;
 use ramp_coordination::wake::Wake;
 use ramp_protocol::message::Envelope;
@@ -96,6 +97,10 @@
         self.hand_over_view();
     }
 
+    fn peers(&self) -> Vec<Peer> {
+        Vec::new()
+    }
+
     fn is_done(&self, now: Millis) -> bool {
         self.end_at.is_some_and(|at| now >= at)
     }
--- a/crates/transport/src/control/core.rs
+++ b/crates/transport/src/control/core.rs
@@ -5,51 +5,44 @@
 use std::time::Duration;
 
 use metrics::counter;
+use ramp_coordination::configuration::Configuration;
+use ramp_coordination::configuration::Confirmation;
+use ramp_coordination::configuration::Output;
+use ramp_coordination::configuration::watch::Call;
+use ramp_coordination::configuration::watch::CallId;
 use ramp_coordination::published::Failure;
 use ramp_coordination::published::Published;
 use ramp_coordination::published::Reply;
+use ramp_coordination::wake::WakeGuard;
 use ramp_protocol::message::Message;
+use ramp_protocol::operator::RefusedDocument;
 use ramp_state::fleet::Fleet;
 use ramp_state::instances::InstanceList;
 use ramp_state::key::Incarnation;
+use ramp_state::key::InstanceId;
 use ramp_state::key::Version;
+use ramp_state::key::mix;
 use ramp_state::ledger::Ledger;
 use ramp_state::settings::Settings;
 use ramp_state::time::Millis;
 
+use crate::control::instances::InstancePoll;
 use crate::control::role::News;
 use crate::control::role::Role;
 use crate::control::socket::Received;
-use crate::platform::Topic;
 
-/// Time for which the platform holds a watch without news.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Shortest time between two hints to processes that act by old configuration.
+const HINT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause after a failed call of the platform.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-
-/// A call of the platform to be made.
-#[derive(Clone, Debug)]
-pub struct WatchCall {
-    /// Replica to call.
-    pub platform: SocketAddrV4,
-    /// What to ask for.
-    pub topic: Topic,
-    /// Version that is known.
-    pub after: Version,
-    /// Time for which the platform may hold the call.
-    pub wait: Duration,
-    /// Time to let pass before the call.
-    pub delay: Duration,
-}
-
-/// How a call of the platform ended.
+/// How a call of the platform or of a peer ended.
 #[derive(Clone, Debug)]
-pub struct PlatformReply {
-    /// What was asked for.
-    pub topic: Topic,
-    /// Answer or failure.
-    pub result: Result<Reply, Failure>,
+pub enum Answer {
+    /// The platform, asked for the fleet document.
+    Fleet(CallId, Result<Reply, Failure>),
+    /// The platform, asked for the list of instances.
+    Instances(Result<Reply, Failure>),
+    /// A peer, asked for the whole fleet document.
+    Document(SocketAddrV4, Result<Published, Failure>),
 }
 
 /// What comes to the control thread.
@@ -58,8 +51,8 @@
     Message(Received),
     /// News of the traffic thread.
     Traffic(E),
-    /// How a call of the platform ended.
-    Platform(PlatformReply),
+    /// How a call ended.
+    Answer(Answer),
     /// Time has passed.
     Turn,
     /// The process was asked to end.
@@ -76,8 +69,25 @@
         /// What is said.
         message: Message,
     },
-    /// Call the platform.
-    Watch(WatchCall),
+    /// Call the platform for the fleet document; drop such a call in progress.
+    FetchFleet {
+        /// Replica to call.
+        platform: SocketAddrV4,
+        /// What to ask.
+        call: Call,
+    },
+    /// Call the platform for the list of instances.
+    FetchInstances {
+        /// Replica to call.
+        platform: SocketAddrV4,
+        /// Version that is known.
+        after: Version,
+    },
+    /// Fetch the whole fleet document of a peer.
+    FetchDocument {
+        /// Control address of the peer.
+        from: SocketAddrV4,
+    },
     /// End the process.
     Exit,
 }
@@ -88,33 +98,38 @@
     pub(super) incarnation: Incarnation,
     pub(super) role: R,
     pub(super) ledger: Ledger,
-    pub(super) fleet: Option<Arc<Fleet>>,
+    pub(super) configuration: Configuration,
     pub(super) now: Millis,
     pub(super) draining: bool,
     pub(super) started_at: Millis,
-    pub(super) platform_calls: u64,
+    pub(super) instances: InstancePoll,
     pub(super) platform_heard: Option<Millis>,
-    started: bool,
-    instances: Version,
+    pub(super) refused: Option<RefusedDocument>,
+    guard: WakeGuard,
+    hinted_at: Millis,
     effects: Vec<Effect>,
 }
 
 impl<R: Role> Core<R> {
     /// Core of a process that starts at `now`.
     pub fn new(settings: Settings, incarnation: Incarnation, role: R, now: Millis) -> Core<R> {
+        let id = InstanceId::of(&settings.name);
+        let seed = mix(id.0 ^ incarnation.0);
+        let configuration = Configuration::new(now, seed, id, role.kind(), settings.peers.clone());
         Core {
             settings,
             incarnation,
             role,
             ledger: Ledger::new(now),
-            fleet: None,
+            configuration,
             now,
             draining: false,
             started_at: now,
-            platform_calls: 0,
+            instances: InstancePoll::new(seed),
             platform_heard: None,
-            started: false,
-            instances: Version(0),
+            refused: None,
+            guard: WakeGuard::new(now),
+            hinted_at: now,
             effects: Vec::new(),
         }
     }
@@ -122,109 +137,163 @@
     /// Handles one input.
     pub fn handle(&mut self, now: Millis, input: Input<R::Event>) -> Vec<Effect> {
         self.now = now;
-        self.start();
+        if self.guard.turn(now).is_some() {
+            self.configuration.woke_late(now);
+        }
         match input {
             Input::Message(received) => self.message(now, &received),
             Input::Traffic(event) => self.traffic(now, event),
-            Input::Platform(reply) => self.platform(now, reply),
+            Input::Answer(answer) => self.answer(now, answer),
             Input::Turn => {}
             Input::End => self.end(now),
         }
+        self.configuration.tick(now);
+        self.carry_out(now);
         self.role.tick(now);
-        for dispatch in self.role.take_sends() {
-            self.effects.push(Effect::Send {
-                to: dispatch.to,
-                message: dispatch.message,
-            });
-        }
+        self.configuration.set_members(now, self.role.peers());
+        self.carry_out(now);
+        self.poll_instances(now);
+        self.collect_sends();
         if self.role.is_done(now) {
             self.effects.push(Effect::Exit);
         }
         std::mem::take(&mut self.effects)
     }
 
-    fn start(&mut self) {
-        if self.started {
-            return;
+    /// Carries out what the configuration wants done.
+    fn carry_out(&mut self, now: Millis) {
+        while let Some(output) = self.configuration.next_output() {
+            match output {
+                Output::Watch(call) => self.fetch_fleet(call),
+                Output::Send { to, message } => self.send(to, message),
+                Output::FetchDocument { from } => {
+                    self.effects.push(Effect::FetchDocument { from });
+                }
+                Output::Install(fleet) => self.install(now, fleet),
+                Output::Refuse { version, faults } => {
+                    let why = faults.to_string();
+                    log::error!("document {version} refused: {why}");
+                    counter!("configuration_refused_total").increment(1);
+                    self.refused = Some(RefusedDocument { version, why });
+                }
+                Output::Hold => log::warn!("woke late; traffic is held"),
+                Output::Resume(confirmation) => self.resume(confirmation),
+            }
+        }
+    }
+
+    fn install(&mut self, now: Millis, fleet: Arc<Fleet>) {
+        log::info!("configuration {} in force", fleet.version);
+        self.instances.set_servers(fleet.servers.len());
+        self.role.install(now, fleet);
+    }
+
+    fn resume(&mut self, confirmation: Confirmation) {
+        match confirmation {
+            Confirmation::Confirmed => log::info!("configuration confirmed; traffic goes on"),
+            Confirmation::TimedOut => log::warn!("nobody confirmed; traffic goes on"),
         }
-        self.started = true;
-        self.watch(Topic::Fleet, Version(0), Duration::ZERO);
-        self.watch(Topic::Instances, Version(0), Duration::ZERO);
+        self.role.confirm();
     }
 
-    fn watch(&mut self, topic: Topic, after: Version, delay: Duration) {
-        let Some(platform) = self.settings.platforms.first() else {
+    fn fetch_fleet(&mut self, call: Call) {
+        let platforms = &self.settings.platforms;
+        let Some(platform) = platforms.get(call.replica % platforms.len().max(1)) else {
             return;
         };
-        self.platform_calls += 1;
-        self.effects.push(Effect::Watch(WatchCall {
+        self.effects.push(Effect::FetchFleet {
             platform: *platform,
-            topic,
-            after,
-            wait: WATCH_WAIT,
-            delay,
-        }));
+            call,
+        });
+    }
+
+    fn poll_instances(&mut self, now: Millis) {
+        let Some(poll) = self.instances.due(now) else {
+            return;
+        };
+        let platforms = &self.settings.platforms;
+        let Some(platform) = platforms.get(poll.replica % platforms.len().max(1)) else {
+            return;
+        };
+        self.effects.push(Effect::FetchInstances {
+            platform: *platform,
+            after: poll.after,
+        });
+    }
+
+    fn collect_sends(&mut self) {
+        for dispatch in self.role.take_sends() {
+            self.send(dispatch.to, dispatch.message);
+        }
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: Message) {
+        self.effects.push(Effect::Send { to, message });
     }
 
     fn message(&mut self, now: Millis, received: &Received) {
         if !self.role.receive(now, &received.envelope) {
             counter!("control_messages_refused_total", "reason" => "replayed").increment(1);
+            return;
         }
+        self.configuration
+            .message(now, received.from, &received.envelope.message);
     }
 
     fn traffic(&mut self, now: Millis, event: R::Event) {
         match self.role.event(now, event) {
-            News::Done | News::StaleSender(_) | News::NewerConfig(_) => {}
-            News::WokeLate => self.role.confirm(),
+            News::Done => {}
+            News::WokeLate => self.configuration.woke_late(now),
             News::Record(record) => self.ledger.add(now, &record),
+            News::StaleSender(sender) => self.hint(now, sender),
+            News::NewerConfig(version) => self.configuration.newer_seen(now, version),
         }
     }
 
-    fn platform(&mut self, now: Millis, reply: PlatformReply) {
-        if reply.result.is_ok() {
-            self.platform_heard = Some(now);
+    /// Tells a process that acts by an old configuration of the newer one.
+    fn hint(&mut self, now: Millis, sender: InstanceId) {
+        if now.since(self.hinted_at) < HINT_PAUSE {
+            return;
         }
-        let delay = match reply.result {
-            Ok(Reply::Newer(published)) => {
-                self.take(now, reply.topic, &published);
-                Duration::ZERO
+        let Some(to) = self.instances.control_of(sender) else {
+            return;
+        };
+        self.hinted_at = now;
+        let config = self.configuration.version();
+        self.send(to, Message::Announce { config });
+    }
+
+    fn answer(&mut self, now: Millis, answer: Answer) {
+        match answer {
+            Answer::Fleet(call, result) => {
+                self.note_platform(now, "fleet document", &result);
+                self.configuration.platform(now, call, result);
             }
-            Ok(Reply::Unchanged { .. }) => Duration::ZERO,
-            Err(failure) => {
-                log::warn!("{}: {failure}", reply.topic.name());
-                RETRY_PAUSE
+            Answer::Instances(result) => {
+                self.note_platform(now, "list of instances", &result);
+                self.take_instances(now, result);
             }
-        };
-        let after = match reply.topic {
-            Topic::Fleet => self.version(),
-            Topic::Instances => self.instances,
-        };
-        self.watch(reply.topic, after, delay);
+            Answer::Document(from, result) => self.configuration.document(now, from, result),
+        }
     }
 
-    /// Version of the configuration in force; zero for none.
-    pub(super) fn version(&self) -> Version {
-        self.fleet.as_ref().map_or(Version(0), |f| f.version)
+    fn note_platform(&mut self, now: Millis, what: &str, result: &Result<Reply, Failure>) {
+        match result {
+            Ok(_) => self.platform_heard = Some(now),
+            Err(failure) => log::warn!("{what}: {failure}"),
+        }
     }
 
-    fn take(&mut self, now: Millis, topic: Topic, published: &Published) {
-        match topic {
-            Topic::Fleet => match Fleet::parse(published.version, &published.text) {
-                Ok(fleet) => {
-                    let fleet = Arc::new(fleet);
-                    self.fleet = Some(Arc::clone(&fleet));
-                    log::info!("configuration {} in force", fleet.version);
-                    self.role.install(now, fleet);
-                }
-                Err(faults) => log::error!("document {} refused: {faults}", published.version),
-            },
-            Topic::Instances => match InstanceList::parse(published.version, &published.text) {
-                Ok(list) => {
-                    self.instances = list.version;
-                    self.role.instances(now, &list);
-                }
-                Err(faults) => log::error!("instances {} refused: {faults}", published.version),
-            },
+    fn take_instances(&mut self, now: Millis, result: Result<Reply, Failure>) {
+        let Ok(Reply::Newer(published)) = result else {
+            return;
+        };
+        match InstanceList::parse(published.version, &published.text) {
+            Ok(list) => {
+                self.role.instances(now, &list);
+                self.instances.take(list);
+            }
+            Err(faults) => log::error!("instances {} refused: {faults}", published.version),
         }
     }
 
--- a/crates/transport/src/control/mod.rs
+++ b/crates/transport/src/control/mod.rs
@@ -7,27 +7,33 @@
 pub mod agent;
 pub mod balancer;
 pub mod core;
+pub mod instances;
 pub mod role;
 pub mod socket;
 pub mod status;
 
 use std::cell::RefCell;
 use std::io;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flume::Receiver;
 use flume::Sender;
+use ramp_coordination::configuration::watch::Call;
+use ramp_coordination::published::Failure;
+use ramp_coordination::published::Published;
+use ramp_state::key::Version;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::control::core::Answer;
 use crate::control::core::Core;
 use crate::control::core::Effect;
 use crate::control::core::Input;
-use crate::control::core::PlatformReply;
-use crate::control::core::WatchCall;
 use crate::control::role::Role;
 use crate::control::socket::ControlSocket;
 use crate::operator;
@@ -38,6 +44,9 @@
 /// Time between two turns without any input.
 const TURN: Duration = Duration::from_millis(50);
 
+/// Time that a peer may take to send its whole fleet document.
+const DOCUMENT_LIMIT: Duration = Duration::from_secs(1);
+
 /// What the control loop needs.
 pub struct Control<R: Role> {
     /// Clock of the process.
@@ -63,7 +72,11 @@
     /// The control socket failed, or signals can't be watched.
     pub async fn run(mut self) -> io::Result<()> {
         spawn_local(operator::serve(self.listener, Rc::clone(&self.core)));
-        let (replies_tx, replies) = flume::unbounded();
+        let (answers_tx, answers) = flume::unbounded();
+        let mut calls = Calls {
+            answers: answers_tx,
+            fleet: None,
+        };
         let mut end = Box::pin(signal::wait_for_end());
         let mut ending = false;
         loop {
@@ -73,7 +86,7 @@
                     None => continue,
                 },
                 Ok(event) = self.events.recv_async() => Input::Traffic(event),
-                Ok(reply) = replies.recv_async() => Input::Platform(reply),
+                Ok(answer) = answers.recv_async() => Input::Answer(answer),
                 result = &mut end, if !ending => {
                     result?;
                     ending = true;
@@ -85,7 +98,11 @@
             for effect in effects {
                 match effect {
                     Effect::Send { to, message } => self.socket.send(to, message),
-                    Effect::Watch(call) => start_watch(call, replies_tx.clone()),
+                    Effect::FetchFleet { platform, call } => calls.fetch_fleet(platform, call),
+                    Effect::FetchInstances { platform, after } => {
+                        calls.fetch_instances(platform, after);
+                    }
+                    Effect::FetchDocument { from } => calls.fetch_document(from),
                     Effect::Exit => return Ok(()),
                 }
             }
@@ -93,15 +110,50 @@
     }
 }
 
-/// Calls the platform in the background; the reply comes back as an input.
-fn start_watch(call: WatchCall, replies: Sender<PlatformReply>) {
-    spawn_local(async move {
-        sleep(call.delay).await;
-        let result = platform::fetch(call.platform, call.topic, call.after, call.wait).await;
-        // The loop may have ended meanwhile.
-        let _ = replies.send(PlatformReply {
-            topic: call.topic,
-            result,
+/// Calls in the background; their answers come back as inputs.
+struct Calls {
+    answers: Sender<Answer>,
+    fleet: Option<JoinHandle<()>>,
+}
+
+impl Calls {
+    fn fetch_fleet(&mut self, platform: SocketAddrV4, call: Call) {
+        let answers = self.answers.clone();
+        let task = spawn_local(async move {
+            let result = platform::fetch_fleet(platform, call.after, call.wait).await;
+            // The loop may have ended meanwhile.
+            let _ = answers.send(Answer::Fleet(call.id, result));
+        });
+        if let Some(earlier) = self.fleet.replace(task) {
+            earlier.abort();
+        }
+    }
+
+    fn fetch_instances(&self, platform: SocketAddrV4, after: Version) {
+        let answers = self.answers.clone();
+        spawn_local(async move {
+            let result = platform::fetch_instances(platform, after, Duration::ZERO).await;
+            let _ = answers.send(Answer::Instances(result));
         });
-    });
+    }
+
+    fn fetch_document(&self, from: SocketAddrV4) {
+        let answers = self.answers.clone();
+        spawn_local(async move {
+            let result = document_of(from).await;
+            let _ = answers.send(Answer::Document(from, result));
+        });
+    }
+}
+
+async fn document_of(peer: SocketAddrV4) -> Result<Published, Failure> {
+    let answer = operator::ask_document(peer, DOCUMENT_LIMIT).await;
+    let document = answer.map_err(|err| Failure::Unreachable(err.to_string()))?;
+    let Some(document) = document else {
+        return Err(Failure::NoVersion);
+    };
+    Ok(Published {
+        version: document.version,
+        text: document.text,
+    })
 }
--- a/crates/transport/src/control/role.rs
+++ b/crates/transport/src/control/role.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use ramp_coordination::configuration::Peer;
 use ramp_protocol::message::Envelope;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
@@ -70,6 +71,9 @@
     /// Does what has become due.
     fn tick(&mut self, now: Millis);
 
+    /// Live members of the own group; a balancer has none.
+    fn peers(&self) -> Vec<Peer>;
+
     /// Whether the process that was asked to end has done its work.
     fn is_done(&self, now: Millis) -> bool;
 
--- a/crates/transport/src/control/status.rs
+++ b/crates/transport/src/control/status.rs
@@ -5,6 +5,7 @@
 
 use ramp_protocol::operator::Document;
 use ramp_protocol::operator::Readiness;
+use ramp_protocol::operator::RefusedDocument;
 use ramp_protocol::operator::Status;
 use ramp_state::ledger::summary::Summary;
 use ramp_state::ledger::summary::Window;
@@ -24,7 +25,11 @@
     }
 
     fn document(&self) -> Option<Document> {
-        None
+        let published = self.borrow().configuration.published()?;
+        Some(Document {
+            version: published.version,
+            text: published.text,
+        })
     }
 }
 
@@ -36,22 +41,28 @@
             data_centre: self.settings.data_centre.clone(),
             incarnation: self.incarnation,
             uptime: self.now.since(self.started_at),
-            config: self.version(),
+            config: self.configuration.version(),
             readiness: self.readiness(),
             services: self.role.services(),
             flows: u64::from(self.role.flows()),
             drains: Vec::new(),
-            platform_calls: self.platform_calls,
+            platform_calls: self.configuration.counts().platform_calls + self.instances.calls,
             platform_silent: self.platform_heard.map(|at| self.now.since(at)),
-            refused: None,
+            refused: self.refused_and_newer(),
         }
     }
 
+    /// The document refused last, while the one in force is older.
+    fn refused_and_newer(&self) -> Option<RefusedDocument> {
+        let refused = self.refused.clone();
+        refused.filter(|r| r.version > self.configuration.version())
+    }
+
     fn readiness(&self) -> Readiness {
         if self.draining {
             return Readiness::Draining;
         }
-        if self.fleet.is_none() {
+        if !self.configuration.is_serving() || self.configuration.is_held() {
             return Readiness::Held;
         }
         Readiness::Serving
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -16,6 +16,7 @@
 use metrics_exporter_prometheus::BuildError;
 use quick_error::quick_error;
 use ramp_protocol::seal::FleetKey;
+use ramp_state::key::Incarnation;
 use ramp_state::key::InstanceId;
 use ramp_state::key::ServiceId;
 use ramp_state::key::mix;
@@ -87,7 +88,13 @@
     };
     start_thread("traffic", move || traffic.run())?;
     let role = BalancerRole::new(updates_tx);
-    block_on(run_control(settings, clock, role, events_rx))
+    block_on(run_control(
+        settings,
+        clock,
+        clock::incarnation(),
+        role,
+        events_rx,
+    ))
 }
 
 /// Runs an agent until it is asked to end and has drained.
@@ -100,6 +107,7 @@
         return Err(DaemonError::NotAgent);
     };
     let clock = Clock::start();
+    let incarnation = clock::incarnation();
     let (updates_tx, updates) = flume::unbounded();
     let (events, events_rx) = flume::unbounded();
     let socket = udp::bind(settings.address).map_err(|err| bind_error(settings.address, err))?;
@@ -108,13 +116,14 @@
         settings: settings.clone(),
         agent,
         clock,
+        incarnation,
         socket,
         updates,
         events,
     };
     start_thread("traffic", move || traffic.run())?;
     let role = AgentRole::new(&settings.name, updates_tx);
-    block_on(run_control(settings, clock, role, events_rx))
+    block_on(run_control(settings, clock, incarnation, role, events_rx))
 }
 
 /// What the traffic thread of an agent is started with.
@@ -122,6 +131,7 @@
     settings: Settings,
     agent: AgentSettings,
     clock: Clock,
+    incarnation: Incarnation,
     socket: std::net::UdpSocket,
     updates: Receiver<agent::traffic::Update>,
     events: Sender<agent::traffic::Event>,
@@ -137,11 +147,12 @@
         let me = InstanceId::of(&self.settings.name);
         let key = FleetKey::new(self.settings.key);
         // Sequence numbers must differ between agents and between starts.
-        let seed = mix(me.0 ^ clock::incarnation().0);
+        let seed = mix(me.0 ^ self.incarnation.0);
         let requests = RequestContext::new(RequestConfig {
             me,
             service: ServiceId(0),
             backend_server: self.agent.backend_server,
+            incarnation: self.incarnation,
             key,
             seed,
             epoch: Instant::now(),
@@ -166,10 +177,10 @@
 async fn run_control<R: Role>(
     settings: Settings,
     clock: Clock,
+    incarnation: Incarnation,
     role: R,
     events: Receiver<R::Event>,
 ) -> Result<(), DaemonError> {
-    let incarnation = clock::incarnation();
     let me = InstanceId::of(&settings.name);
     let key = FleetKey::new(settings.key);
     let metrics = metrics_http::install()?;
