Give the agent's traffic thread the claims and the records of requests

Cause: claims wait for messages that left only with the thread's next turn, up to 50 ms later, and what became of requests reached no ledger. Ruled out: a shorter turn; it would cost turns while nothing happens. Change: the thread sends claims as soon as there are any and passes records on; callers of the load tool use UUIDs of version 7 as keys, and the demo begins its load when agents can tell such keys from older ones, after 5.5 s.

--- a/crates/coordination/src/claims/mod.rs
+++ b/crates/coordination/src/claims/mod.rs
@@ -35,12 +35,12 @@
 use crate::outgoing::Outgoing;
 use crate::picture::GroupPicture;
 
-pub use attempt::Decision;
-pub use key::claim_key;
+use self::attempt::Attempt;
+use self::memory::Memory;
+use self::replicas::History;
 
-use attempt::Attempt;
-use memory::Memory;
-use replicas::History;
+pub use self::attempt::Decision;
+pub use self::key::claim_key;
 
 /// Time between two claims of the same attempt to a replica without answer.
 const RESEND_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/coordination/tests/common/requests.rs
+++ b/crates/coordination/tests/common/requests.rs
@@ -50,6 +50,7 @@
     };
     GroupPicture {
         version: Version(version),
+        latest: Version(version),
         loads: members
             .iter()
             .map(|m| (m.id, load(m)))
--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -118,6 +118,7 @@
     picture: Option<Arc<GroupPicture>>,
     guard: WakeGuard,
     load: Option<Load>,
+    records: Receiver<Record>,
     out: Vec<u8>,
 }
 
@@ -134,6 +135,7 @@
             picture: None,
             guard: WakeGuard::new(self.clock.now()),
             load: None,
+            records: self.requests.records(),
             out: Vec::with_capacity(udp::DATAGRAM_LIMIT_BYTES),
             traffic: self,
         };
@@ -145,6 +147,7 @@
     async fn run(&mut self) -> io::Result<()> {
         let pending = self.flows.pending();
         let updates = self.traffic.updates.clone();
+        let requests = Rc::clone(&self.traffic.requests);
         let mut buf = vec![0; udp::DATAGRAM_LIMIT_BYTES];
         loop {
             let pause = self.pause();
@@ -158,6 +161,10 @@
                     None
                 }
                 () = pending.wait() => None,
+                outbox = requests.outgoing() => {
+                    self.send_claims(outbox);
+                    None
+                }
                 () = sleep(pause) => None,
             };
             self.note_turn();
@@ -434,12 +441,19 @@
         for outgoing in outbox {
             self.tell(Event::Send(outgoing));
         }
-        for outgoing in self.traffic.requests.take_outbox() {
-            self.tell(Event::Send(outgoing));
+        self.send_claims(self.traffic.requests.take_outbox());
+        for record in self.records.try_iter() {
+            self.tell(Event::Record(record));
         }
         self.tell_load();
     }
 
+    fn send_claims(&self, outbox: Vec<Outgoing>) {
+        for outgoing in outbox {
+            self.tell(Event::Send(outgoing));
+        }
+    }
+
     fn tell_load(&mut self) {
         let load = Load {
             flows: self.flows.len() as u32,
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Moment from which the clock counts.
+    pub fn epoch(&self) -> Instant {
+        self.start
+    }
+
     /// The current moment.
     pub fn now(&self) -> Millis {
         Millis(self.start.elapsed().as_millis() as u64)
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::thread;
-use std::time::Instant;
 
 use flume::Receiver;
 use flume::Sender;
@@ -144,7 +143,8 @@
             backend_server: self.agent.backend_server,
             key,
             seed,
-            epoch: Instant::now(),
+            incarnation: clock::incarnation(),
+            epoch: self.clock.epoch(),
         });
         let listener = TcpListener::bind(self.settings.address).await?;
         spawn_local(serve_peers(Rc::clone(&requests), listener));
--- a/ramplab/src/demo/run.rs
+++ b/ramplab/src/demo/run.rs
@@ -34,6 +34,9 @@
 /// Time for all processes to be up.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// Agents that just started can't tell whether a key made earlier was used.
+const KEYS_KNOWN_AFTER: Duration = Duration::from_millis(5500);
+
 /// Time for the load to end after its span.
 const LOAD_END_LIMIT: Duration = Duration::from_secs(12);
 
@@ -126,6 +129,7 @@
             let history = operators.history.clone();
             watchers.spawn_local(watcher::watch(node.clone(), history));
         }
+        tokio::time::sleep(KEYS_KNOWN_AFTER).await;
         self.start_load()?;
         self.change(&mut operators, &spare).await?;
         self.children.wait("load", LOAD_END_LIMIT).await?;
--- a/ramplab/src/load/mod.rs
+++ b/ramplab/src/load/mod.rs
@@ -14,6 +14,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -168,7 +170,7 @@
     fn new_ask(&self, kind: Kind) -> Ask {
         let cfg = &self.cfg;
         let number = self.number();
-        let id = format!("{}-{number}", cfg.seed);
+        let id = request_id(unix_ms(), cfg.seed, number);
         match kind {
             Kind::Claim => Ask::claim(id, 0),
             Kind::Upload => Ask::upload(id, cfg.targets.len() - 1, cfg.upload_len),
@@ -223,3 +225,16 @@
         Some(idle.swap_remove(position))
     }
 }
+
+/// Identity of a request: a UUID of version 7, so that agents that started
+/// after it was made can tell.
+fn request_id(unix_ms: u64, seed: u64, number: u64) -> String {
+    let (high, low) = (unix_ms >> 16 & 0xffff_ffff, unix_ms & 0xffff);
+    let (a, b) = (seed & 0xfff, seed >> 12 & 0xfff);
+    format!("{high:08x}-{low:04x}-7{a:03x}-8{b:03x}-{number:012x}")
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
