--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::thread;
-use std::time::Instant;
 
 use flume::Receiver;
 use flume::Sender;
@@ -155,7 +154,8 @@
             incarnation: self.incarnation,
             key,
             seed,
-            epoch: Instant::now(),
+            incarnation: clock::incarnation(),
+            epoch: self.clock.epoch(),
         });
         let listener = TcpListener::bind(self.settings.address).await?;
         spawn_local(serve_peers(Rc::clone(&requests), listener));
