--- a/crates/coordination/src/flows/registration.rs
+++ b/crates/coordination/src/flows/registration.rs
@@ -74,8 +74,6 @@
     /// Starts a walk over `flows`, in place of one that has not ended.
     pub(super) fn restart(&mut self, now: Millis, flows: impl Iterator<Item = FlowId>) {
         self.walk.clear();
-        self.repeats.clear();
-        self.registers.clear();
         self.walk.extend(flows);
         if !self.walk.is_empty() {
             self.arm(now);
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use ramp_coordination::flows::ResetReason;
 use ramp_protocol::codec;
 use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Message;
 use ramp_protocol::packet::Segment;
 use ramp_state::fleet::DataCentre;
 use ramp_state::fleet::Fleet;
@@ -114,6 +115,8 @@
     pub owner_lost: usize,
     pub control_messages: usize,
     pub control_bytes: usize,
+    /// Bytes of registrations, releases, questions and answers among these.
+    pub flow_bytes: usize,
     pub agent_hops: usize,
     pub packets: usize,
 }
@@ -312,8 +315,16 @@
 
     pub fn weigh(&mut self, envelope: &Envelope) {
         self.findings.control_messages += 1;
-        if self.weigh {
-            self.findings.control_bytes += codec::encode(envelope).len() + DATAGRAM_BYTES;
+        if !self.weigh {
+            return;
+        }
+        let bytes = codec::encode(envelope).len() + DATAGRAM_BYTES;
+        self.findings.control_bytes += bytes;
+        if !matches!(
+            envelope.message,
+            Message::Heartbeat { .. } | Message::Digest { .. }
+        ) {
+            self.findings.flow_bytes += bytes;
         }
     }
 
--- a/crates/coordination/tests/flows.rs
+++ b/crates/coordination/tests/flows.rs
@@ -104,6 +104,100 @@
     }
 }
 
+/// Lets each caller speak once within ten seconds.
+fn speak_in_turn(world: &mut World) {
+    let keys: Vec<FlowKey> = world.callers.keys().copied().collect();
+    for turn in 0..10 {
+        for key in keys.iter().skip(turn).step_by(10) {
+            world.poke(*key);
+        }
+        world.run_for(1_000);
+    }
+}
+
+#[test]
+fn a_view_change_costs_little_control() {
+    let mut world = World::new(11, 7, 2);
+    open_flows(&mut world, MANY_FLOWS);
+    world.weigh = true;
+    let costs = |world: &World| {
+        (
+            world.findings.flow_bytes,
+            world.findings.agent_hops,
+            total(world, |c| c.questions_sent),
+            total(world, |c| c.drops.asked + c.drops.question_limited),
+        )
+    };
+    let start = costs(&world);
+    speak_in_turn(&mut world);
+    let quiet = costs(&world);
+    world.lag_ms = 2_000;
+    let name = add_server(&mut world.fleet, 7);
+    world.start_agent(&name, 1);
+    world.publish();
+    speak_in_turn(&mut world);
+    let changed = costs(&world);
+    let control = changed.0 - quiet.0;
+    println!(
+        "server added to 7 with {MANY_FLOWS} flows, each speaking once in 10 s: {control} B \
+         about flows, {} questions, {} packets held; hops {} before, {} after",
+        changed.2 - quiet.2,
+        changed.3 - quiet.3,
+        quiet.1 - start.1,
+        changed.1 - quiet.1
+    );
+    world.run_for(5_000);
+    assert_whole(&world, 2);
+    assert_eq!(total(&world, |c| c.resets.total()), 0);
+    assert!(control < 40_000);
+    assert!(changed.2 - quiet.2 < 100);
+}
+
+#[test]
+fn registrations_that_get_lost_are_repeated() {
+    let mut world = World::new(12, 7, 2);
+    open_flows(&mut world, 1_000);
+    world.link.lost_percent = 40;
+    let name = add_server(&mut world.fleet, 7);
+    world.start_agent(&name, 1);
+    world.publish();
+    world.run_for(5_000);
+    world.link.lost_percent = 0;
+    world.run_for(5_000);
+    let registered = world.agents[&name].router.counts().pointers;
+    poke_all(&mut world);
+    world.run_for(5_000);
+    assert_whole(&world, 1);
+    let asked = total(&world, |c| c.questions_sent);
+    assert!(registered > 100 && asked == 0, "{registered} {asked}");
+}
+
+#[test]
+fn a_flood_from_few_addresses_leaves_questions_for_others() {
+    let mut world = World::new(13, 7, 2);
+    open_flows(&mut world, 400);
+    let keys: Vec<FlowKey> = world.callers.keys().copied().collect();
+    world.kill("s1");
+    world.list.instances.swap_remove("s1");
+    world.publish();
+    for ms in 0..10_000_u64 {
+        for i in 0..2 {
+            let mut segment = unknown(ms * 2 + i);
+            segment.key.caller = SocketAddrV4::new(Ipv4Addr::new(1, 2, 3, 4), 0);
+            segment.key.caller.set_port((ms * 2 + i) as u16);
+            world.inject(segment);
+        }
+        world.run_for(1);
+        if ms == 6_000 {
+            poke_all(&mut world);
+        }
+    }
+    let silent = keys.iter().filter(|key| world.callers[*key].waits());
+    let untold = silent.filter(|key| world.callers[*key].state != State::Reset);
+    assert_eq!(untold.count(), 0);
+    assert!(world.findings.owner_lost > 30);
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_flow() {
     let mut world = World::new(5, 7, 2);
--- a/crates/coordination/tests/group.rs
+++ b/crates/coordination/tests/group.rs
@@ -289,6 +289,10 @@
         membership.tick(Millis(ms));
     }
     assert_eq!(dead(&membership.take_view().expect("a view")), ["s3"]);
+    // A list without any of them is at fault, not they.
+    world.list.instances.clear();
+    membership.instances(Millis(20_000), &world.list);
+    assert!(dead(&membership.take_view().expect("a view")).is_empty());
 }
 
 #[test]
