Measure how costs grow with the fleet

Cause: CAPACITY has to be worked out from slopes measured here. Change: ramplab slopes: counts (bytes, messages, allocations, by a counting allocator) before times, each with a straight-line fit and its figure at the size to come.

--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod platform;
 mod relay;
+mod slopes;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -64,6 +65,11 @@
         about: "stand between processes of different data centres",
         run: relay::run,
     },
+    Command {
+        name: "slopes",
+        about: "measure how costs grow with the fleet",
+        run: slopes::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
--- /dev/null
+++ b/ramplab/src/cmd/slopes.rs
@@ -0,0 +1,83 @@
+//! `ramplab slopes`: how costs grow with the size of the fleet.
+
+use std::process::ExitCode;
+
+use ramplab::slopes;
+use ramplab::slopes::Kind;
+use ramplab::slopes::Series;
+use serde_json::json;
+
+use crate::error::CliResult;
+
+const USAGE: &str = "\
+Measures how state, messages and processor time grow with the size of the
+fleet, and works them out for the size to come. Counts come before times.
+
+Usage:
+    ramplab slopes [--json]
+
+Options:
+    --json      one JSON object a line
+    -h, --help  show this text
+";
+
+/// Runs the command.
+pub fn run(mut args: lexopt::Parser) -> CliResult<ExitCode> {
+    let mut as_json = false;
+    while let Some(arg) = args.next()? {
+        match arg {
+            lexopt::Arg::Long("json") => as_json = true,
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
+                print!("{USAGE}");
+                return Ok(ExitCode::SUCCESS);
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    for series in slopes::measure_all() {
+        if as_json {
+            println!("{}", line(&series));
+        } else {
+            show(&series);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn line(series: &Series) -> serde_json::Value {
+    let fit = series.fit();
+    let points: Vec<_> = series.points.iter().map(|p| json!([p.x, p.y])).collect();
+    json!({
+        "name": series.name,
+        "unit": series.unit,
+        "per": series.per,
+        "counted": series.kind == Kind::Count,
+        "points": points,
+        "slope": fit.slope,
+        "base": fit.base,
+        "r2": fit.r2,
+        "target": series.target,
+        "at_target": series.at_target(),
+    })
+}
+
+fn show(series: &Series) {
+    let fit = series.fit();
+    let kind = match series.kind {
+        Kind::Count => "count",
+        Kind::Time => "time",
+    };
+    println!("{kind}  {} [{}]", series.name, series.unit);
+    for point in &series.points {
+        println!("       {:>10.0}  {:>14.1}", point.x, point.y);
+    }
+    println!(
+        "       {:.3} for each {} + {:.1}, r2 {:.4}; at {:.0}: {:.1}",
+        fit.slope,
+        series.per,
+        fit.base,
+        fit.r2,
+        series.target,
+        series.at_target()
+    );
+}
--- /dev/null
+++ b/ramplab/src/slopes/configuration.rs
@@ -0,0 +1,103 @@
+//! The configuration: size of the document and of a change, and what a
+//! process spends on it.
+
+use std::collections::HashSet;
+
+use ramp_coordination::delta;
+use ramp_coordination::delta::Versioned;
+use ramp_protocol::codec;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Message;
+use ramp_state::document::Document;
+use ramp_state::fleet::Fleet;
+use ramp_state::key::Incarnation;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::view::View;
+
+use crate::heap;
+use crate::slopes::Kind;
+use crate::slopes::Point;
+use crate::slopes::Series;
+use crate::slopes::best_time;
+use crate::slopes::fleet;
+
+const GROUPS: [usize; 4] = [42, 85, 170, 340];
+
+/// Document, delta, and the work of taking a change into force.
+pub fn series() -> Vec<Series> {
+    let mut text_bytes = Vec::new();
+    let mut held = Vec::new();
+    let mut delta_bytes = Vec::new();
+    let mut parse = Vec::new();
+    let mut compile = Vec::new();
+    for groups in GROUPS {
+        let text = fleet::text(groups, fleet::TARGET_MEMBERS);
+        let x = (groups * fleet::TARGET_MEMBERS) as f64;
+        text_bytes.push(Point {
+            x,
+            y: text.len() as f64,
+        });
+        let ((fleet, document), used) = heap::measure(|| {
+            let fleet = Fleet::parse(Version(1), &text).expect("the text is well-formed");
+            (fleet, Document::parse(&text))
+        });
+        held.push(Point {
+            x,
+            y: used.held_bytes as f64,
+        });
+        delta_bytes.push(Point {
+            x,
+            y: change_bytes(&document, &text),
+        });
+        let time = best_time(|| Fleet::parse(Version(1), &text));
+        parse.push(Point {
+            x,
+            y: time.as_micros() as f64,
+        });
+        let time = best_time(|| View::compile(&fleet, &HashSet::new()));
+        compile.push(Point {
+            x,
+            y: time.as_micros() as f64,
+        });
+    }
+    let series = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "server",
+        kind,
+        points,
+        target: fleet::TARGET_SERVERS as f64,
+    };
+    vec![
+        series("fleet document", "B", Kind::Count, text_bytes),
+        series("fleet and document in memory", "B", Kind::Count, held),
+        series("delta of a drained server", "B", Kind::Count, delta_bytes),
+        series("reading and checking the document", "us", Kind::Time, parse),
+        series("compiling the view", "us", Kind::Time, compile),
+    ]
+}
+
+/// Datagram that carries the change of one server's state.
+fn change_bytes(document: &Document, text: &str) -> f64 {
+    let changed = Document::parse(&text.replacen(
+        "state = in\n[server s0-1]",
+        "state = leaving\n[server s0-1]",
+        1,
+    ));
+    let from = Versioned {
+        version: Version(1),
+        document,
+    };
+    let to = Versioned {
+        version: Version(2),
+        document: &changed,
+    };
+    let envelope = Envelope {
+        sender: InstanceId::of("s0-0"),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        message: Message::Delta(delta::diff(from, to)),
+    };
+    codec::encode(&envelope).len() as f64
+}
--- /dev/null
+++ b/ramplab/src/slopes/fit.rs
@@ -0,0 +1,48 @@
+//! Straight line through measured points, by least squares.
+
+use crate::slopes::Point;
+
+/// A straight line and how well it fits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// Growth for each unit of size.
+    pub slope: f64,
+    /// Figure at size zero.
+    pub base: f64,
+    /// Share of the variation that the line explains, 0 to 1.
+    pub r2: f64,
+}
+
+impl Fit {
+    /// Line through `points`; flat when there are fewer than two.
+    pub fn of(points: &[Point]) -> Fit {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.x).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.y).sum::<f64>() / n;
+        let sxx: f64 = points.iter().map(|p| (p.x - mean_x).powi(2)).sum();
+        let sxy: f64 = points.iter().map(|p| (p.x - mean_x) * (p.y - mean_y)).sum();
+        let syy: f64 = points.iter().map(|p| (p.y - mean_y).powi(2)).sum();
+        if sxx == 0.0 {
+            return Fit {
+                slope: 0.0,
+                base: mean_y,
+                r2: 1.0,
+            };
+        }
+        let slope = sxy / sxx;
+        Fit {
+            slope,
+            base: mean_y - slope * mean_x,
+            r2: if syy == 0.0 {
+                1.0
+            } else {
+                sxy * sxy / (sxx * syy)
+            },
+        }
+    }
+
+    /// Figure of the line at size `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
--- /dev/null
+++ b/ramplab/src/slopes/fleet.rs
@@ -0,0 +1,58 @@
+//! Fleet documents of any size.
+
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+
+use ramp_state::fleet::Fleet;
+use ramp_state::key::Version;
+
+/// Services at the size to come.
+pub const TARGET_GROUPS: usize = 340;
+
+/// Members of a group at the size to come, rounded down.
+pub const TARGET_MEMBERS: usize = 12;
+
+/// Backend servers at the size to come.
+pub const TARGET_SERVERS: usize = 4_200;
+
+/// Balancers at the size to come.
+pub const TARGET_BALANCERS: usize = 660;
+
+/// Data centres at the size to come.
+const DATA_CENTRES: usize = 8;
+
+/// Text of a fleet document with so many services of so many servers.
+pub fn text(groups: usize, members: usize) -> String {
+    let mut text = String::from("[defaults]\nslots = 5\nconnections = 100000\n");
+    for dc in 0..DATA_CENTRES {
+        let _ = write!(
+            text,
+            "[data-centre dc{dc}]\nregion = r{}\nstate = in\n",
+            dc % 3
+        );
+    }
+    for group in 0..groups {
+        let address = Ipv4Addr::from(0x0a50_0000 + group as u32);
+        let _ = write!(text, "[service s{group}]\naddress = {address}:80\n");
+        for member in 0..members {
+            server(&mut text, group, member, groups);
+        }
+    }
+    text
+}
+
+/// The fleet of that document.
+pub fn fleet(groups: usize, members: usize) -> Fleet {
+    Fleet::parse(Version(1), &text(groups, members)).expect("the text is well-formed")
+}
+
+fn server(text: &mut String, group: usize, member: usize, groups: usize) {
+    let number = member * groups + group;
+    let address = Ipv4Addr::from(0x7f40_0000 + number as u32);
+    let _ = write!(
+        text,
+        "[server s{group}-{member}]\nservice = s{group}\ndata_centre = dc{}\n\
+         agent = {address}:7000\ncontrol = {address}:7001\nstate = in\n",
+        number % DATA_CENTRES
+    );
+}
--- /dev/null
+++ b/ramplab/src/slopes/flows.rs
@@ -0,0 +1,206 @@
+//! Flows at an agent: memory for each, and what a change of the group costs.
+
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use ramp_coordination::flows::Arrival;
+use ramp_coordination::flows::FlowRouter;
+use ramp_coordination::flows::Step;
+use ramp_coordination::picture::GroupPicture;
+use ramp_protocol::message::Message;
+use ramp_protocol::packet::Segment;
+use ramp_state::fleet::Fleet;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+use ramp_state::view::View;
+use ramp_transport::agent::stack::FlowStack;
+
+use crate::heap;
+use crate::slopes::Kind;
+use crate::slopes::Point;
+use crate::slopes::Series;
+use crate::slopes::best_time;
+use crate::slopes::fleet;
+
+const FLOWS: [usize; 4] = [500, 1_000, 2_000, 4_000];
+
+/// Flows at one agent at the size to come: 16 million over 4,200 servers.
+const TARGET_FLOWS: f64 = 16_000_000.0 / 4_200.0;
+
+/// Initial sequence number of all flows here.
+const ISN: u32 = 1_000;
+
+/// Rounds of packets in a timed run.
+const ROUNDS: usize = 5;
+
+/// Memory of flows, packets among many flows, and a member that joins.
+pub fn series() -> Vec<Series> {
+    let mut held = Vec::new();
+    let mut stack = Vec::new();
+    let mut allocations = Vec::new();
+    let mut moved = Vec::new();
+    let mut time = Vec::new();
+    for flows in FLOWS {
+        let x = flows as f64;
+        let (mut router, used) = heap::measure(|| owner_of(flows));
+        held.push(Point {
+            x,
+            y: used.held_bytes as f64,
+        });
+        stack.push(Point {
+            x,
+            y: stacks(flows),
+        });
+        let (_, used) = heap::measure(|| packets(&mut router, flows));
+        allocations.push(Point {
+            x,
+            y: used.allocations as f64,
+        });
+        let span = best_time(|| packets(&mut router, flows));
+        let y = span.as_nanos() as f64 / (flows * ROUNDS) as f64;
+        time.push(Point { x, y });
+        moved.push(Point {
+            x,
+            y: register(&mut router),
+        });
+    }
+    let series = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "flow",
+        kind,
+        points,
+        target: TARGET_FLOWS,
+    };
+    vec![
+        series("flow table of an agent", "B", Kind::Count, held),
+        series(
+            "TCP of idle flows, buffers included",
+            "B",
+            Kind::Count,
+            stack,
+        ),
+        series(
+            "allocations for 5 packets of each flow",
+            "",
+            Kind::Count,
+            allocations,
+        ),
+        series(
+            "flows registered when the thirteenth member joins",
+            "",
+            Kind::Count,
+            moved,
+        ),
+        series(
+            "decision for a packet of an open flow",
+            "ns",
+            Kind::Time,
+            time,
+        ),
+    ]
+}
+
+/// An agent that owns so many established flows, all by its own placement.
+fn owner_of(flows: usize) -> FlowRouter {
+    let me = InstanceId::of("s0-0");
+    let mut router = FlowRouter::new(me, 1);
+    let now = Millis(0);
+    router.install(now, picture(fleet::TARGET_MEMBERS, 1));
+    for n in 0..flows {
+        let key = key(n);
+        let arrival = Arrival {
+            sender: None,
+            hops: 1,
+            to_owner: true,
+        };
+        let step = router.packet(now, arrival, &segment(key, true));
+        assert_eq!(step, Step::Open, "an owner opens what its home sends");
+        router.accepted(now, key, ISN);
+        router.packet(now, arrival, &segment(key, false));
+    }
+    router.take_outbox().for_each(drop);
+    router
+}
+
+fn packets(router: &mut FlowRouter, flows: usize) -> usize {
+    let arrival = Arrival {
+        sender: None,
+        hops: 1,
+        to_owner: true,
+    };
+    let mut delivered = 0;
+    for _ in 0..ROUNDS {
+        for n in 0..flows {
+            let step = router.packet(Millis(1), arrival, &segment(key(n), false));
+            delivered += usize::from(step == Step::Deliver);
+        }
+    }
+    delivered
+}
+
+/// Flows registered with other homes when a member joins the group.
+fn register(router: &mut FlowRouter) -> f64 {
+    router.install(Millis(2), picture(fleet::TARGET_MEMBERS + 1, 2));
+    let mut flows = HashSet::new();
+    for second in 0..120 {
+        router.tick(Millis(1_000 * second + 100));
+        for outgoing in router.take_outbox() {
+            if let Message::Register { flows: batch } = outgoing.message {
+                flows.extend(batch);
+            }
+        }
+    }
+    flows.len() as f64
+}
+
+/// Heap of the user-space TCP of so many flows.
+fn stacks(flows: usize) -> f64 {
+    let (stacks, used) = heap::measure(|| {
+        let listen = |n| FlowStack::listen(&key(n), n as u64, Millis(0));
+        (0..flows).map(listen).collect::<Vec<_>>()
+    });
+    drop(stacks);
+    used.held_bytes as f64
+}
+
+fn picture(members: usize, version: u64) -> Arc<GroupPicture> {
+    let fleet: Fleet = fleet::fleet(1, members);
+    let view = View::compile(&fleet, &HashSet::new());
+    let address = fleet.services["s0"].address;
+    let group = view.group(address).expect("the only service");
+    Arc::new(GroupPicture {
+        version: Version(version),
+        latest: Version(version),
+        group: Arc::clone(group),
+        loads: IndexMap::new(),
+        gone: HashSet::new(),
+    })
+}
+
+fn key(n: usize) -> FlowKey {
+    let caller = Ipv4Addr::from(0x0ac8_0000 + (n / 50_000) as u32);
+    FlowKey {
+        caller: SocketAddrV4::new(caller, 10_000 + (n % 50_000) as u16),
+        service: SocketAddrV4::new(Ipv4Addr::from(0x0a50_0000), 80),
+    }
+}
+
+fn segment(key: FlowKey, opens: bool) -> Segment {
+    Segment {
+        key,
+        seq: 1,
+        ack: ISN + 1,
+        len: 0,
+        opens,
+        syn: opens,
+        has_ack: !opens,
+        rst: false,
+        fin: false,
+    }
+}
--- /dev/null
+++ b/ramplab/src/slopes/group.rs
@@ -0,0 +1,267 @@
+//! Control traffic of a group: heartbeats inside it, digests to balancers.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_coordination::group::BalancerMembership;
+use ramp_coordination::group::Membership;
+use ramp_coordination::group::Output;
+use ramp_protocol::codec;
+use ramp_protocol::message::Envelope;
+use ramp_protocol::message::Load;
+use ramp_protocol::message::Message;
+use ramp_protocol::seal::TAG_LEN_BYTES;
+use ramp_state::fleet::Fleet;
+use ramp_state::instances::Instance;
+use ramp_state::instances::InstanceList;
+use ramp_state::instances::Presence;
+use ramp_state::instances::Role;
+use ramp_state::key::Incarnation;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+use crate::heap;
+use crate::slopes::Kind;
+use crate::slopes::Point;
+use crate::slopes::Series;
+use crate::slopes::best_time;
+use crate::slopes::fleet;
+
+/// IP and UDP headers of a datagram, in bytes.
+const HEADERS_BYTES: usize = 28;
+
+/// Simulated time that traffic is counted over.
+const SPAN: Duration = Duration::from_secs(40);
+
+/// Simulated time for each turn.
+const TURN: Duration = Duration::from_millis(100);
+
+const MEMBERS: [usize; 4] = [6, 12, 18, 24];
+
+const BALANCERS: [usize; 4] = [80, 165, 330, 660];
+
+const GROUPS: [usize; 4] = [42, 85, 170, 340];
+
+/// Bytes a second of heartbeats and digests, and what they cost.
+pub fn series() -> Vec<Series> {
+    let by_members = MEMBERS.map(|n| (n, run_group(n, 0)));
+    let by_balancers = BALANCERS.map(|n| (n, run_group(fleet::TARGET_MEMBERS, n)));
+    let by_groups = GROUPS.map(|n| (n, digests(n)));
+    let member = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "member of the group",
+        kind,
+        points,
+        target: fleet::TARGET_MEMBERS as f64 + 1.0,
+    };
+    let balancer = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "balancer",
+        kind,
+        points,
+        target: fleet::TARGET_BALANCERS as f64,
+    };
+    let group = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "group",
+        kind,
+        points,
+        target: fleet::TARGET_GROUPS as f64,
+    };
+    vec![
+        member(
+            "heartbeats an agent sends",
+            "B/s",
+            Kind::Count,
+            points(&by_members, |r| r.bytes_a_second),
+        ),
+        member(
+            "membership of an agent",
+            "B",
+            Kind::Count,
+            points(&by_members, |r| r.held_bytes),
+        ),
+        balancer(
+            "heartbeats and digests an agent sends, 12 members",
+            "B/s",
+            Kind::Count,
+            points(&by_balancers, |r| r.bytes_a_second),
+        ),
+        group(
+            "digests a balancer receives",
+            "B/s",
+            Kind::Count,
+            points(&by_groups, |r| r.bytes_a_second),
+        ),
+        group(
+            "membership of a balancer",
+            "B",
+            Kind::Count,
+            points(&by_groups, |r| r.held_bytes),
+        ),
+        group(
+            "all digests taken once by a balancer",
+            "us",
+            Kind::Time,
+            points(&by_groups, |r| r.time_us),
+        ),
+    ]
+}
+
+/// What one run showed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Run {
+    bytes_a_second: f64,
+    held_bytes: f64,
+    time_us: f64,
+}
+
+fn points(runs: &[(usize, Run)], of: impl Fn(&Run) -> f64) -> Vec<Point> {
+    runs.iter()
+        .map(|(n, run)| Point {
+            x: *n as f64,
+            y: of(run),
+        })
+        .collect()
+}
+
+/// Runs the agents of one group with so many balancers; the agent that sends
+/// most counts.
+fn run_group(members: usize, balancers: usize) -> Run {
+    let fleet = Arc::new(fleet::fleet(1, members));
+    let list = instances(&fleet, balancers);
+    let names: Vec<String> = fleet.servers.keys().cloned().collect();
+    let (mut agents, used) = heap::measure(|| {
+        let start = |name: &String| start_agent(name, &fleet, &list);
+        names.iter().map(start).collect::<Vec<_>>()
+    });
+    let at: HashMap<SocketAddrV4, usize> = fleet
+        .servers
+        .values()
+        .enumerate()
+        .map(|(i, server)| (server.control, i))
+        .collect();
+    let mut bytes = vec![0; members];
+    let mut sequence = 0;
+    let turns = SPAN.as_millis() / TURN.as_millis();
+    for turn in 0..turns as u64 {
+        let now = Millis(turn * TURN.as_millis() as u64);
+        for i in 0..members {
+            agents[i].tick(now);
+            for output in agents[i].take_outputs().collect::<Vec<_>>() {
+                let Output::Send { to, message } = output else {
+                    continue;
+                };
+                sequence += 1;
+                let envelope = envelope(&names[i], sequence, message);
+                bytes[i] += datagram_bytes(&envelope);
+                if let Some(peer) = at.get(&to) {
+                    agents[*peer].receive(now, &envelope);
+                }
+            }
+        }
+    }
+    let most = bytes.into_iter().max().unwrap_or_default();
+    Run {
+        bytes_a_second: most as f64 / SPAN.as_secs_f64(),
+        held_bytes: used.held_bytes as f64 / members as f64,
+        time_us: 0.0,
+    }
+}
+
+fn start_agent(name: &str, fleet: &Arc<Fleet>, list: &InstanceList) -> Membership {
+    let mut agent = Membership::new(name);
+    agent.install(Millis(0), Arc::clone(fleet));
+    agent.instances(Millis(0), list);
+    agent.load(Millis(0), Load::default());
+    agent
+}
+
+/// One digest of each group, taken by a balancer.
+fn digests(groups: usize) -> Run {
+    let fleet = Arc::new(fleet::fleet(groups, fleet::TARGET_MEMBERS));
+    let messages: Vec<Envelope> = (0..groups).map(digest).collect();
+    let (mut balancer, used) = heap::measure(|| {
+        let mut balancer = BalancerMembership::new();
+        balancer.install(Millis(0), Arc::clone(&fleet));
+        balancer
+    });
+    let mut sequence = 1;
+    let time = best_time(|| {
+        sequence += 1;
+        for message in &messages {
+            let buf = codec::encode(message);
+            let mut message = codec::decode(&buf).expect("just encoded");
+            message.sequence = sequence;
+            balancer.receive(Millis(sequence), &message);
+        }
+        balancer.tick(Millis(sequence));
+    });
+    let bytes: usize = messages.iter().map(datagram_bytes).sum();
+    Run {
+        bytes_a_second: bytes as f64 / DIGEST_PERIOD.as_secs_f64(),
+        held_bytes: used.held_bytes as f64,
+        time_us: time.as_micros() as f64,
+    }
+}
+
+/// Time between two digests of a group to a balancer.
+const DIGEST_PERIOD: Duration = Duration::from_secs(4);
+
+fn digest(group: usize) -> Envelope {
+    let service = ramp_state::key::ServiceId::of(&format!("s{group}"));
+    let message = Message::Digest {
+        service,
+        config: Version(1),
+        dead: Vec::new(),
+    };
+    envelope(&format!("s{group}-0"), 1, message)
+}
+
+fn envelope(sender: &str, sequence: u64, message: Message) -> Envelope {
+    Envelope {
+        sender: InstanceId::of(sender),
+        incarnation: Incarnation(1),
+        sequence,
+        message,
+    }
+}
+
+fn datagram_bytes(envelope: &Envelope) -> usize {
+    codec::encode(envelope).len() + TAG_LEN_BYTES + HEADERS_BYTES
+}
+
+fn instances(fleet: &Fleet, balancers: usize) -> InstanceList {
+    let mut list = InstanceList {
+        version: Version(1),
+        ..InstanceList::default()
+    };
+    for (name, server) in &fleet.servers {
+        let instance = Instance {
+            role: Role::Agent,
+            data_centre: server.data_centre.clone(),
+            address: server.agent,
+            control: server.control,
+            presence: Presence::Live,
+        };
+        list.instances.insert(name.clone(), instance);
+    }
+    for n in 0..balancers {
+        let ip = std::net::Ipv4Addr::from(0x7f60_0000 + n as u32);
+        let instance = Instance {
+            role: Role::Balancer,
+            data_centre: "dc0".to_string(),
+            address: SocketAddrV4::new(ip, 7000),
+            control: SocketAddrV4::new(ip, 7001),
+            presence: Presence::Live,
+        };
+        list.instances.insert(format!("b{n}"), instance);
+    }
+    list
+}
--- /dev/null
+++ b/ramplab/src/slopes/ledger.rs
@@ -0,0 +1,77 @@
+//! The ledger: memory with many callers.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use ramp_state::key::InstanceId;
+use ramp_state::key::ServiceId;
+use ramp_state::ledger::Ledger;
+use ramp_state::outcome::Outcome;
+use ramp_state::outcome::Record;
+use ramp_state::time::Millis;
+use ramp_state::verdict::Verdict;
+
+use crate::heap;
+use crate::slopes::Kind;
+use crate::slopes::Point;
+use crate::slopes::Series;
+use crate::slopes::best_time;
+
+const CALLERS: [u32; 4] = [1_000, 10_000, 50_000, 100_000];
+
+/// Callers that the ledger is held to.
+const TARGET_CALLERS: f64 = 100_000.0;
+
+/// Memory and time of the ledger by callers.
+pub fn series() -> Vec<Series> {
+    let mut held = Vec::new();
+    let mut time = Vec::new();
+    for callers in CALLERS {
+        let x = f64::from(callers);
+        let (ledger, used) = heap::measure(|| fill(callers));
+        drop(ledger);
+        held.push(Point {
+            x,
+            y: used.held_bytes as f64,
+        });
+        let span = best_time(|| fill(callers));
+        time.push(Point {
+            x,
+            y: span.as_nanos() as f64 / x,
+        });
+    }
+    let series = |name, unit, kind, points| Series {
+        name,
+        unit,
+        per: "caller",
+        kind,
+        points,
+        target: TARGET_CALLERS,
+    };
+    vec![
+        series("ledger of a process", "B", Kind::Count, held),
+        series("counting one request", "ns", Kind::Time, time),
+    ]
+}
+
+/// A ledger that counted one request of each caller, spread over an hour.
+fn fill(callers: u32) -> Ledger {
+    let mut ledger = Ledger::new(Millis(0));
+    for n in 0..callers {
+        let record = Record {
+            caller: SocketAddrV4::new(Ipv4Addr::from(0x0ac8_0000 + n), 1_000),
+            service: ServiceId::of("ledger"),
+            server: Some(InstanceId::of("ledger-1")),
+            outcome: Outcome::Request {
+                verdict: Verdict::Served,
+                took: Duration::from_millis(20),
+            },
+        };
+        ledger.add(
+            Millis(u64::from(n) * 3_600_000 / u64::from(callers)),
+            &record,
+        );
+    }
+    ledger
+}
