--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod relay;
 mod slopes;
+mod throughput;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -70,6 +71,11 @@
         about: "measure how costs grow with the fleet",
         run: slopes::run,
     },
+    Command {
+        name: "throughput",
+        about: "measure a balancer's packets a second",
+        run: throughput::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod relay;
 pub mod rng;
 pub mod slopes;
+pub mod throughput;
