Reset by a pointer only when the owner itself has proved the flow

Ruled out: asking the group for every flow whose owner is lost (a data centre taken out would cost a question a flow). Change: pointers know whether the owner has proved the flow; unproved ones to lost owners lead to a question. The router is split by what it does: opening, asking, hearing. Conclusion: a placement is a guess until the owner speaks.

--- /dev/null
+++ b/crates/coordination/src/flows/asking.rs
@@ -0,0 +1,235 @@
+//! Later packets of flows that are not here: following pointers, asking the
+//! group, and telling the caller when nobody owns the flow.
+
+use ramp_protocol::header::HOP_LIMIT;
+use ramp_protocol::message::Answer;
+use ramp_protocol::message::Message;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+use ramp_state::view::Member;
+
+use super::Arrival;
+use super::DropReason;
+use super::FlowRouter;
+use super::Outgoing;
+use super::Reset;
+use super::ResetReason;
+use super::Step;
+use super::hearing::hears;
+use super::questions::Progress;
+use crate::picture::GroupPicture;
+
+impl FlowRouter {
+    /// A later packet of a flow that is not established here.
+    pub(super) fn later(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        arrival: Arrival,
+        segment: &Segment,
+    ) -> Step {
+        if let Some(step) = self.follow(picture, arrival, &segment.key) {
+            return step;
+        }
+        if arrival.to_owner {
+            return self.refuse(now, picture, arrival, segment.key);
+        }
+        match picture.group.home(segment.key.hash64()) {
+            None => Step::Drop(DropReason::NoHome),
+            Some(home) if home.id == self.me => self.ask(now, picture, segment),
+            Some(_) if arrival.hops >= HOP_LIMIT => Step::Drop(DropReason::HopLimit),
+            Some(home) => Step::Forward {
+                to: home.id,
+                to_owner: false,
+            },
+        }
+    }
+
+    /// Follows the pointer of a flow, if there is one that leads on.
+    pub(super) fn follow(
+        &mut self,
+        picture: &GroupPicture,
+        arrival: Arrival,
+        key: &FlowKey,
+    ) -> Option<Step> {
+        let pointer = self.directory.get(key)?;
+        let owner = pointer.owner;
+        // Whoever sent it on does not have the flow, else it had kept it.
+        if Some(owner) == arrival.sender {
+            self.directory.remove(key);
+            return None;
+        }
+        if let Some(reason) = lost(picture, owner) {
+            // By a newer configuration the owner may be there.
+            if picture.latest > picture.version {
+                return Some(Step::Drop(DropReason::Asked));
+            }
+            if !pointer.proved {
+                self.directory.remove(key);
+                return None;
+            }
+            if !pointer.reset {
+                pointer.reset = true;
+                self.counts.resets.add(reason);
+            }
+            return Some(Step::Reset(reason));
+        }
+        if arrival.hops >= HOP_LIMIT {
+            return Some(Step::Drop(DropReason::HopLimit));
+        }
+        Some(Step::Forward {
+            to: owner,
+            to_owner: true,
+        })
+    }
+
+    /// Tells the sender that its pointer is out of date.
+    pub(super) fn refuse(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        arrival: Arrival,
+        key: FlowKey,
+    ) -> Step {
+        if let Some(sender) = arrival.sender
+            && hears(picture, sender)
+        {
+            self.tell(now, sender, key, Answer::NotMine);
+        }
+        Step::Drop(DropReason::NotOwner)
+    }
+
+    /// Asks the group who owns the flow of `segment`.
+    pub(super) fn ask(&mut self, now: Millis, picture: &GroupPicture, segment: &Segment) -> Step {
+        let key = segment.key;
+        if let Some(question) = self.questions.get(&key) {
+            match question.progress {
+                Progress::Open if !question.may_retry(now) => {
+                    return Step::Drop(DropReason::Asked);
+                }
+                Progress::Open => return self.send_question(now, picture, key),
+                // The outcome is only valid for the segment that was asked about:
+                // a flow opened since then acknowledges something else.
+                Progress::Unowned(reason) if question.segment.ack == segment.ack => {
+                    return Step::Reset(reason);
+                }
+                Progress::Unowned(_) => {
+                    self.questions.remove(&key);
+                }
+            }
+        }
+        let peers = owners(picture, self.me).count();
+        if !self.questions.allow(now, &key, peers) || !self.questions.insert(now, *segment) {
+            self.counts.questions_limited += 1;
+            return Step::Drop(DropReason::QuestionLimited);
+        }
+        self.post_question(picture, key);
+        match self.settle(&key) {
+            Some(reset) => Step::Reset(reset.reason),
+            None => Step::Drop(DropReason::Asked),
+        }
+    }
+
+    /// Asks those again who have not answered.
+    pub(super) fn send_question(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        key: FlowKey,
+    ) -> Step {
+        let me = self.me;
+        let Some(question) = self.questions.get(&key) else {
+            return Step::Drop(DropReason::Asked);
+        };
+        let missing = owners(picture, me)
+            .filter(|m| !question.denied.contains(&m.id))
+            .count();
+        if !self.questions.allow(now, &key, missing) {
+            self.counts.questions_limited += 1;
+            return Step::Drop(DropReason::QuestionLimited);
+        }
+        if let Some(question) = self.questions.get(&key) {
+            question.asked_at = now;
+        }
+        self.post_question(picture, key);
+        Step::Drop(DropReason::Asked)
+    }
+
+    pub(super) fn post_question(&mut self, picture: &GroupPicture, key: FlowKey) {
+        let Some(question) = self.questions.get(&key) else {
+            return;
+        };
+        let ack = question.segment.ack;
+        let missing = owners(picture, self.me).filter(|m| !question.denied.contains(&m.id));
+        let before = self.outbox.len();
+        self.outbox.extend(missing.map(|m| Outgoing {
+            to: m.id,
+            message: Message::WhoOwns { key, ack },
+        }));
+        self.counts.questions_sent += (self.outbox.len() - before) as u64;
+    }
+
+    /// Ends a question when every member that could own the flow has denied.
+    pub(super) fn settle(&mut self, key: &FlowKey) -> Option<Reset> {
+        let picture = self.picture.clone()?;
+        let me = self.me;
+        let question = self.questions.get(key)?;
+        let is_home = picture
+            .group
+            .home(key.hash64())
+            .is_some_and(|home| home.id == me);
+        let open = question.progress == Progress::Open;
+        let denied = owners(&picture, me).all(|m| question.denied.contains(&m.id));
+        // A newer configuration may bring members that were not asked.
+        if !open || !denied || !is_home || picture.latest > picture.version {
+            return None;
+        }
+        let reason = unowned(&picture);
+        question.progress = Progress::Unowned(reason);
+        let segment = question.segment;
+        // A reset is never answered with one.
+        if segment.rst {
+            return None;
+        }
+        self.counts.resets.add(reason);
+        Some(Reset { segment, reason })
+    }
+}
+
+/// Members beside `me` that could own a flow.
+fn owners(picture: &GroupPicture, me: InstanceId) -> impl Iterator<Item = &Member> {
+    picture
+        .group
+        .members
+        .iter()
+        .filter(move |m| m.id != me && m.reachable && !picture.gone.contains(&m.id))
+}
+
+/// Why `owner` surely has no flows any more, if so.
+fn lost(picture: &GroupPicture, owner: InstanceId) -> Option<ResetReason> {
+    let Some(member) = picture.group.member(owner) else {
+        return Some(ResetReason::OwnerLost);
+    };
+    if !member.reachable {
+        return Some(ResetReason::GivenUp);
+    }
+    picture
+        .gone
+        .contains(&owner)
+        .then_some(ResetReason::OwnerLost)
+}
+
+/// Why a flow that no member owns is gone, as far as can be told: it was
+/// with a member that is missing now, if one is.
+fn unowned(picture: &GroupPicture) -> ResetReason {
+    let members = &picture.group.members;
+    if members.iter().any(|m| !m.reachable) {
+        ResetReason::GivenUp
+    } else if members.iter().any(|m| picture.gone.contains(&m.id)) {
+        ResetReason::OwnerLost
+    } else {
+        ResetReason::Unowned
+    }
+}
--- a/crates/coordination/src/flows/directory.rs
+++ b/crates/coordination/src/flows/directory.rs
@@ -19,6 +19,9 @@
 pub(super) struct Pointer {
     /// Agent that owns the flow.
     pub(super) owner: InstanceId,
+    /// Whether the owner has said so, rather than this home chosen it: a first
+    /// packet that was placed may have been opened elsewhere as well.
+    pub(super) proved: bool,
     /// Whether a caller has been told that the owner is gone.
     pub(super) reset: bool,
 }
@@ -52,11 +55,12 @@
         Some(self.young.entry(*key).or_insert(pointer))
     }
 
-    pub(super) fn insert(&mut self, key: FlowKey, owner: InstanceId) {
+    pub(super) fn insert(&mut self, key: FlowKey, owner: InstanceId, proved: bool) {
         self.old.remove(&key);
         self.make_room();
         let pointer = Pointer {
             owner,
+            proved,
             reset: false,
         };
         self.young.insert(key, pointer);
--- a/crates/coordination/src/flows/mod.rs
+++ b/crates/coordination/src/flows/mod.rs
@@ -23,10 +23,13 @@
 //! [`Step`] says, calls [`FlowRouter::tick`] at [`FlowRouter::next_timer`],
 //! and after each call drains the outbox, the resets and the abandoned flows.
 
+mod asking;
 mod bucket;
 mod counts;
 mod directory;
 mod hash;
+mod hearing;
+mod opening;
 mod placement;
 mod questions;
 mod registration;
--- /dev/null
+++ b/crates/coordination/src/flows/opening.rs
@@ -0,0 +1,125 @@
+//! First packets: placing, taking and opening new flows.
+
+use ramp_protocol::header::HOP_LIMIT;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+use ramp_state::view::Member;
+
+use super::Arrival;
+use super::DropReason;
+use super::FlowRouter;
+use super::ResetReason;
+use super::Step;
+use crate::picture::GroupPicture;
+
+impl FlowRouter {
+    /// A first packet of a flow that is not in the table.
+    pub(super) fn first(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        arrival: Arrival,
+        segment: &Segment,
+    ) -> Step {
+        let key = segment.key;
+        let may_forward = arrival.hops.saturating_add(1) < HOP_LIMIT;
+        let pointer = self.directory.get(&key).map(|p| p.owner);
+        if let Some(to) = pointer.filter(|to| Some(*to) != arrival.sender && may_forward)
+            && picture.group.member(to).is_some_and(Member::is_home)
+        {
+            return Step::Forward { to, to_owner: true };
+        }
+        if arrival.to_owner || !may_forward {
+            return self.take(now, picture, arrival, key, may_forward);
+        }
+        match picture.group.home(key.hash64()) {
+            None => Step::Drop(DropReason::NoHome),
+            Some(home) if home.id == self.me => self.place(now, picture, key),
+            Some(home) => Step::Forward {
+                to: home.id,
+                to_owner: false,
+            },
+        }
+    }
+
+    /// Places a new flow whose home this agent is.
+    pub(super) fn place(&mut self, now: Millis, picture: &GroupPicture, key: FlowKey) -> Step {
+        let own_flows = self.table.len();
+        match self.placement.choose(now, picture, own_flows) {
+            Some(to) if to != self.me => {
+                self.counts.placed_elsewhere += 1;
+                self.give(key, to)
+            }
+            _ => self.open(now, picture, key, None),
+        }
+    }
+
+    /// Takes a new flow that another member gave to this agent, or passes it on.
+    pub(super) fn take(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        arrival: Arrival,
+        key: FlowKey,
+        may_forward: bool,
+    ) -> Step {
+        let own_flows = self.table.len();
+        if !self.placement.may_open(now, picture, own_flows) && may_forward {
+            let other = self
+                .placement
+                .choose_other(now, picture, own_flows, arrival.sender);
+            if let Some(to) = other {
+                self.counts.passed_on += 1;
+                return self.give(key, to);
+            }
+        }
+        let pointer_at = arrival.sender.filter(|_| arrival.to_owner);
+        self.open(now, picture, key, pointer_at)
+    }
+
+    pub(super) fn give(&mut self, key: FlowKey, to: InstanceId) -> Step {
+        self.placement.grant(to);
+        self.directory.insert(key, to, false);
+        self.questions.remove(&key);
+        Step::Forward { to, to_owner: true }
+    }
+
+    pub(super) fn open(
+        &mut self,
+        now: Millis,
+        picture: &GroupPicture,
+        key: FlowKey,
+        pointer_at: Option<InstanceId>,
+    ) -> Step {
+        let most = picture
+            .group
+            .member(self.me)
+            .map_or(0, |m| m.policy.connections as usize);
+        if self.table.len() - self.table.half_open() >= most {
+            return self.reset(ResetReason::Full);
+        }
+        // A flood of first packets must not keep out those who mean it.
+        if self.table.len() >= most
+            && let Some(oldest) = self.table.fade_oldest()
+        {
+            self.abandon(oldest.key);
+        }
+        self.directory.remove(&key);
+        self.questions.remove(&key);
+        self.table.open(now, key, pointer_at);
+        Step::Open
+    }
+
+    pub(super) fn abandon(&mut self, key: FlowKey) {
+        self.counts.faded += 1;
+        self.placement.ended();
+        self.abandoned.push(key);
+    }
+
+    pub(super) fn reset(&mut self, reason: ResetReason) -> Step {
+        self.counts.resets.add(reason);
+        Step::Reset(reason)
+    }
+}
