Keep long lists of a report short, and tests off ports that others may take

Ruled out: hiding gaps by kind: names are what one acts on. Tests use a part of loopback that nothing binds. Conclusion: the text stays readable with any number of processes.

--- a/bramleyramp/src/report/html.rs
+++ b/bramleyramp/src/report/html.rs
@@ -9,6 +9,7 @@
 use crate::report::model::Tally;
 use crate::report::plot;
 use crate::report::text;
+use crate::words::by_kind;
 use crate::words::number;
 use crate::words::percent;
 use crate::words::span;
@@ -80,8 +81,8 @@
             "At least: events may be missing, so each number is a lower bound.",
         );
     }
-    for gap in &report.gaps {
-        block(page, "gap", &gap.to_string());
+    for gap in by_kind(&report.gaps) {
+        block(page, "gap", &gap);
     }
 }
 
--- a/bramleyramp/src/report/text.rs
+++ b/bramleyramp/src/report/text.rs
@@ -1,5 +1,7 @@
 //! The report as text that a person reads at a glance.
 
+use std::cmp::Reverse;
+
 use crate::report::model::AlertLine;
 use crate::report::model::BurnLine;
 use crate::report::model::ChangeLine;
@@ -9,7 +11,9 @@
 use crate::report::model::Report;
 use crate::report::model::Tally;
 use crate::report::model::What;
+use crate::report::model::Why;
 use crate::table::Table;
+use crate::words::by_kind;
 use crate::words::number;
 use crate::words::percent;
 use crate::words::span;
@@ -18,6 +22,9 @@
     "", "served", "refused", "cut", "flows", "given up", "broken", "half in", "99% in",
 ];
 
+/// Rows of one kind that a table shows.
+const ROWS: usize = 40;
+
 /// Headings in words, below the table.
 const LEGEND: &str = "\
 refused: not run, no byte reached a backend server; cut: may have run
@@ -115,7 +122,7 @@
         true => "AT LEAST: events may be missing, so each number is a lower bound\n".to_string(),
         false => "Note\n".to_string(),
     };
-    for gap in &report.gaps {
+    for gap in by_kind(&report.gaps) {
         text.push_str(&format!("  - {gap}\n"));
     }
     text
@@ -133,13 +140,32 @@
         ("data centre", &report.data_centres),
         ("server", &report.servers),
     ] {
-        for line in lines {
+        for line in worst(lines) {
             table.add(cells(&format!("{kind} {}", line.name), line));
         }
+        let others = lines.len().saturating_sub(ROWS);
+        if others > 0 {
+            table.add([format!("{kind}: {others} more (--json has all)")]);
+        }
     }
     format!("{}{LEGEND}", table.render())
 }
 
+/// Rows that fit: all, or those with the most that was not served.
+fn worst(lines: &[Line]) -> Vec<&Line> {
+    let mut rows: Vec<&Line> = lines.iter().collect();
+    if rows.len() > ROWS {
+        rows.sort_by_key(|line| Reverse(not_served(&line.tally)));
+        rows.truncate(ROWS);
+    }
+    rows
+}
+
+fn not_served(tally: &Tally) -> u64 {
+    let requests = tally.not_run.saturating_add(tally.may_have_run);
+    requests.saturating_add(tally.broken)
+}
+
 fn cells(name: &str, line: &Line) -> Vec<String> {
     let time = |ms: Option<u64>| ms.map_or("-".to_string(), span);
     let mut cells = tally_cells(name, &line.tally);
@@ -206,7 +232,7 @@
     text
 }
 
-fn same_reason(a: &crate::report::model::Why, b: &crate::report::model::Why) -> bool {
+fn same_reason(a: &Why, b: &Why) -> bool {
     a.what == b.what && a.reason == b.reason
 }
 
@@ -244,15 +270,29 @@
     let mut headings = vec!["Burn (1 spends just what is allowed)", "budget left"];
     headings.extend(windows.iter().map(String::as_str));
     let mut table = Table::new(&headings);
-    for line in &report.burn {
+    for line in fastest(&report.burn) {
         let name = format!("{} {}", line.service, objective(line.objective));
         let mut cells = vec![name, percent(line.budget_left)];
         cells.extend(line.windows.iter().map(|w| format!("{:.2}", w.rate)));
         table.add(cells);
     }
+    let others = report.burn.len().saturating_sub(ROWS);
+    if others > 0 {
+        table.add([format!("{others} more (--json has all)")]);
+    }
     format!("{}{}{}", table.render(), memory(first), alerts(report))
 }
 
+/// Rows that fit: all, or those with the least budget left.
+fn fastest(lines: &[BurnLine]) -> Vec<&BurnLine> {
+    let mut rows: Vec<&BurnLine> = lines.iter().collect();
+    if rows.len() > ROWS {
+        rows.sort_by(|a, b| a.budget_left.total_cmp(&b.budget_left));
+        rows.truncate(ROWS);
+    }
+    rows
+}
+
 /// How far back the burn looks, when that is less than its windows.
 fn memory(line: &BurnLine) -> String {
     let short = line
--- a/bramleyramp/src/status/text.rs
+++ b/bramleyramp/src/status/text.rs
@@ -1,8 +1,10 @@
 //! The overview as text that a person reads at a glance.
 
+use crate::status::model::LoadLine;
 use crate::status::model::MemberLine;
 use crate::status::model::Overview;
 use crate::table::Table;
+use crate::words::by_kind;
 use crate::words::number;
 use crate::words::span;
 
@@ -35,7 +37,7 @@
         "{verdict}, {} of {} processes answered{published}\n",
         overview.answered, overview.asked
     );
-    for finding in &overview.findings {
+    for finding in by_kind(&overview.findings) {
         text.push_str(&format!("  - {finding}\n"));
     }
     text
@@ -99,7 +101,7 @@
 }
 
 fn cells(member: &MemberLine) -> Vec<String> {
-    let load = |pick: fn(&crate::status::model::LoadLine) -> u32| match &member.load {
+    let load = |pick: fn(&LoadLine) -> u32| match &member.load {
         Some(load) => number(u64::from(pick(load))),
         None => "?".to_string(),
     };
--- a/bramleyramp/src/words.rs
+++ b/bramleyramp/src/words.rs
@@ -1,4 +1,31 @@
-//! Numbers and times as a person reads them.
+//! Numbers, times and long lists as a person reads them.
+
+use std::fmt::Display;
+use std::mem;
+use std::mem::Discriminant;
+
+use indexmap::IndexMap;
+
+/// Items of one kind that a list shows.
+const SHOWN: usize = 5;
+
+/// Items of an enumeration in words, kind by kind; of each kind the first few
+/// and the number of the others.
+pub fn by_kind<T: Display>(items: &[T]) -> Vec<String> {
+    let mut kinds: IndexMap<Discriminant<T>, Vec<&T>> = IndexMap::new();
+    for item in items {
+        kinds.entry(mem::discriminant(item)).or_default().push(item);
+    }
+    let mut lines = Vec::new();
+    for items in kinds.values() {
+        lines.extend(items.iter().take(SHOWN).map(ToString::to_string));
+        let others = items.len().saturating_sub(SHOWN);
+        if others > 0 {
+            lines.push(format!("and {others} more like these (--json has all)"));
+        }
+    }
+    lines
+}
 
 /// A time in the largest unit that keeps it readable.
 pub fn span(ms: u64) -> String {
--- a/bramleyramp/tests/fake/mod.rs
+++ b/bramleyramp/tests/fake/mod.rs
@@ -155,9 +155,9 @@
     (listener, address)
 }
 
-/// Address at which nobody listens.
-pub fn nobody() -> SocketAddrV4 {
-    listen().1
+/// Address at which nobody listens: no test binds this part of loopback.
+pub fn nobody(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 99, 0, number), 1)
 }
 
 fn member(name: &str, data_centre: &str) -> MemberStatus {
--- a/bramleyramp/tests/report.rs
+++ b/bramleyramp/tests/report.rs
@@ -182,7 +182,7 @@
 #[test]
 fn a_process_that_does_not_answer_makes_totals_at_least() {
     let mut processes = two_agents();
-    let absent = nobody();
+    let absent = nobody(1);
     processes.push(absent);
     let run = ask("report", &processes, &[]);
     assert_eq!(run.code, 0, "{}", run.err);
@@ -217,7 +217,7 @@
 #[test]
 fn a_platform_that_is_down_is_named_and_the_processes_give_the_document() {
     let mut args = vec!["report", "--json"];
-    let down = nobody().to_string();
+    let down = nobody(1).to_string();
     let named = two_agents()[0].to_string();
     args.extend(["--platform", &down, "--process", &named]);
     let report = bramleyramp(&args).json();
@@ -227,6 +227,17 @@
     assert!(gaps.contains("no_instance_list"), "{gaps}");
 }
 
+#[test]
+fn many_gaps_of_a_kind_take_few_lines() {
+    let silent: Vec<SocketAddrV4> = (0..30).map(nobody).collect();
+    let run = ask("report", &silent, &[]);
+    assert_eq!(run.out.matches("did not answer").count(), 5, "{}", run.out);
+    assert!(run.out.contains("and 25 more like these"), "{}", run.out);
+    let report = ask("report", &silent, &["--json"]).json();
+    let gaps = report["gaps"].to_string();
+    assert_eq!(gaps.matches("no_answer").count(), 30);
+}
+
 #[test]
 fn a_server_of_the_document_that_was_not_asked_is_named() {
     let processes = two_agents();
@@ -323,7 +334,7 @@
 
 #[test]
 fn when_nobody_answers_the_exit_code_tells() {
-    let run = ask("report", &[nobody()], &[]);
+    let run = ask("report", &[nobody(1)], &[]);
     assert_eq!(run.code, 1);
     assert!(run.out.contains("0 of 1 processes answered"), "{}", run.out);
 }
--- a/bramleyramp/tests/status.rs
+++ b/bramleyramp/tests/status.rs
@@ -52,7 +52,7 @@
 
 #[test]
 fn a_process_that_does_not_answer_breaks_agreement() {
-    let run = ask("status", &[first().start(), nobody()], &[]);
+    let run = ask("status", &[first().start(), nobody(1)], &[]);
     assert_eq!(run.code, 1, "{}", run.out);
     assert!(run.out.contains("did not answer"), "{}", run.out);
     assert!(run.out.contains("1 of 2 processes"), "{}", run.out);
--- a/crates/transport/tests/operator.rs
+++ b/crates/transport/tests/operator.rs
@@ -133,8 +133,8 @@
 #[test]
 fn absent_process_is_an_error_at_once() {
     run(async {
-        let (listener, address) = listen().await;
-        drop(listener);
+        // No test binds this part of loopback.
+        let address = SocketAddrV4::new(Ipv4Addr::new(127, 99, 0, 1), 1);
         let got = operator::ask_status(address, LIMIT).await;
         assert!(matches!(got, Err(RpcError::Io(_))), "{got:?}");
     });
