Tell how long a drain may still take

Cause: `status` shows drains, and no process told any. Ruled out: drains of servers that the document lets leave: no limit is in force for their flows, so there is no time to tell. Change: an agent that drains tells its flows, requests and the time left. Conclusion: seen by a person only in `status`; no test with a real process.

--- a/crates/transport/src/control/agent.rs
+++ b/crates/transport/src/control/agent.rs
@@ -1,6 +1,7 @@
 //! Control state of an agent: the picture of its group.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use flume::Sender;
 use ramp_coordination::configuration::Peer;
@@ -12,10 +13,13 @@
 use ramp_protocol::message::Envelope;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
+use ramp_protocol::operator::Drain;
 use ramp_protocol::operator::ServiceStatus;
 use ramp_state::fleet::Fleet;
 use ramp_state::instances;
 use ramp_state::instances::InstanceList;
+use ramp_state::key::InstanceId;
+use ramp_state::policy::Policy;
 use ramp_state::time::Millis;
 
 use crate::agent::traffic::Event;
@@ -27,12 +31,14 @@
 
 /// Control state of an agent.
 pub struct AgentRole {
+    name: String,
     membership: Membership,
     updates: Sender<Update>,
     wake: Wake,
     picture: Option<Arc<GroupPicture>>,
     load: Load,
-    draining: bool,
+    /// When the drain limit cuts what is left, once the process drains.
+    drain_ends: Option<Millis>,
     drained: bool,
     sends: Vec<Dispatch>,
 }
@@ -42,17 +48,26 @@
     /// traffic thread behind `updates`.
     pub fn new(name: &str, updates: Sender<Update>) -> AgentRole {
         AgentRole {
+            name: name.to_string(),
             membership: Membership::new(name),
             updates,
             wake: Wake::default(),
             picture: None,
             load: Load::default(),
-            draining: false,
+            drain_ends: None,
             drained: false,
             sends: Vec::new(),
         }
     }
 
+    /// Drain limit of the own backend server.
+    fn drain_limit(&self) -> Duration {
+        let me = InstanceId::of(&self.name);
+        let picture = self.picture.as_ref();
+        let member = picture.and_then(|p| p.group.member(me));
+        member.map_or_else(|| Policy::default().drain_limit, |m| m.policy.drain_limit)
+    }
+
     fn tell(&self, update: Update) {
         // A traffic thread that is gone has ended the process already.
         let _ = self.updates.send(update);
@@ -75,7 +90,7 @@
 
     fn take_load(&mut self, now: Millis, load: Load) {
         self.load = Load {
-            leaving: load.leaving || self.draining,
+            leaving: load.leaving || self.drain_ends.is_some(),
             ..load
         };
         self.membership.load(now, self.load);
@@ -142,7 +157,7 @@
     }
 
     fn drain(&mut self, now: Millis) {
-        self.draining = true;
+        self.drain_ends = Some(now + self.drain_limit());
         self.take_load(now, self.load);
         self.tell(Update::Drain);
     }
@@ -183,6 +198,16 @@
         self.load.flows
     }
 
+    fn drains(&self, now: Millis) -> Vec<Drain> {
+        let drain = self.drain_ends.map(|ends| Drain {
+            server: self.name.clone(),
+            flows: self.load.flows,
+            in_progress: self.load.in_progress,
+            left: ends.since(now),
+        });
+        drain.into_iter().collect()
+    }
+
     fn take_sends(&mut self) -> Vec<Dispatch> {
         std::mem::take(&mut self.sends)
     }
--- a/crates/transport/src/control/role.rs
+++ b/crates/transport/src/control/role.rs
@@ -8,6 +8,7 @@
 use ramp_protocol::message::Envelope;
 use ramp_protocol::message::Load;
 use ramp_protocol::message::Message;
+use ramp_protocol::operator::Drain;
 use ramp_protocol::operator::MemberStatus;
 use ramp_protocol::operator::ServiceStatus;
 use ramp_state::fleet::Fleet;
@@ -88,6 +89,11 @@
     /// Open flows that the process owns.
     fn flows(&self) -> u32;
 
+    /// Drains in progress.
+    fn drains(&self, _now: Millis) -> Vec<Drain> {
+        Vec::new()
+    }
+
     /// Takes the messages to be sent.
     fn take_sends(&mut self) -> Vec<Dispatch>;
 }
--- a/crates/transport/src/control/status.rs
+++ b/crates/transport/src/control/status.rs
@@ -45,7 +45,7 @@
             readiness: self.readiness(),
             services: self.role.services(),
             flows: u64::from(self.role.flows()),
-            drains: Vec::new(),
+            drains: self.role.drains(self.now),
             platform_calls: self.configuration.counts().platform_calls + self.instances.calls,
             platform_silent: self.platform_heard.map(|at| self.now.since(at)),
             refused: self.refused_and_newer(),
