Never stall on a lost FIN; let the platform's stand-in end in order

Cause: the TCP library, at the third repeated acknowledgement while only its FIN is under way, stops its timer and never sends the FIN again. Ruled out: the link (traced: the FIN was lost once, as it may be); the echo service (it polls for ever). Change: after the caller's end of stream the fabric passes no bare repeated acknowledgement on; SIGTERM ends the platform's stand-in with success; tests of the demo's documents. Conclusion: the same may befall agents' own connections.

--- a/ramplab/src/cmd/platform.rs
+++ b/ramplab/src/cmd/platform.rs
@@ -2,6 +2,8 @@
 
 use std::process::ExitCode;
 
+use crate::cmd::on_local_runtime;
+use crate::cmd::until_terminated;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::platform;
@@ -31,11 +33,13 @@
         print!("{USAGE}");
         return Ok(ExitCode::SUCCESS);
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, platform::serve(config))?;
-    Ok(ExitCode::SUCCESS)
+    on_local_runtime(async {
+        tokio::select! {
+            ended = platform::serve(config) => ended?,
+            ended = until_terminated() => ended?,
+        }
+        Ok(ExitCode::SUCCESS)
+    })
 }
 
 fn parse(mut args: lexopt::Parser) -> CliResult<Option<Config>> {
--- a/ramplab/src/fabric/carry.rs
+++ b/ramplab/src/fabric/carry.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ramp_protocol::packet::Segment;
 use smoltcp::iface::Config;
 use smoltcp::iface::Interface;
 use smoltcp::iface::SocketHandle;
@@ -57,6 +58,8 @@
     established: bool,
     /// Agent that sent the last packet.
     owner: Option<SocketAddr>,
+    /// Acknowledgement number of the last packet.
+    last_ack: Option<u32>,
 }
 
 impl Fabric {
@@ -125,6 +128,7 @@
             started: tokio::time::Instant::now(),
             established: false,
             owner: None,
+            last_ack: None,
         })
     }
 
@@ -273,7 +277,20 @@
 
     fn take(&mut self, returned: Returned) {
         self.owner = Some(returned.from);
-        self.queues.rx.push_back(returned.packet);
+        // At the third repeated acknowledgement of a FIN that was lost the TCP
+        // library stops its timer and never sends the FIN again.
+        if !(self.is_bare_repeat(&returned.packet) && self.local_eof) {
+            self.queues.rx.push_back(returned.packet);
+        }
+    }
+
+    /// Whether the packet only repeats the acknowledgement before it.
+    fn is_bare_repeat(&mut self, packet: &[u8]) -> bool {
+        let Ok(segment) = Segment::parse(packet) else {
+            return false;
+        };
+        let repeats = self.last_ack.replace(segment.ack) == Some(segment.ack);
+        repeats && segment.len == 0 && !segment.syn && !segment.fin && !segment.rst
     }
 
     /// Answers segments that are repeated because our last one was lost.
--- /dev/null
+++ b/ramplab/tests/demo.rs
@@ -0,0 +1,85 @@
+//! The demo's documents, as the programs under trial read them.
+
+use std::time::Duration;
+
+use ramp_state::fleet::DataCentreState;
+use ramp_state::fleet::Fleet;
+use ramp_state::fleet::ServerState;
+use ramp_state::instances::InstanceList;
+use ramp_state::instances::Presence;
+use ramp_state::instances::Role;
+use ramp_state::key::Version;
+use ramp_state::settings::Settings;
+use ramplab::demo::documents;
+use ramplab::demo::documents::Wishes;
+use ramplab::demo::layout::Layout;
+use ramplab::demo::plan::Plan;
+use ramplab::demo::plan::Timeline;
+
+#[test]
+fn the_documents_are_valid_for_both_users() {
+    for plan in [Plan::quillfield(), Plan::helvetia()] {
+        let layout = Layout::pick(&plan).unwrap();
+        let wishes = Wishes::default();
+        let fleet = Fleet::parse(Version(1), &documents::fleet(&plan, &layout, &wishes)).unwrap();
+        assert_eq!(fleet.servers.len(), 10);
+        assert_eq!(
+            (fleet.defaults.slots, fleet.defaults.connections),
+            (plan.slots, 2000)
+        );
+        let text = documents::instances(&layout, &wishes);
+        let list = InstanceList::parse(Version(1), &text).unwrap();
+        assert_eq!(list.instances.len(), 14);
+        for node in layout.nodes() {
+            let agent = layout.servers.iter().any(|s| s.agent.name == node.name);
+            let role = if agent { Role::Agent } else { Role::Balancer };
+            let settings = Settings::parse(&documents::settings(&layout, node), role).unwrap();
+            assert_eq!(
+                (settings.name, settings.agent.is_some()),
+                (node.name.clone(), agent)
+            );
+        }
+    }
+}
+
+#[test]
+fn the_documents_say_what_operators_want() {
+    let plan = Plan::quillfield();
+    let layout = Layout::pick(&plan).unwrap();
+    let wishes = Wishes {
+        out: Some("hartford".to_string()),
+        leaving_server: Some("ledger-1".to_string()),
+        leaving_balancers: vec!["balancer-1".to_string()],
+        absent_balancers: vec!["balancer-4".to_string()],
+    };
+    let fleet = Fleet::parse(Version(2), &documents::fleet(&plan, &layout, &wishes)).unwrap();
+    let out: Vec<_> = fleet
+        .data_centres
+        .iter()
+        .filter(|(_, d)| d.state == DataCentreState::Out)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    assert_eq!(out, ["hartford"]);
+    assert_eq!(fleet.servers["ledger-1"].state, ServerState::Leaving);
+    let text = documents::instances(&layout, &wishes);
+    let list = InstanceList::parse(Version(2), &text).unwrap();
+    let leaving: Vec<_> = list
+        .instances
+        .iter()
+        .filter(|(_, i)| i.presence == Presence::Leaving)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    // The second stands in the data centre that is out.
+    assert_eq!(leaving, ["balancer-1", "balancer-2"]);
+    assert!(!list.instances.contains_key("balancer-4"));
+}
+
+#[test]
+fn the_changes_come_in_order_within_the_load() {
+    let t = Timeline::over(Duration::from_secs(20));
+    let times = [t.out, t.back, t.drain, t.replace, t.end];
+    assert!(times.is_sorted());
+    // A data centre must be out longer than its emptying may take.
+    assert!(t.back - t.out > Duration::from_millis(ramplab::check::IN_FORCE_MS));
+    assert!(t.end - t.drain > Duration::from_millis(ramplab::check::IN_FORCE_MS));
+}
