Take a feed's opening for no work, and hold back while an answer is late

Ruled out: a slower ramp; it would only hide that the wrong thing is counted. Change: a feed's head proves nothing; while a request that was sent in full awaits its answer for far longer than the baseline, only the trickle goes on. A feed that its caller closes has been served. One of two places that passed records on is gone. Conclusion: the ramp is driven by finished work only.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use ramp_protocol::message::Warmth;
 use ramp_state::fleet::Policy;
 use ramp_state::time::Millis;
@@ -70,6 +71,8 @@
     queue: VecDeque<TicketKey>,
     admitted: Vec<Admitted>,
     in_progress: u32,
+    /// Requests sent in full that are not answered, and since when.
+    awaiting: IndexMap<PermitKey, Millis>,
     /// Mean time for which a request holds a slot.
     slot_time: Option<Duration>,
 }
@@ -85,6 +88,7 @@
             queue: VecDeque::new(),
             admitted: Vec::new(),
             in_progress: 0,
+            awaiting: IndexMap::new(),
             slot_time: None,
         }
     }
@@ -118,7 +122,8 @@
 
     /// Requests that the server may have in progress now.
     pub fn slots(&self, now: Millis) -> u32 {
-        self.cold_start.limit(now, &self.policy)
+        let oldest = self.awaiting.values().next().copied();
+        self.cold_start.limit(now, &self.policy, oldest)
     }
 
     /// Where the server stands between cold start and full load.
@@ -177,12 +182,20 @@
         }
     }
 
+    /// The whole request has been sent; its answer is awaited.
+    pub fn sent(&mut self, now: Millis, permit: PermitKey) {
+        if self.permits.contains_key(permit) {
+            self.awaiting.insert(permit, now);
+        }
+    }
+
     /// Takes what a request showed about the server. Told as early as it is
     /// known, since others must not be sent to a server that falters.
     pub fn learn(&mut self, now: Millis, permit: PermitKey, sign: Sign) {
         let Some(held) = self.permits.get_mut(permit) else {
             return;
         };
+        self.awaiting.shift_remove(&permit);
         held.answered |= matches!(sign, Sign::Answered(_));
         let era = held.era;
         self.cold_start.learn(now, &self.policy, era, sign);
@@ -203,6 +216,7 @@
     /// The request ended; all that it held is free.
     pub fn release(&mut self, now: Millis, permit: PermitKey) {
         if let Some(was) = self.permits.remove(permit) {
+            self.awaiting.shift_remove(&permit);
             self.end_slot(now, was);
         }
     }
--- a/crates/coordination/src/cold_start.rs
+++ b/crates/coordination/src/cold_start.rs
@@ -40,6 +40,9 @@
 pub enum Sign {
     /// Answered in this time, counted from the end of the request.
     Answered(Duration),
+    /// Opened a feed, which is no work and proves nothing about how much the
+    /// server bears.
+    FeedOpened,
     /// Not answered for this time, when it was given up.
     Overdue(Duration),
     /// Refused as too busy.
@@ -90,13 +93,15 @@
         }
     }
 
-    /// Requests that it may have in progress now. Zero only during the pause
-    /// after a failed connect, at most a second.
-    pub fn limit(&self, now: Millis, policy: &Policy) -> u32 {
+    /// Requests that it may have in progress now, when the oldest of those
+    /// that await their answer does so since `oldest`. Zero only during the
+    /// pause after a failed connect, at most a second.
+    pub fn limit(&self, now: Millis, policy: &Policy, oldest: Option<Millis>) -> u32 {
         if now < self.paused_until {
             return 0;
         }
-        let doubtful = self.suspect || now.since(self.heard) >= TRUST_LIMIT;
+        let is_late = oldest.is_some_and(|since| self.is_slow(now.since(since)));
+        let doubtful = self.suspect || is_late || now.since(self.heard) >= TRUST_LIMIT;
         let most = if doubtful {
             policy.cold_slots.max(1)
         } else {
@@ -147,7 +152,7 @@
                 self.pause = (self.pause * 2).clamp(PAUSE_FIRST, PAUSE_LIMIT);
                 self.paused_until = now + self.pause;
             }
-            Sign::Overdue(_) | Sign::Nothing => {}
+            Sign::FeedOpened | Sign::Overdue(_) | Sign::Nothing => {}
         }
     }
 
--- a/crates/coordination/src/request.rs
+++ b/crates/coordination/src/request.rs
@@ -218,6 +218,11 @@
         self.admission.leave(ticket);
     }
 
+    /// A request that runs here has been sent in full.
+    pub fn sent(&mut self, now: Millis, permit: PermitKey) {
+        self.admission.sent(now, permit);
+    }
+
     /// A request that runs here showed something about the server.
     pub fn learn(&mut self, now: Millis, permit: PermitKey, sign: Sign) {
         self.admission.learn(now, permit, sign);
--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -445,10 +445,6 @@
         for record in self.records.try_iter() {
             self.tell(Event::Record(record));
         }
-        let records = self.traffic.requests.records();
-        for record in records.try_iter() {
-            self.tell(Event::Record(record));
-        }
         self.tell_load();
     }
 
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -154,7 +154,6 @@
             incarnation: self.incarnation,
             key,
             seed,
-            incarnation: clock::incarnation(),
             epoch: self.clock.epoch(),
         });
         let listener = TcpListener::bind(self.settings.address).await?;
--- a/crates/transport/src/requests/body.rs
+++ b/crates/transport/src/requests/body.rs
@@ -56,6 +56,8 @@
     pub held: Option<Held>,
     /// What to tell when the body breaks off.
     pub loss: MayHaveRun,
+    /// Whether it is a feed.
+    pub is_feed: bool,
     /// When the answer has to be over; never for a feed.
     pub deadline: Option<Pin<Box<Sleep>>>,
     /// The agent that runs the request, if it was handed on.
@@ -96,8 +98,9 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         // A body of known length is dropped at its end without being polled
-        // once more.
-        if self.body.is_end_stream() {
+        // once more. A feed has no end but that its caller leaves.
+        let is_over = self.is_feed && !self.progress.is_given_up();
+        if self.body.is_end_stream() || is_over {
             self.end(Verdict::Served);
         }
     }
--- a/crates/transport/src/requests/hand_on.rs
+++ b/crates/transport/src/requests/hand_on.rs
@@ -84,6 +84,7 @@
         progress: job.progress,
         held: None,
         loss: MayHaveRun::PeerLost,
+        is_feed,
         deadline: (!is_feed).then(|| Box::pin(sleep_until(deadline))),
         visit: Some(visit),
         _upstream: upstream,
--- a/crates/transport/src/requests/local.rs
+++ b/crates/transport/src/requests/local.rs
@@ -60,12 +60,16 @@
         }
         Err(_) => return lost(job, MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
     };
-    held.learn(sign_of_answer(&res, sent.get()));
+    let is_feed = job.ask.feed && head::is_event_stream(res.headers());
+    held.learn(if is_feed {
+        Sign::FeedOpened
+    } else {
+        sign_of_answer(&res, sent.get())
+    });
     if did_not_run(&res) {
         drop(held);
         return Tried::not_run(job, NotRun::ServerRefused);
     }
-    let is_feed = job.ask.feed && head::is_event_stream(res.headers());
     let held = if is_feed { hold_connection(held) } else { held };
     let (mut parts, body) = res.into_parts();
     head::pass_back(&mut parts.headers);
@@ -74,6 +78,7 @@
         progress: job.progress,
         held: Some(held),
         loss: MayHaveRun::ServerLost,
+        is_feed,
         deadline: (!is_feed).then(|| Box::pin(sleep_until(deadline))),
         visit: None,
         _upstream: upstream,
--- a/crates/transport/src/requests/progress.rs
+++ b/crates/transport/src/requests/progress.rs
@@ -139,6 +139,12 @@
         refuse(verdict, Some(refusal.retry_after))
     }
 
+    /// Whether the agent itself gives it up: at the drain limit, or because
+    /// its data centre was taken out.
+    pub fn is_given_up(&self) -> bool {
+        self.cx.is_cut() || !self.cx.requests.borrow().is_reachable()
+    }
+
     /// Verdict on a request that was dropped before its end.
     fn cut(&self) -> Verdict {
         let is_out = !self.cx.requests.borrow().is_reachable();
@@ -188,6 +194,8 @@
     /// The whole request is on its way; its answer is awaited.
     pub fn awaits(&mut self) {
         self.awaiting = Some(Instant::now());
+        let now = self.cx.now();
+        self.cx.requests.borrow_mut().sent(now, self.permit);
     }
 
     /// Tells what the request shows about the server.
