Keep requests in progress even, and test admission, cold start and retries

Cause: one agent with three times the requests of others kept 4.8 in progress where they kept 3.1, and 1.8% of requests were refused at 70% load; waiting requests could starve when nothing was in progress; a refusal sent a warm server back to cold, and with overstated slots a fifth of its capacity. Change: peers are compared by means over their reports; a request that a peer refused may still run or wait here; a refusal lowers by one, and is tried again after eight times the finished requests; only an answer that is late while no other comes holds new requests back. Conclusion: what is on its way when a server turns cold can't be taken back; the rest holds.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -131,8 +131,10 @@
         self.cold_start.warmth()
     }
 
-    /// Takes a free slot, if there is one and nobody waits for it.
+    /// Takes a free slot, if there is one and nobody waits for it. Those who
+    /// wait may be admitted by this too, because time has passed.
     pub fn admit(&mut self, now: Millis) -> Option<PermitKey> {
+        self.admit_waiting(now);
         if self.queue.is_empty() && self.is_free(now) {
             Some(self.permit(now))
         } else {
@@ -198,7 +200,9 @@
         self.awaiting.shift_remove(&permit);
         held.answered |= matches!(sign, Sign::Answered(_));
         let era = held.era;
-        self.cold_start.learn(now, &self.policy, era, sign);
+        let in_progress = self.in_progress;
+        self.cold_start
+            .learn(now, &self.policy, era, sign, in_progress);
         self.admit_waiting(now);
     }
 
--- a/crates/coordination/src/cold_start.rs
+++ b/crates/coordination/src/cold_start.rs
@@ -29,6 +29,10 @@
 /// it is still as it was.
 const TRUST_LIMIT: Duration = Duration::from_secs(10);
 
+/// Factor on the finished requests that it takes to try again what was
+/// refused.
+const REFUSED_CAUTION: u32 = 8;
+
 /// First pause after a failed connect.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
 
@@ -59,6 +63,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Era(u32);
 
+impl Era {
+    fn next(self) -> Era {
+        Era(self.0.wrapping_add(1))
+    }
+}
+
 /// What one backend server bears.
 #[derive(Clone, Debug)]
 pub struct ColdStart {
@@ -71,8 +81,13 @@
     baseline: Option<Duration>,
     /// The last answer was slow, or nothing was heard for long.
     suspect: bool,
+    /// Requests in progress at which it last refused one; growing to there
+    /// again takes longer.
+    refused_at: Option<u32>,
     /// Last answer, or the start of the present activity.
     heard: Millis,
+    /// Last answer that was not slow.
+    well: Millis,
     paused_until: Millis,
     pause: Duration,
 }
@@ -87,7 +102,9 @@
             era: Era::default(),
             baseline: None,
             suspect: false,
+            refused_at: None,
             heard: now,
+            well: now,
             paused_until: Millis::default(),
             pause: Duration::ZERO,
         }
@@ -100,16 +117,24 @@
         if now < self.paused_until {
             return 0;
         }
-        let is_late = oldest.is_some_and(|since| self.is_slow(now.since(since)));
-        let doubtful = self.suspect || is_late || now.since(self.heard) >= TRUST_LIMIT;
-        let most = if doubtful {
-            policy.cold_slots.max(1)
+        let trickle = policy.cold_slots.max(1);
+        let most = if self.suspect || now.since(self.heard) >= TRUST_LIMIT {
+            trickle
+        } else if self.is_late(now, oldest) {
+            // The late one may be a slow question, so one more may show.
+            trickle + 1
         } else {
             self.bears
         };
         most.min(self.bears).min(policy.slots).max(1)
     }
 
+    /// Whether a request waits for long and nothing else was answered well
+    /// meanwhile.
+    fn is_late(&self, now: Millis, oldest: Option<Millis>) -> bool {
+        oldest.is_some_and(|since| self.is_slow(now.since(since.max(self.well))))
+    }
+
     /// Takes new settings of a server that is cold.
     pub fn set_policy(&mut self, policy: &Policy) {
         if self.warmth == Warmth::Cold {
@@ -129,7 +154,7 @@
 
     /// Takes the server for cold.
     pub fn cool(&mut self, now: Millis, policy: &Policy) {
-        let next = Era(self.era.0.wrapping_add(1));
+        let next = self.era.next();
         let (paused_until, pause) = (self.paused_until, self.pause);
         *self = ColdStart::new(now, policy);
         self.era = next;
@@ -137,15 +162,16 @@
         self.pause = pause;
     }
 
-    /// Takes what a request sent in `era` showed.
-    pub fn learn(&mut self, now: Millis, policy: &Policy, era: Era, sign: Sign) {
+    /// Takes what a request sent in `era` showed, while so many were
+    /// `in_progress`, itself included.
+    pub fn learn(&mut self, now: Millis, policy: &Policy, era: Era, sign: Sign, in_progress: u32) {
         if era != self.era {
             return;
         }
         match sign {
             Sign::Answered(took) => self.answered(now, policy, took),
             Sign::Overdue(took) if self.is_slow(took) => self.lower(now, policy),
-            Sign::Refused => self.lower(now, policy),
+            Sign::Refused => self.refused(now, in_progress),
             Sign::Broken => self.cool(now, policy),
             Sign::Unreachable => {
                 self.cool(now, policy);
@@ -163,6 +189,20 @@
         }
     }
 
+    /// A refusal tells exactly how much is too much, and harms nobody.
+    fn refused(&mut self, now: Millis, in_progress: u32) {
+        self.heard = now;
+        self.era = self.era.next();
+        self.finished = 0;
+        self.refused_at = Some(in_progress);
+        self.bears = in_progress.saturating_sub(1).clamp(1, self.bears);
+        self.warmth = if self.bears > 1 {
+            Warmth::Warming
+        } else {
+            Warmth::Cold
+        };
+    }
+
     fn answered(&mut self, now: Millis, policy: &Policy, took: Duration) {
         self.heard = now;
         self.pause = Duration::ZERO;
@@ -170,6 +210,7 @@
         self.fold(took);
         if !slow {
             self.suspect = false;
+            self.well = now;
         } else if self.suspect {
             self.lower(now, policy);
         } else {
@@ -200,7 +241,9 @@
             return;
         }
         self.finished += 1;
-        if self.finished < policy.cold_step {
+        let is_known_limit = self.refused_at.is_some_and(|at| self.bears + 1 >= at);
+        let caution = if is_known_limit { REFUSED_CAUTION } else { 1 };
+        if self.finished < policy.cold_step * caution {
             return;
         }
         self.finished = 0;
--- a/crates/coordination/src/peers.rs
+++ b/crates/coordination/src/peers.rs
@@ -17,22 +17,37 @@
 use crate::random::Random;
 
 /// Time for which a peer that refused is not asked again.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+const REFUSAL_PAUSE: Duration = Duration::from_millis(25);
 
-/// A load report may have been written so long before it came.
-const REPORT_AGE: Duration = Duration::from_millis(100);
-
-/// After so long, a request that was handed on is in the peer's reports.
+/// A request handed on that did not end in this time counts no longer; the
+/// peer's reports show it by then.
 const HANDED_LIMIT: Duration = Duration::from_secs(1);
 
-/// A peer is worth a hop when it has so many fewer requests in progress.
-const SHARE_MARGIN: u32 = 2;
+/// Requests in progress above the peers' mean that are worth a hop, in
+/// thousandths.
+const SHARE_MARGIN: u32 = 400;
+
+/// Difference of means from which a group is uneven, in thousandths.
+const UNEVEN_LEAST: u32 = 100;
+
+/// Free part of a slot, in thousandths, that makes a peer worth asking.
+const FREE_LEAST: u32 = 500;
+
+/// Share of a new report in a peer's mean, one in so many.
+const REPORT_SHARE: u32 = 4;
+
+/// Thousandths in one request.
+const THOUSANDTHS: u32 = 1000;
 
 #[derive(Clone, Debug, Default)]
 struct Peer {
-    /// When each request was handed to it that its load may not show yet.
+    /// When each request was handed to it that has not ended.
     handed: Vec<Millis>,
+    /// Mean of the length of `handed` over its reports, in thousandths.
+    handed_mean: u32,
     refused_until: Millis,
+    /// Mean of its requests in progress over its reports, in thousandths.
+    mean: Option<u32>,
 }
 
 /// The other agents of the group, as possible receivers of requests.
@@ -41,6 +56,8 @@
     me: InstanceId,
     picture: Option<Arc<GroupPicture>>,
     peers: IndexMap<InstanceId, Peer>,
+    /// Mean of this agent's own requests in progress, in thousandths.
+    mean: Option<u32>,
     random: Random,
 }
 
@@ -51,19 +68,18 @@
             me,
             picture: None,
             peers: IndexMap::new(),
+            mean: None,
             random: Random::new(seed),
         }
     }
 
-    /// Takes a new picture of the group.
-    pub fn install(&mut self, now: Millis, picture: Arc<GroupPicture>) {
+    /// Takes a new picture of the group, and the requests in progress here.
+    pub fn install(&mut self, now: Millis, picture: Arc<GroupPicture>, mine: u32) {
+        self.mean = Some(moved(self.mean, mine));
         self.peers
             .retain(|id, _| picture.group.member(*id).is_some());
-        for (id, peer) in &mut self.peers {
-            let before = self.picture.as_ref().and_then(|p| p.loads.get(id));
-            let is_news = picture.loads.get(id) != before;
-            let keep = if is_news { REPORT_AGE } else { HANDED_LIMIT };
-            peer.handed.retain(|at| *at + keep > now);
+        for (id, load) in &picture.loads {
+            self.peers.entry(*id).or_default().reported(now, load);
         }
         self.picture = Some(picture);
     }
@@ -73,14 +89,16 @@
         self.draw(now, tried)
     }
 
-    /// Peer that has clearly fewer requests in progress than `mine`.
+    /// Peer with a free slot, if this agent has more in progress than others,
+    /// on average and with `mine` at this moment too. In an even group nothing
+    /// is gained by moving requests around.
     pub fn emptier(&mut self, now: Millis, mine: u32) -> Option<InstanceId> {
-        if mine < SHARE_MARGIN {
+        let usual = self.usual(now)?;
+        let is_uneven = self.mean? >= usual + UNEVEN_LEAST;
+        if !is_uneven || mine * THOUSANDTHS < usual + SHARE_MARGIN {
             return None;
         }
-        let found = self.draw(now, &[])?;
-        let load = self.load(found)?;
-        (self.busy(found, &load) + SHARE_MARGIN <= mine).then_some(found)
+        self.draw(now, &[])
     }
 
     /// Whether any peer has a free slot.
@@ -97,14 +115,14 @@
     /// A request goes to `to`.
     pub fn handed(&mut self, now: Millis, to: InstanceId) {
         let peer = self.peers.entry(to).or_default();
-        peer.handed.retain(|at| *at + HANDED_LIMIT > now);
+        peer.forget_handed(now);
         peer.handed.push(now);
     }
 
     /// A request that went to `to` has ended.
     pub fn ended(&mut self, now: Millis, to: InstanceId) {
         if let Some(peer) = self.peers.get_mut(&to) {
-            peer.handed.retain(|at| *at + HANDED_LIMIT > now);
+            peer.forget_handed(now);
             peer.handed.pop();
         }
     }
@@ -115,6 +133,19 @@
         peer.refused_until = now + REFUSAL_PAUSE;
     }
 
+    /// Mean of the requests in progress at peers that take work, in
+    /// thousandths.
+    fn usual(&self, now: Millis) -> Option<u32> {
+        let picture = self.picture.as_ref()?;
+        let members = picture.group.members.iter();
+        let means: Vec<u32> = members
+            .filter(|m| self.is_candidate(now, m, picture, &[]))
+            .filter_map(|m| self.peers.get(&m.id)?.mean)
+            .collect();
+        let count = means.len() as u32;
+        (count > 0).then(|| means.iter().sum::<u32>() / count)
+    }
+
     fn draw(&mut self, now: Millis, tried: &[InstanceId]) -> Option<InstanceId> {
         let picture = self.picture.clone()?;
         let free: Vec<(InstanceId, u32)> = picture
@@ -150,22 +181,45 @@
             && !tried.contains(&m.id)
     }
 
-    /// Free slots of a peer that takes work; nothing when it has none.
+    /// Free slots of a peer that takes work, in thousandths; nothing when it
+    /// has none.
     fn free(&self, id: InstanceId) -> Option<u32> {
-        let load = self.load(id)?;
-        if load.leaving || load.waiting > 0 {
+        let load = self.picture.as_ref()?.loads.get(&id)?;
+        if load.leaving {
             return None;
         }
-        let free = load.slots.checked_sub(self.busy(id, &load))?;
-        (free > 0).then_some(free)
+        let busy = self.peers.get(&id).map_or(0, Peer::busy);
+        let free = (load.slots * THOUSANDTHS).checked_sub(busy)?;
+        (free >= FREE_LEAST).then_some(free)
+    }
+}
+
+impl Peer {
+    /// A report is older than most requests that it counts, so its numbers
+    /// only move the mean.
+    fn reported(&mut self, now: Millis, load: &Load) {
+        self.forget_handed(now);
+        let busy = load.in_progress + load.waiting;
+        self.mean = Some(moved(self.mean, busy));
+        self.handed_mean = moved(Some(self.handed_mean), self.handed.len() as u32);
     }
 
-    fn busy(&self, id: InstanceId, load: &Load) -> u32 {
-        let handed = self.peers.get(&id).map_or(0, |p| p.handed.len());
-        load.in_progress + handed as u32
+    /// Requests in progress to expect there now: the mean, and what was
+    /// handed to it above the usual.
+    fn busy(&self) -> u32 {
+        let handed = self.handed.len() as u32 * THOUSANDTHS;
+        let mean = self.mean.unwrap_or(0);
+        (mean + handed).saturating_sub(self.handed_mean)
     }
 
-    fn load(&self, id: InstanceId) -> Option<Load> {
-        self.picture.as_ref()?.loads.get(&id).copied()
+    fn forget_handed(&mut self, now: Millis) {
+        self.handed.retain(|at| *at + HANDED_LIMIT > now);
     }
 }
+
+/// Mean after one more report, in thousandths.
+fn moved(mean: Option<u32>, reported: u32) -> u32 {
+    let reported = reported * THOUSANDTHS;
+    let mean = mean.unwrap_or(reported);
+    (mean * (REPORT_SHARE - 1) + reported) / REPORT_SHARE
+}
--- a/crates/coordination/src/request.rs
+++ b/crates/coordination/src/request.rs
@@ -113,7 +113,8 @@
         } else {
             self.leaving = true;
         }
-        self.peers.install(now, picture);
+        let mine = self.admission.in_progress() + self.admission.waiting();
+        self.peers.install(now, picture, mine);
     }
 
     /// Takes no new request from now on.
@@ -184,17 +185,30 @@
     }
 
     /// Next step of a request that did not run where it was tried, and why.
+    /// The driver has added that agent, this one too, to [`Ask::tried`].
     pub fn again(&mut self, now: Millis, ask: &Ask, reason: NotRun) -> Step {
         if let Some(reason) = self.is_barred(now, ask) {
             return self.refuse(reason);
         }
-        let Some(to) = self.elsewhere(now, ask) else {
-            return self.refuse(reason);
-        };
-        if !self.budget.take() {
-            return self.refuse(NotRun::RetryBudgetSpent);
+        let may_run_here = !ask.tried.contains(&self.me) && !self.is_leaving();
+        if may_run_here && let Some(permit) = self.admission.admit(now) {
+            return Step::Run(permit);
+        }
+        let next = self.elsewhere(now, ask);
+        if let Some(to) = next
+            && self.budget.take()
+        {
+            return self.hand_on(now, to);
+        }
+        if may_run_here {
+            return self.wait(now, ask);
         }
-        self.hand_on(now, to)
+        let is_spent = next.is_some();
+        self.refuse(if is_spent {
+            NotRun::RetryBudgetSpent
+        } else {
+            reason
+        })
     }
 
     /// Next step of a request whose time to wait is up.
--- /dev/null
+++ b/crates/coordination/tests/admission.rs
@@ -0,0 +1,230 @@
+//! Slots, waiting and sharing between agents.
+
+#[path = "common/requests.rs"]
+mod common;
+#[path = "common/sim.rs"]
+mod sim;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_coordination::admission::Admission;
+use ramp_coordination::cold_start::Sign;
+use ramp_coordination::random::Random;
+use ramp_coordination::request::Ask;
+use ramp_coordination::request::Requests;
+use ramp_coordination::request::Step;
+use ramp_state::fleet::ServerState;
+use ramp_state::key::InstanceId;
+use ramp_state::policy::Policy;
+use ramp_state::time::Millis;
+use ramp_state::verdict::NotRun;
+
+use common::id;
+use common::members;
+use common::picture;
+use sim::End;
+use sim::Sim;
+
+const SEEDS: u64 = 100;
+const AGENTS: usize = 7;
+const SERVICE: Duration = Duration::from_millis(20);
+
+/// Requests a second that seven servers with five slots bear.
+const CAPACITY_PER_S: u64 = 7 * 5 * 50;
+
+/// Most agents get as many requests, one gets three times as many.
+fn skewed(random: &mut Random) -> usize {
+    random.below(9).min(6) as usize
+}
+
+#[test]
+fn in_progress_stays_even_at_70_percent_load() {
+    const RUN: Duration = Duration::from_secs(10);
+    let mut worst: f64 = 0.0;
+    let (mut handed_on, mut total) = (0, 0);
+    for (lag_ms, seeds) in [(3, 10), (5000, 5)] {
+        for seed in 0..seeds {
+            let mut sim = Sim::new(seed, AGENTS, &Policy::default(), SERVICE);
+            sim.report_age = Duration::from_millis(lag_ms);
+            sim.warm_up();
+            sim.load(CAPACITY_PER_S * 7 / 10, Duration::from_secs(1), skewed);
+            sim.forget();
+            sim.load(CAPACITY_PER_S * 7 / 10, RUN, skewed);
+            let means = sim.means();
+            let most = means.iter().copied().fold(0.0, f64::max);
+            let least = means.iter().copied().fold(f64::MAX, f64::min);
+            worst = worst.max(most - least);
+            handed_on += sim.handed_on;
+            total += sim.done.len() as u64;
+            let place = format!("lag {lag_ms} ms, seed {seed}");
+            assert!(most - least <= 1.0, "{place}: {means:.2?}");
+            assert_eq!(
+                sim.served(),
+                sim.done.len() as u64,
+                "{place}: {}",
+                sim.summary()
+            );
+        }
+    }
+    let share = handed_on as f64 / total as f64;
+    println!("worst difference {worst:.2} slots, {share:.3} of requests handed on");
+}
+
+#[test]
+fn slots_hold_under_any_load_and_refusals_come_at_once() {
+    let policy = Policy::default();
+    for seed in 0..SEEDS / 4 {
+        let mut sim = Sim::new(seed, AGENTS, &policy, SERVICE);
+        sim.warm_up();
+        sim.load(CAPACITY_PER_S * 3, Duration::from_secs(2), skewed);
+        for server in &sim.servers {
+            assert_eq!((server.refused, server.worst_excess), (0, 0), "seed {seed}");
+        }
+        let mut waits: Vec<Duration> = sim.refused().map(|d| d.at.since(d.arrived)).collect();
+        waits.sort_unstable();
+        // No one waits beyond the limit, and hops to other agents.
+        let most = policy.queue_limit + Duration::from_millis(20);
+        assert!(waits[waits.len() - 1] <= most, "seed {seed}: {waits:?}");
+        assert!(
+            waits[waits.len() / 2] <= Duration::from_millis(20),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn refused_callers_are_told_to_return_at_different_times() {
+    let mut sim = Sim::new(1, 1, &Policy::default(), SERVICE);
+    sim.load(2000, Duration::from_secs(2), |_| 0);
+    let mut seconds = [0_usize; 5];
+    let mut count = 0;
+    for done in sim.refused() {
+        let after = done.retry_after.unwrap();
+        seconds[after.as_millis().div_ceil(1000) as usize] += 1;
+        count += 1;
+    }
+    assert!(count > 1000);
+    for second in 1..=4 {
+        assert!(seconds[second] * 2 < count, "{seconds:?}");
+    }
+    assert!(seconds[2..].iter().all(|n| n * 5 > count), "{seconds:?}");
+}
+
+fn ask(deadline: Millis) -> Ask {
+    Ask {
+        deadline,
+        feed: false,
+        handed_on: false,
+        tried: Vec::new(),
+    }
+}
+
+const LATER: Millis = Millis(60_000);
+
+/// Two members; the first takes part as the agent under test.
+fn pair(change: impl Fn(InstanceId, &mut ramp_state::view::Member)) -> Requests {
+    let policy = Policy {
+        cold_slots: 2,
+        ..Policy::default()
+    };
+    let mut both = members(2, &policy);
+    for m in &mut both {
+        change(m.id, m);
+    }
+    let mut agent = Requests::new(Millis(0), id(0), 1);
+    agent.install(Millis(0), Arc::new(picture(1, both)));
+    agent
+}
+
+#[test]
+fn a_full_agent_hands_on_before_it_lets_wait() {
+    let mut agent = pair(|_, _| {});
+    let now = Millis(10);
+    for _ in 0..2 {
+        assert!(matches!(agent.begin(now, &ask(LATER)), Step::Run(_)));
+    }
+    assert_eq!(agent.begin(now, &ask(LATER)), Step::HandOn(id(1)));
+    // What was handed on is never handed on again.
+    let mut handed = ask(LATER);
+    handed.handed_on = true;
+    let step = agent.begin(now, &handed);
+    assert!(matches!(step, Step::Refuse(r) if r.reason == NotRun::Cold));
+}
+
+#[test]
+fn a_leaving_agent_runs_nothing_new() {
+    let leaving = |who: InstanceId, m: &mut ramp_state::view::Member| {
+        if who == id(0) {
+            m.state = ServerState::Leaving;
+        }
+    };
+    let mut agent = pair(leaving);
+    let now = Millis(10);
+    assert!(agent.load(now, 0).leaving);
+    assert_eq!(agent.begin(now, &ask(LATER)), Step::HandOn(id(1)));
+    let mut handed = ask(LATER);
+    handed.handed_on = true;
+    let step = agent.begin(now, &handed);
+    assert!(matches!(step, Step::Refuse(r) if r.reason == NotRun::Leaving));
+    // Nobody else is left either.
+    let mut agent = pair(|_, m| m.state = ServerState::Leaving);
+    let step = agent.begin(now, &ask(LATER));
+    assert!(matches!(step, Step::Refuse(r) if r.reason == NotRun::Leaving));
+}
+
+#[test]
+fn nothing_goes_to_a_data_centre_that_is_out() {
+    let mut agent = pair(|who, m| m.reachable = who != id(0));
+    let step = agent.begin(Millis(10), &ask(LATER));
+    assert!(matches!(step, Step::Refuse(r) if r.reason == NotRun::DataCentreOut));
+    let mut agent = pair(|who, m| m.reachable = who == id(0));
+    for _ in 0..20 {
+        let step = agent.begin(Millis(10), &ask(LATER));
+        assert!(!matches!(step, Step::HandOn(_)));
+    }
+}
+
+#[test]
+fn waiting_is_in_order_and_ends_with_its_time() {
+    let policy = Arc::new(Policy {
+        slots: 1,
+        ..Policy::default()
+    });
+    let mut now = Millis(0);
+    let mut admission = Admission::new(now, policy.clone());
+    let mut held = admission.admit(now).unwrap();
+    now = now + Duration::from_millis(10);
+    admission.learn(now, held, Sign::Answered(Duration::from_millis(10)));
+    admission.release(now, held);
+    held = admission.admit(now).unwrap();
+    let first = admission.wait(now, LATER).unwrap();
+    let second = admission.wait(now, LATER).unwrap();
+    let hurried = admission.wait(now, now + Duration::from_millis(5));
+    assert_eq!(hurried, Err(NotRun::Overloaded));
+    assert_eq!(first.until, now + policy.queue_limit);
+    assert!(admission.admit(now).is_none());
+    now = now + Duration::from_millis(10);
+    admission.release(now, held);
+    let admitted = admission.take_admitted();
+    assert_eq!(admitted.len(), 1);
+    assert_eq!(admitted[0].ticket, first.ticket);
+    // The second one's time passes; nobody is admitted for it.
+    now = now + policy.queue_limit;
+    admission.release(now, admitted[0].permit);
+    assert_eq!(admission.take_admitted(), []);
+    admission.leave(second.ticket);
+    assert!(admission.admit(now).is_some());
+}
+
+#[test]
+fn requests_end_once_each() {
+    for seed in 0..SEEDS / 10 {
+        let mut sim = Sim::new(seed, AGENTS, &Policy::default(), SERVICE);
+        sim.load(3000, Duration::from_secs(2), skewed);
+        sim.run(Duration::from_secs(10));
+        assert_eq!(sim.done.len(), sim.count_arrived(), "seed {seed}");
+        let told_cold = |end: End| end == End::NotRun(NotRun::Cold);
+        assert!(sim.done.iter().any(|d| told_cold(d.end)), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/cold_start.rs
@@ -0,0 +1,274 @@
+//! A cold server gets no more than it bears, and warms up by its work.
+
+#[path = "common/requests.rs"]
+mod common;
+#[path = "common/sim.rs"]
+mod sim;
+
+use std::time::Duration;
+
+use ramp_coordination::cold_start::ColdStart;
+use ramp_coordination::cold_start::Sign;
+use ramp_protocol::message::Warmth;
+use ramp_state::fleet::Policy;
+use ramp_state::time::Millis;
+
+use sim::Sim;
+
+const SEEDS: u64 = 100;
+const SERVICE: Duration = Duration::from_millis(20);
+
+#[test]
+fn a_cold_start_under_full_load_overloads_by_at_most_one() {
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(seed, 1, &Policy::default(), SERVICE);
+        sim.load(500, Duration::from_secs(4), |_| 0);
+        let server = &sim.servers[0];
+        assert_eq!(server.falls, 0, "seed {seed}");
+        assert!(
+            server.worst_excess <= 1,
+            "seed {seed}: {}",
+            server.worst_excess
+        );
+        assert_eq!(server.bears(), 5, "seed {seed}: it did not warm up");
+    }
+}
+
+#[test]
+fn a_server_that_turns_cold_unseen_falls_at_most_once() {
+    let (mut falls, mut lost, mut sent_while_over) = (0, 0, 0);
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(seed, 1, &Policy::default(), SERVICE);
+        sim.warm_up();
+        sim.load(150, Duration::from_millis(500 + seed), |_| 0);
+        sim.servers[0].turn_cold();
+        sim.forget();
+        sim.load(150, Duration::from_secs(10), |_| 0);
+        let server = &sim.servers[0];
+        // What was on its way when it turned cold can't be taken back. After
+        // the first sign it gets the trickle only, and never falls again.
+        assert!(
+            server.falls <= 1,
+            "seed {seed}: fell {} times",
+            server.falls
+        );
+        assert!(sim.lost() <= 5, "seed {seed}: lost {}", sim.lost());
+        assert!(
+            server.sent_while_over < 5,
+            "seed {seed}: {}",
+            server.sent_while_over
+        );
+        assert_eq!(server.bears(), 5, "seed {seed}: it did not warm up again");
+        falls += server.falls;
+        lost += sim.lost();
+        sent_while_over += server.sent_while_over;
+    }
+    println!("{SEEDS} seeds: {falls} falls, {lost} lost, {sent_while_over} sent while over");
+}
+
+#[test]
+fn a_slow_question_does_not_stop_quick_ones() {
+    let policy = Policy::default();
+    let mut now = Millis(1000);
+    let mut server = warm(now, &policy);
+    let era = server.era();
+    let asked = now;
+    for _ in 0..100 {
+        now = now + Duration::from_millis(10);
+        assert_eq!(server.limit(now, &policy, Some(asked)), 5);
+        server.learn(
+            now,
+            &policy,
+            era,
+            Sign::Answered(Duration::from_millis(10)),
+            5,
+        );
+    }
+    // With nothing else answered, one more may show how the server is.
+    now = now + Duration::from_millis(100);
+    assert_eq!(server.limit(now, &policy, Some(asked)), 2);
+}
+
+#[test]
+fn an_idle_server_that_turned_cold_gets_one_request_first() {
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(seed, 1, &Policy::default(), SERVICE);
+        sim.warm_up();
+        sim.run(Duration::from_secs(60));
+        sim.servers[0].turn_cold();
+        sim.forget();
+        for _ in 0..10 {
+            sim.request(0, Duration::from_secs(30));
+        }
+        sim.run(Duration::from_millis(1));
+        assert_eq!(sim.servers[0].in_progress, 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn the_trickle_never_stops() {
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(seed, 1, &Policy::default(), SERVICE);
+        // A server that never gets warm and is down now and then.
+        sim.servers[0].warm_after = u32::MAX;
+        for _ in 0..10 {
+            sim.servers[0].down = true;
+            sim.load(100, Duration::from_secs(2), |_| 0);
+            sim.servers[0].down = false;
+            sim.load(100, Duration::from_millis(1100), |_| 0);
+            let began = sim.servers[0].began;
+            sim.load(100, Duration::from_secs(1), |_| 0);
+            assert!(sim.servers[0].began > began, "seed {seed}: starved");
+        }
+    }
+}
+
+#[test]
+fn time_alone_warms_nothing() {
+    let policy = Policy::default();
+    let server = ColdStart::new(Millis(0), &policy);
+    for day in 0..10 {
+        let now = Millis(day * 86_400_000);
+        assert_eq!(server.limit(now, &policy, None), policy.cold_slots);
+    }
+}
+
+#[test]
+fn a_data_centre_that_returns_cold_does_not_overload_the_warm_ones() {
+    for seed in 0..SEEDS / 5 {
+        let mut sim = Sim::new(seed, 7, &Policy::default(), SERVICE);
+        sim.warm_up();
+        let at_home = |sim: &Sim, i: usize| {
+            let member = sim.members.iter().find(|m| m.id == common::id(i));
+            &*member.unwrap().data_centre == "east"
+        };
+        let east: Vec<usize> = (0..7).filter(|i| at_home(&sim, *i)).collect();
+        let others: Vec<usize> = (0..7).filter(|i| !at_home(&sim, *i)).collect();
+        let set = |sim: &mut Sim, reachable: bool| {
+            for m in &mut sim.members {
+                m.reachable |= &*m.data_centre == "east";
+                m.reachable &= reachable || &*m.data_centre != "east";
+            }
+            sim.install();
+        };
+        set(&mut sim, false);
+        let there = others.clone();
+        sim.load(900, Duration::from_secs(1), |r| there[r.below(4) as usize]);
+        for i in &east {
+            sim.servers[*i].turn_cold();
+        }
+        sim.forget();
+        set(&mut sim, true);
+        // More than the warm ones bear, and all of it at once.
+        sim.load(1200, Duration::from_secs(5), |r| r.below(7) as usize);
+        for i in &others {
+            assert_eq!(sim.servers[*i].worst_excess, 0, "seed {seed}");
+            assert_eq!(sim.servers[*i].refused, 0, "seed {seed}");
+        }
+        for i in &east {
+            assert!(sim.servers[*i].worst_excess <= 1, "seed {seed}");
+            assert_eq!(sim.servers[*i].falls, 0, "seed {seed}");
+            assert_eq!(sim.servers[*i].bears(), 5, "seed {seed}");
+        }
+        assert_eq!(sim.lost(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn signs_of_distress_cool_and_old_ones_do_not() {
+    let policy = Policy::default();
+    let now = Millis(1000);
+    let usual = Sign::Answered(Duration::from_millis(20));
+    for sign in [Sign::Broken, Sign::Unreachable] {
+        let mut server = warm(now, &policy);
+        let era = server.era();
+        server.learn(now, &policy, era, sign, 5);
+        assert_eq!(server.warmth(), Warmth::Cold, "{sign:?}");
+        // Requests from before it was found cold say nothing new, good or bad.
+        let later = now + Duration::from_secs(2);
+        for _ in 0..100 {
+            server.learn(later, &policy, era, usual, 5);
+            server.finished(&policy, era);
+        }
+        assert_eq!(server.limit(later, &policy, None), 1, "{sign:?}");
+    }
+}
+
+#[test]
+fn one_slow_answer_makes_doubtful_and_two_make_cold() {
+    let policy = Policy::default();
+    let now = Millis(1000);
+    let mut server = warm(now, &policy);
+    let era = server.era();
+    let slow = Sign::Answered(Duration::from_millis(300));
+    let usual = Sign::Answered(Duration::from_millis(20));
+    server.learn(now, &policy, era, slow, 5);
+    assert_eq!(server.limit(now, &policy, None), 1);
+    server.learn(now, &policy, era, usual, 5);
+    assert_eq!(server.limit(now, &policy, None), 5);
+    server.learn(now, &policy, era, slow, 5);
+    server.learn(now, &policy, era, slow, 5);
+    assert_eq!(server.warmth(), Warmth::Cold);
+}
+
+#[test]
+fn feeds_and_impatient_callers_say_nothing() {
+    let policy = Policy::default();
+    let now = Millis(1000);
+    let mut server = ColdStart::new(now, &policy);
+    let era = server.era();
+    for _ in 0..100 {
+        server.learn(now, &policy, era, Sign::FeedOpened, 5);
+    }
+    assert_eq!(server.limit(now, &policy, None), 1);
+    let mut server = warm(now, &policy);
+    let era = server.era();
+    server.learn(
+        now,
+        &policy,
+        era,
+        Sign::Overdue(Duration::from_millis(30)),
+        5,
+    );
+    assert_eq!(server.warmth(), Warmth::Warm);
+    server.learn(now, &policy, era, Sign::Overdue(Duration::from_secs(3)), 5);
+    assert_eq!(server.warmth(), Warmth::Cold);
+}
+
+fn warm(now: Millis, policy: &Policy) -> ColdStart {
+    let mut server = ColdStart::new(now, policy);
+    let era = server.era();
+    while server.warmth() != Warmth::Warm {
+        server.learn(
+            now,
+            policy,
+            era,
+            Sign::Answered(Duration::from_millis(20)),
+            5,
+        );
+        server.finished(policy, era);
+    }
+    server
+}
+
+#[test]
+fn a_refusal_lowers_by_one_and_is_tried_again_with_care() {
+    let policy = Policy::default();
+    let now = Millis(1000);
+    let mut server = warm(now, &policy);
+    server.learn(now, &policy, server.era(), Sign::Refused, 5);
+    assert_eq!(server.limit(now, &policy, None), 4);
+    server.learn(now, &policy, server.era(), Sign::Refused, 4);
+    assert_eq!(server.limit(now, &policy, None), 3);
+    let mut finished = 0;
+    while server.limit(now, &policy, None) < 4 {
+        server.finished(&policy, server.era());
+        finished += 1;
+    }
+    assert_eq!(finished, policy.cold_step * 8);
+    // All the way down the trickle stays.
+    for _ in 0..10 {
+        server.learn(now, &policy, server.era(), Sign::Refused, 1);
+        assert_eq!(server.limit(now, &policy, None), 1);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/retry.rs
@@ -0,0 +1,127 @@
+//! Retries stay within their budget, and overload does not collapse.
+
+#[path = "common/requests.rs"]
+mod common;
+#[path = "common/sim.rs"]
+mod sim;
+
+use std::time::Duration;
+
+use ramp_coordination::random::Random;
+use ramp_coordination::retry::RetryBudget;
+use ramp_coordination::retry::retry_after;
+use ramp_state::policy::Policy;
+
+use sim::Sim;
+
+const SEEDS: u64 = 3;
+const AGENTS: usize = 7;
+const SERVICE: Duration = Duration::from_millis(20);
+
+/// Slots that the operators believe a server to have, and those it has.
+const SLOTS_STATED: u32 = 8;
+const SLOTS_TRUE: u32 = 5;
+
+/// Requests a second that the servers bear.
+const CAPACITY_PER_S: u64 = AGENTS as u64 * SLOTS_TRUE as u64 * 50;
+
+#[test]
+fn the_budget_is_a_share_of_first_tries() {
+    let policy = Policy {
+        retry_percent: 20,
+        ..Policy::default()
+    };
+    let mut budget = RetryBudget::new();
+    while budget.take() {}
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.first_try(&policy);
+        retries += u32::from(budget.take());
+    }
+    assert_eq!(retries, 200);
+    let none = Policy {
+        retry_percent: 0,
+        ..policy
+    };
+    budget.first_try(&none);
+    assert!(!budget.take());
+}
+
+#[test]
+fn times_to_return_are_spread_and_repeatable() {
+    let policy = Policy::default();
+    let times = |seed| {
+        let mut random = Random::new(seed);
+        (0..100)
+            .map(|_| retry_after(&policy, &mut random))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(times(1), times(1));
+    assert_ne!(times(1), times(2));
+    let range = policy.retry_after..=policy.retry_after * 4;
+    assert!(times(1).iter().all(|t| range.contains(t)));
+}
+
+/// What a run at three times the capacity came to.
+struct Outcome {
+    /// Served, as a share of what the servers bear.
+    goodput: f64,
+    /// Requests handed on, for each that came.
+    handed_on: f64,
+}
+
+/// Servers that have fewer slots than stated, and lose time by refusing;
+/// agents that believe all others idle.
+fn overload(seed: u64, slots: u32, retry_percent: u32, reports_lie: bool) -> Outcome {
+    const RUN: Duration = Duration::from_secs(4);
+    let policy = Policy {
+        slots,
+        retry_percent,
+        ..Policy::default()
+    };
+    let mut sim = Sim::new(seed, AGENTS, &policy, SERVICE);
+    for server in &mut sim.servers {
+        server.slots = SLOTS_TRUE;
+        server.refusal_cost = Duration::from_millis(3);
+    }
+    sim.warm_up();
+    sim.reports_lie = reports_lie;
+    let pick = |r: &mut Random| r.below(AGENTS as u64) as usize;
+    sim.load(CAPACITY_PER_S * 3, Duration::from_secs(1), pick);
+    sim.forget();
+    sim.load(CAPACITY_PER_S * 3, RUN, pick);
+    let borne = CAPACITY_PER_S as f64 * RUN.as_secs_f64();
+    Outcome {
+        goodput: sim.served() as f64 / borne,
+        handed_on: sim.handed_on as f64 / sim.done.len() as f64,
+    }
+}
+
+/// A budget that never ends.
+const NO_BUDGET_PERCENT: u32 = 1_000_000;
+
+#[test]
+fn goodput_holds_at_three_times_the_capacity() {
+    for seed in 0..SEEDS {
+        for (slots, lie) in [
+            (SLOTS_TRUE, false),
+            (SLOTS_STATED, false),
+            (SLOTS_TRUE, true),
+        ] {
+            let with = overload(seed, slots, 20, lie);
+            let without = overload(seed, slots, NO_BUDGET_PERCENT, lie);
+            println!(
+                "seed {seed}, {slots} slots stated, loads lie {lie}: goodput {:.3}, \
+                 without the budget {:.3}; handed on for each request {:.2}, {:.2}",
+                with.goodput, without.goodput, with.handed_on, without.handed_on,
+            );
+            assert!(with.goodput >= 0.9, "seed {seed}: {}", with.goodput);
+            assert!(with.goodput >= without.goodput * 0.98, "seed {seed}");
+            // One try elsewhere, and the retries that the budget allows.
+            assert!(with.handed_on <= 1.21, "seed {seed}: {}", with.handed_on);
+            if lie {
+                assert!(with.handed_on < without.handed_on, "seed {seed}");
+            }
+        }
+    }
+}
--- a/crates/transport/src/requests/local.rs
+++ b/crates/transport/src/requests/local.rs
@@ -32,6 +32,7 @@
 
 /// Sends the request to the agent's own backend server.
 pub async fn run_here(mut job: Job, mut held: Held) -> Tried {
+    job.ask.tried.push(job.cx.cfg.me);
     let deadline = job.deadline();
     let connect_by = deadline.min(Instant::now() + CONNECT_LIMIT);
     let connect = Upstream::connect(job.cx.cfg.backend_server);
--- a/crates/transport/src/requests/serve.rs
+++ b/crates/transport/src/requests/serve.rs
@@ -190,6 +190,7 @@
 /// Finds a server for the request and returns its answer.
 async fn place(job: Job) -> Response<AnswerBody> {
     let step = job.cx.requests.borrow_mut().begin(job.cx.now(), &job.ask);
+    job.cx.wake();
     follow(job, step).await
 }
 
@@ -229,5 +230,7 @@
         } else {
             requests.refuse(reason)
         };
+        drop(requests);
+        cx.wake();
     }
 }
