Judge no version of a process that has just started

Cause: the check took version 0 of the balancer that joined for a reverted configuration. The trace shows it starting: it held traffic until it had one, and no version was seen of it before. Change: version 0 counts only after a version was seen of that process.

--- a/ramplab/src/check/config.rs
+++ b/ramplab/src/check/config.rs
@@ -16,6 +16,10 @@
         let What::ConfigSeen { process, version } = &event.what else {
             continue;
         };
+        // A process that has just started holds traffic until it has one.
+        if *version == 0 && !newest.contains_key(process.as_str()) {
+            continue;
+        }
         if let Some(due) = overdue(facts, event.at_ms, *version) {
             findings.add(Promise::ConfigHolds, [due, event]);
         }
