Name a flow's owner by its data, not by a reset

Cause: a reset by the new home made a given-up flow look broken elsewhere; a process that holds traffic was judged by a version it does not obey.

--- a/ramplab/src/demo/watcher.rs
+++ b/ramplab/src/demo/watcher.rs
@@ -42,6 +42,10 @@
         let Ok(status) = ask_status(node.control, ANSWER_LIMIT).await else {
             continue;
         };
+        // A process that holds traffic obeys no version yet.
+        if status.readiness == Readiness::Held {
+            continue;
+        }
         history.borrow_mut().write(What::ConfigSeen {
             process: node.name.clone(),
             version: status.config.0,
--- a/ramplab/src/history.rs
+++ b/ramplab/src/history.rs
@@ -55,7 +55,7 @@
         flow: SocketAddr,
         /// Whether the handshake was done.
         established: bool,
-        /// Where its last packet came from.
+        /// Where its last packet came from, resets aside.
         owner: Option<SocketAddr>,
     },
     /// A caller sent a request.
