Spread the demo's changes so that each ends within the load

Cause: a balancer's replacement takes some eight seconds and outlived a short load. Change: changes come earlier; a load that has ended well fails no check; the demo tells the time of each step.

--- a/ramplab/src/cmd/demo.rs
+++ b/ramplab/src/cmd/demo.rs
@@ -25,14 +25,14 @@
     ramplab demo [quillfield|helvetia] [<option>...]
 
 Options:
-    --seconds N    time for which load is sent, 20 to 45 [36]
+    --seconds N    time for which load is sent, 25 to 45 [36]
     --seed N       seed of all random choices [1]
     --bin PATH     the bramleyramp program [beside this one]
     --keep         keep the logs and histories
 ";
 
 /// Shortest and longest load; a run must end within a minute.
-const SECONDS: std::ops::RangeInclusive<u64> = 20..=45;
+const SECONDS: std::ops::RangeInclusive<u64> = 25..=45;
 
 /// Runs the command.
 pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
--- a/ramplab/src/demo/children.rs
+++ b/ramplab/src/demo/children.rs
@@ -63,6 +63,7 @@
     name: String,
     log: PathBuf,
     child: Child,
+    ends_by_itself: bool,
 }
 
 /// Processes, killed when dropped.
@@ -99,27 +100,34 @@
             name: name.to_string(),
             log,
             child,
+            ends_by_itself: false,
         });
         Ok(())
     }
 
-    /// Adds a process that was started elsewhere.
+    /// Adds a process that was started elsewhere and ends when its work is
+    /// done.
     pub fn adopt(&mut self, dir: &WorkDir, name: &str, child: Child) {
         self.processes.push(Process {
             name: name.to_string(),
             log: dir.file(format!("{name}.log")),
             child,
+            ends_by_itself: true,
         });
     }
 
-    /// Fails when a process has ended by itself.
+    /// Fails when a process has ended by itself; those that end when their
+    /// work is done must have failed.
     ///
     /// # Errors
     ///
     /// Its name, exit status and last log lines.
     pub fn check(&mut self) -> io::Result<()> {
         for process in &mut self.processes {
-            if let Some(status) = process.child.try_wait()? {
+            let Some(status) = process.child.try_wait()? else {
+                continue;
+            };
+            if !(process.ends_by_itself && status.success()) {
                 return Err(io::Error::other(process.obituary(status)));
             }
         }
--- a/ramplab/src/demo/plan.rs
+++ b/ramplab/src/demo/plan.rs
@@ -69,9 +69,9 @@
     pub fn over(span: Duration) -> Timeline {
         Timeline {
             out: span.mul_f64(0.2),
-            back: span.mul_f64(0.45),
-            drain: span.mul_f64(0.6),
-            replace: span.mul_f64(0.75),
+            back: span.mul_f64(0.4),
+            drain: span.mul_f64(0.5),
+            replace: span.mul_f64(0.6),
             end: span,
         }
     }
--- a/ramplab/src/demo/run.rs
+++ b/ramplab/src/demo/run.rs
@@ -81,6 +81,7 @@
     children: Children,
     ended_badly: Vec<String>,
     dir: WorkDir,
+    started: Instant,
 }
 
 impl Demo {
@@ -95,6 +96,7 @@
             dir: WorkDir::create(options.keep)?,
             children: Children::default(),
             ended_badly: Vec::new(),
+            started: Instant::now(),
             plan,
             options,
         })
@@ -133,11 +135,14 @@
             watchers.spawn_local(watcher::watch(node.clone(), history));
         }
         tokio::time::sleep(KEYS_KNOWN_AFTER).await;
+        self.say("the fleet serves; load begins");
         self.start_load()?;
         self.change(&mut operators, &spare).await?;
         self.children.wait("load", LOAD_END_LIMIT).await?;
+        self.say("the load has ended");
         watchers.abort_all();
         let report = self.report();
+        self.say("asks all processes to end");
         let failed = self.children.stop_all(STOP_LIMIT).await?;
         self.ended_badly.extend(failed);
         Ok(Outcome {
@@ -313,10 +318,17 @@
 
     async fn until(&mut self, moment: Instant, label: &str) -> io::Result<()> {
         tokio::time::sleep_until(moment).await;
-        eprintln!("demo: {label}");
+        self.say(label);
         self.children.check()
     }
 
+    fn say(&self, label: &str) {
+        eprintln!(
+            "{:>5.1} s  demo: {label}",
+            self.started.elapsed().as_secs_f64()
+        );
+    }
+
     async fn restart_cold(&self, data_centre: &str) {
         let servers = self.layout.servers.iter();
         for server in servers.filter(|s| s.agent.data_centre == data_centre) {
