Count a flow given up once, at its owner

Cause: the report said 211 flows given up where 164 were: the owner counted each when its data centre was taken out, and the new home again when it reset the caller. Change: only the owner counts. A data centre that failed before it was taken out can't count its own; the report then names its agents as not answering.

--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -355,8 +355,9 @@
         self.send_to_caller(&segment.reset());
         counter!("agent_resets_total").increment(1);
         let end = match reason {
-            ResetReason::GivenUp => FlowEnd::GivenUp,
             ResetReason::OwnerLost | ResetReason::Unowned => FlowEnd::OwnerLost,
+            // Its owner counts it too, and both must not.
+            ResetReason::GivenUp => return,
             // The flow never opened.
             ResetReason::Full => return,
         };
