Warm servers before feeds are opened in the demo

Cause: feeds placed in the first second met cold servers only, which says nothing of balance. Change: load has a warm-up before the first feed; the demo uses it.

--- a/ramplab/src/cmd/load.rs
+++ b/ramplab/src/cmd/load.rs
@@ -27,6 +27,7 @@
                            claims and balances go to the first, uploads to the
                            last; repeatable
     --feeds N              feeds open at once [0]
+    --warm-up-ms N         time before the first feed is opened [0]
     --feed-every-ms N      period of a feed's events [250]
     --claims-per-s F       claims each second [0]
     --uploads-per-s F      uploads each second [0]
@@ -56,6 +57,7 @@
     let mut cfg = Config {
         targets: Vec::new(),
         feeds: 0,
+        warm_up: Duration::ZERO,
         feed_period: Duration::from_millis(250),
         claims_per_s: 0.0,
         uploads_per_s: 0.0,
@@ -70,6 +72,9 @@
         match arg {
             Long("service") => cfg.targets.push(parser.value()?.parse_with(target)?),
             Long("feeds") => cfg.feeds = parser.value()?.parse()?,
+            Long("warm-up-ms") => {
+                cfg.warm_up = Duration::from_millis(parser.value()?.parse()?);
+            }
             Long("feed-every-ms") => {
                 cfg.feed_period = Duration::from_millis(parser.value()?.parse()?);
             }
--- a/ramplab/src/demo/plan.rs
+++ b/ramplab/src/demo/plan.rs
@@ -52,6 +52,8 @@
 /// When the changes of a demo happen, from the start of the load.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeline {
+    /// Servers are warm and feeds are opened.
+    pub feeds: Duration,
     /// A data centre is taken out.
     pub out: Duration,
     /// It is brought back.
@@ -68,6 +70,7 @@
     /// Spreads the changes over `span`.
     pub fn over(span: Duration) -> Timeline {
         Timeline {
+            feeds: span.mul_f64(0.08),
             out: span.mul_f64(0.2),
             back: span.mul_f64(0.4),
             drain: span.mul_f64(0.5),
--- a/ramplab/src/load/mod.rs
+++ b/ramplab/src/load/mod.rs
@@ -59,6 +59,8 @@
     pub targets: Vec<Target>,
     /// Feeds open at once.
     pub feeds: u64,
+    /// Time before the first feed is opened, so that servers are warm by then.
+    pub warm_up: Duration,
     /// Period of a feed's events.
     pub feed_period: Duration,
     /// Claims each second.
@@ -111,7 +113,7 @@
         let started = Instant::now();
         for number in 0..self.cfg.feeds {
             let wait = Duration::from_millis(number * 1000 / FEEDS_OPENED_PER_S);
-            feeds.spawn_local(self.clone().keep_feed_open(wait));
+            feeds.spawn_local(self.clone().keep_feed_open(self.cfg.warm_up + wait));
         }
         for (kind, rate) in self.rates() {
             if rate > 0.0 {
--- a/ramplab/tests/backend.rs
+++ b/ramplab/tests/backend.rs
@@ -138,6 +138,7 @@
     load::Config {
         targets: vec![target],
         feeds: 5,
+        warm_up: Duration::ZERO,
         feed_period: Duration::from_millis(20),
         claims_per_s: 50.0,
         uploads_per_s: 10.0,
