--- /dev/null
+++ b/ramplab/tests/slopes.rs
@@ -0,0 +1,61 @@
+//! Counts at the size to come stay within the limits of a node.
+
+use ramplab::slopes;
+use ramplab::slopes::Series;
+
+/// Control traffic that a node may have, in bytes a second.
+const CONTROL_BYTES_A_SECOND: f64 = 13_000.0;
+
+/// Memory that a node may spend for control, in bytes.
+const CONTROL_MEMORY_BYTES: f64 = 64.0 * 1024.0 * 1024.0;
+
+/// Largest datagram that a delta may take, in bytes.
+const DELTA_DATAGRAM_BYTES: f64 = 1_400.0;
+
+fn find<'a>(all: &'a [Series], name: &str) -> &'a Series {
+    all.iter()
+        .find(|series| series.name == name)
+        .unwrap_or_else(|| panic!("no series {name}"))
+}
+
+// One test: the heap is counted over the whole program, so nothing may run
+// beside it.
+#[test]
+fn counts_at_the_size_to_come_stay_within_the_limits() {
+    decision_for_a_packet_allocates_nothing();
+    packet_of_an_open_flow_allocates_nothing();
+    control_traffic_stays_within_the_limit();
+    control_state_stays_within_the_limit();
+}
+
+fn decision_for_a_packet_allocates_nothing() {
+    let all = slopes::packets::series();
+    let allocations = find(&all, "allocations for 20,000 decisions");
+    assert!(allocations.points.iter().all(|point| point.y == 0.0));
+}
+
+fn packet_of_an_open_flow_allocates_nothing() {
+    let all = slopes::flows::series();
+    let allocations = find(&all, "allocations for 5 packets of each flow");
+    assert!(allocations.points.iter().all(|point| point.y == 0.0));
+}
+
+fn control_traffic_stays_within_the_limit() {
+    let all = slopes::group::series();
+    let agent = find(&all, "heartbeats and digests an agent sends, 12 members");
+    let balancer = find(&all, "digests a balancer receives");
+    assert!(agent.at_target() < CONTROL_BYTES_A_SECOND);
+    assert!(balancer.at_target() < CONTROL_BYTES_A_SECOND);
+}
+
+fn control_state_stays_within_the_limit() {
+    let configuration = slopes::configuration::series();
+    let packets = slopes::packets::series();
+    let group = slopes::group::series();
+    let fleet = find(&configuration, "fleet and document in memory").at_target();
+    let view = find(&packets, "view of a balancer").at_target();
+    let membership = find(&group, "membership of a balancer").at_target();
+    assert!(fleet + view + membership < CONTROL_MEMORY_BYTES);
+    let delta = find(&configuration, "delta of a drained server");
+    assert!(delta.at_target() < DELTA_DATAGRAM_BYTES);
+}
