Show each mechanism of the configuration failing, and mend what that found

Ruled out: shorter watches (half the wait would double the calls of a quiet fleet's readers and still leave 12 s); letting members of a group choose other readers, who can't know that a watch hangs rather than waits.

Change: who hears a digest with a version older than one that is in force for 2 s tells its sender; a hold goes on while a peer is known to have more; a delta is judged by its hash alone. 8 more tests.

--- a/crates/coordination/src/configuration/mod.rs
+++ b/crates/coordination/src/configuration/mod.rs
@@ -61,6 +61,9 @@
 /// itself.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after which a version is in force everywhere when nothing hinders it.
+pub const LATE: Duration = Duration::from_secs(2);
+
 /// Peers asked in one round to confirm the version after waking late.
 const CONFIRMING_PEERS: usize = 3;
 
@@ -162,6 +165,7 @@
     start: Option<Start>,
     hold: Option<Hold>,
     last_heard: Millis,
+    installed_at: Millis,
     counts: Counts,
     outputs: VecDeque<Output>,
 }
@@ -193,6 +197,7 @@
             start: Some(start),
             hold: None,
             last_heard: now,
+            installed_at: now,
             counts: Counts::default(),
             outputs: VecDeque::new(),
         }
@@ -296,8 +301,10 @@
     /// concern the configuration change nothing.
     pub fn message(&mut self, now: Millis, from: SocketAddrV4, message: &Message) {
         match message {
-            Message::Heartbeat { config, .. } | Message::Digest { config, .. } => {
+            Message::Heartbeat { config, .. } => self.heard(now, from, *config),
+            Message::Digest { config, .. } => {
                 self.heard(now, from, *config);
+                self.help(now, from, *config);
             }
             Message::Announce { config } => self.announced(now, from, *config),
             Message::AskVersion => self.announce_to(from),
@@ -381,9 +388,8 @@
             self.counts.stale_answers += 1;
             return false;
         }
-        if self.hold.as_ref().is_some_and(|hold| hold.heeds_call(call)) {
-            self.resume(Confirmation::Confirmed);
-        }
+        let heeded = self.hold.as_ref().is_some_and(|h| h.heeds_call(call));
+        self.confirm(heeded);
         true
     }
 
@@ -399,6 +405,14 @@
         }
     }
 
+    /// Tells the sender of a digest that its group missed a version: the
+    /// watches of its readers may hang.
+    fn help(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
+        if version < self.version() && now >= self.installed_at + LATE {
+            self.announce_to(from);
+        }
+    }
+
     fn announced(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
         self.heard(now, from, version);
         if let Some(start) = &mut self.start {
@@ -409,9 +423,7 @@
             self.take_step(now, step);
         }
         let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
-        if heeded && version == self.store.version() {
-            self.resume(Confirmation::Confirmed);
-        }
+        self.confirm(heeded && version == self.store.version());
     }
 
     fn asked_for_delta(&mut self, now: Millis, from: SocketAddrV4, have: Version) {
@@ -456,16 +468,13 @@
         if self.start.is_some() {
             return;
         }
-        self.counts.installed += 1;
-        self.outputs.push_back(Output::Install(fleet));
+        self.put_in_force(now, fleet);
         if source == Source::Platform {
             let members: Vec<SocketAddrV4> = self.members.iter().map(|m| m.control).collect();
             members.into_iter().for_each(|to| self.announce_to(to));
         }
         let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
-        if source == Source::Peer && heeded && !self.is_behind() {
-            self.resume(Confirmation::Confirmed);
-        }
+        self.confirm(heeded && source == Source::Peer);
     }
 
     /// Ends the start when it may end, and fits the attention to the group.
@@ -479,13 +488,18 @@
     fn end_start(&mut self, now: Millis) {
         let behind = self.is_behind();
         let over = self.start.as_ref().is_some_and(|s| s.is_over(now, behind));
-        let Some(fleet) = self.store.fleet().filter(|_| over) else {
+        let Some(fleet) = self.store.fleet().filter(|_| over).cloned() else {
             return;
         };
-        self.counts.installed += 1;
-        self.outputs.push_back(Output::Install(fleet.clone()));
         self.start = None;
         self.last_heard = now;
+        self.put_in_force(now, fleet);
+    }
+
+    fn put_in_force(&mut self, now: Millis, fleet: Arc<Fleet>) {
+        self.installed_at = now;
+        self.counts.installed += 1;
+        self.outputs.push_back(Output::Install(fleet));
     }
 
     fn attention_at(&self, now: Millis) -> Attention {
@@ -525,6 +539,13 @@
         }
     }
 
+    /// Ends the hold on a word that is `heeded`, unless peers have more.
+    fn confirm(&mut self, heeded: bool) {
+        if heeded && !self.is_behind() {
+            self.resume(Confirmation::Confirmed);
+        }
+    }
+
     fn resume(&mut self, confirmation: Confirmation) {
         if self.hold.take().is_some() {
             self.outputs.push_back(Output::Resume(confirmation));
--- a/crates/coordination/src/configuration/store.rs
+++ b/crates/coordination/src/configuration/store.rs
@@ -101,9 +101,11 @@
         if delta.to <= self.version() {
             return Applied::Old;
         }
-        let Some(held) = self.history.back().filter(|h| h.version == delta.from) else {
+        let Some(held) = self.history.back() else {
             return Applied::Unusable;
         };
+        // The hash tells whether the delta fits what is held; a late one that
+        // was made for an earlier version may fit all the same.
         let Ok(document) = delta::apply(&held.document, delta) else {
             return Applied::Unusable;
         };
--- a/crates/coordination/tests/configuration/main.rs
+++ b/crates/coordination/tests/configuration/main.rs
@@ -13,6 +13,7 @@
 use ramp_coordination::configuration::Configuration;
 use ramp_coordination::configuration::Confirmation;
 use ramp_coordination::configuration::Output;
+use ramp_coordination::configuration::Peer;
 use ramp_coordination::configuration::READERS_PER_GROUP;
 use ramp_coordination::configuration::hold::HOLD_LIMIT;
 use ramp_coordination::configuration::start::PEERS_LIMIT;
@@ -23,6 +24,8 @@
 use ramp_coordination::configuration::watch::CallId;
 use ramp_coordination::configuration::watch::WATCH_WAIT;
 use ramp_coordination::configuration::watch::spread;
+use ramp_coordination::delta::Versioned;
+use ramp_coordination::delta::diff;
 use ramp_coordination::dice::Dice;
 use ramp_coordination::published::Failure;
 use ramp_coordination::published::Published;
@@ -30,6 +33,7 @@
 use ramp_protocol::message::Delta;
 use ramp_protocol::message::Message;
 use ramp_protocol::message::Section;
+use ramp_state::document::Document;
 use ramp_state::fleet::Fleet;
 use ramp_state::instances::Role;
 use ramp_state::key::InstanceId;
@@ -49,6 +53,9 @@
 const GROUPS: usize = 340;
 const CALLS_A_SECOND: usize = 2_000;
 
+/// Seed of a process that first calls the platform within a second.
+const EARLY_SEED: u64 = 1;
+
 fn text(slots: u32) -> String {
     format!(
         "[defaults]\nslots = {slots}\n[data-centre boston]\nregion = east\n\
@@ -174,7 +181,27 @@
         network.start(node);
     }
     network.run(START_LIMIT + seconds(1));
-    assert_eq!(network.lowest(), version);
+    for node in [0, 6, 11] {
+        assert_eq!(network.nodes[node].versions, [version]);
+    }
+}
+
+#[test]
+fn start_waits_for_a_version_that_a_peer_announced() {
+    let peer = address(7);
+    let mut config = Configuration::new(Millis(0), 1, InstanceId(1), Role::Agent, vec![peer]);
+    let document = |version, slots| Published {
+        version,
+        text: text(slots),
+    };
+    let now = Millis(10);
+    let ahead = Version(3);
+    config.message(now, peer, &Message::Announce { config: ahead });
+    let behind = Reply::Newer(document(Version(1), 1));
+    config.platform(now, CallId(1), Ok(behind));
+    assert!(!config.is_serving());
+    config.document(now, peer, Ok(document(ahead, 3)));
+    assert_eq!(config.version(), ahead);
 }
 
 #[test]
@@ -246,6 +273,18 @@
     }
 }
 
+#[test]
+fn process_without_peers_goes_on_to_the_next_replica() {
+    for replica in [Replica::Down, Replica::Silent] {
+        let mut network = Network::new(7, 1, 1, 0);
+        network.publish(text(1));
+        network.set_replicas(&[replica, Replica::Up]);
+        network.start_all();
+        network.run(STARTED + STARTED);
+        assert_eq!(network.lowest(), Version(1), "{replica:?}");
+    }
+}
+
 #[test]
 fn partition_leaves_each_part_its_version_and_heals() {
     let mut network = started(8);
@@ -300,6 +339,18 @@
     assert_eq!(network.lowest(), version);
 }
 
+#[test]
+fn group_whose_watches_hang_hears_from_balancers() {
+    let mut network = started(10);
+    network.run(WATCH_WAIT);
+    for node in 0..5 {
+        network.nodes[node].hangs = true;
+    }
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), version);
+}
+
 #[test]
 fn bad_document_is_refused_alike_and_the_last_good_one_stays() {
     let mut network = started(11);
@@ -318,6 +369,23 @@
     assert_eq!(network.lowest(), good);
 }
 
+#[test]
+fn refused_version_is_not_sought_any_longer() {
+    let mut network = started(11);
+    network.run(WATCH_WAIT);
+    let bad = network.publish(text(0));
+    let before = network.calls();
+    let now = network.now;
+    for node in 0..network.nodes.len() {
+        network.drive(node, |config| config.newer_seen(now, bad));
+    }
+    network.run(seconds(60));
+    // One that finds it bad, the checks of a minute, and the readers' watches.
+    let most = network.nodes.len() * (1 + 4 + 3);
+    let calls = network.calls() - before;
+    assert!(calls <= most, "{calls} > {most}");
+}
+
 #[test]
 fn start_with_a_bad_document_takes_the_good_one_of_peers() {
     let mut network = started(12);
@@ -414,6 +482,75 @@
     assert_eq!(counts(&network, fetched), before);
 }
 
+#[test]
+fn damaged_delta_is_followed_by_the_whole_document() {
+    let mut network = started(17);
+    network.run(WATCH_WAIT);
+    let fetched = |config: &Configuration| config.counts().documents_fetched;
+    let before = counts(&network, fetched);
+    network.damages_deltas = true;
+    let version = network.publish(text(2));
+    network.run(IN_FORCE);
+    assert_eq!(network.lowest(), version);
+    assert!(counts(&network, fetched) >= before + 6);
+}
+
+#[test]
+fn platform_is_read_when_peers_do_not_answer() {
+    let mut network = started(18);
+    network.run(WATCH_WAIT);
+    for node in 1..network.nodes.len() {
+        network.nodes[node].platform_cut = true;
+    }
+    let version = network.publish(text(2));
+    network.kill(11);
+    let now = network.now;
+    let gone = Message::Announce { config: version };
+    network.drive(0, |config| config.message(now, address(11), &gone));
+    network.run(seconds(2));
+    assert_eq!(network.version(0), version);
+}
+
+#[test]
+fn delta_to_an_older_version_is_ignored() {
+    let mut config = serving();
+    let version = |version, slots| (Version(version), Document::parse(&text(slots)));
+    let ((new, from), (old, to)) = (version(2, 1), version(1, 9));
+    let from = Versioned {
+        version: new,
+        document: &from,
+    };
+    let to = Versioned {
+        version: old,
+        document: &to,
+    };
+    let back = Message::Delta(diff(from, to));
+    config.message(Millis(20_000), address(3), &back);
+    assert_eq!(config.version(), new);
+    assert_eq!(config.published().unwrap().version, new);
+}
+
+#[test]
+fn hold_goes_on_while_a_peer_is_known_to_have_more() {
+    let mut network = started(18);
+    network.freeze(3);
+    network.run(seconds(10));
+    network.cut([3]);
+    network.nodes[3].platform_cut = true;
+    network.publish(text(2));
+    network.publish(text(3));
+    network.wake(3);
+    network.run(Duration::from_millis(100));
+    let now = network.now;
+    for config in [Version(3), Version(1)] {
+        let announce = Message::Announce { config };
+        network.drive(3, |config| config.message(now, address(4), &announce));
+    }
+    assert!(network.nodes[3].held);
+    network.run(HOLD_LIMIT);
+    assert_eq!(network.nodes[3].resumed, [Confirmation::TimedOut]);
+}
+
 #[test]
 fn waking_late_holds_until_a_peer_confirms() {
     let mut network = started(18);
@@ -530,7 +667,8 @@
 #[test]
 fn process_frozen_while_it_starts_asks_the_platform_again() {
     let silent = vec![address(7)];
-    let mut config = Configuration::new(Millis(0), 1, InstanceId(1), Role::Agent, silent);
+    // A seed whose first call comes early.
+    let mut config = Configuration::new(Millis(0), EARLY_SEED, InstanceId(1), Role::Agent, silent);
     let published = |version, slots| {
         let text = text(slots);
         Ok(Reply::Newer(Published { version, text }))
@@ -538,21 +676,29 @@
     // The peer still has some of its time when the platform answers.
     let early = Millis(PEERS_LIMIT.as_millis() as u64 - 1);
     config.tick(early);
-    config.platform(early, CallId(1), published(Version(1), 1));
+    let first_call = last_call(&mut config).expect("the seed is one that calls early");
+    config.platform(early, first_call, published(Version(1), 1));
     assert!(!config.is_serving());
     let late = Millis(3_600_000);
     config.woke_late(late);
     config.tick(late);
-    let mut last_call = CallId(0);
+    let second_call = last_call(&mut config).expect("a process that woke late calls");
+    config.platform(late, first_call, published(Version(1), 1));
+    config.tick(late + PEERS_LIMIT);
+    assert!(!config.is_serving());
+    config.platform(late + PEERS_LIMIT, second_call, published(Version(2), 2));
+    assert_eq!(config.version(), Version(2));
+}
+
+/// Last call of the platform that a process asks for now.
+fn last_call(config: &mut Configuration) -> Option<CallId> {
+    let mut last = None;
     while let Some(output) = config.next_output() {
         if let Output::Watch(call) = output {
-            last_call = call.id;
+            last = Some(call.id);
         }
     }
-    config.tick(late + PEERS_LIMIT);
-    assert!(!config.is_serving());
-    config.platform(late + PEERS_LIMIT, last_call, published(Version(2), 2));
-    assert_eq!(config.version(), Version(2));
+    last
 }
 
 #[test]
@@ -585,14 +731,26 @@
                 config.platform(now, call.id, answer.clone());
             }
         }
-        // Most processes of a group are not its readers.
-        if config.is_serving() && config.attention() == Attention::Reader {
-            return calls;
+        if config.is_serving() {
+            config.set_members(now, group_of(seed));
+            let heartbeat = Message::Announce { config: Version(1) };
+            config.message(now, address(0), &heartbeat);
         }
     }
     calls
 }
 
+/// Group of the process with this identity.
+fn group_of(seed: u64) -> Vec<Peer> {
+    let members = (SERVERS / GROUPS) as u64;
+    let first = seed / members * members;
+    let peer = |id| Peer {
+        id: InstanceId(id),
+        control: address(id as usize),
+    };
+    (first..first + members).map(peer).collect()
+}
+
 /// Most calls in any second.
 fn busiest_second(mut calls: Vec<Millis>) -> usize {
     calls.sort_unstable();
--- a/crates/coordination/tests/configuration/network.rs
+++ b/crates/coordination/tests/configuration/network.rs
@@ -84,10 +84,14 @@
     pub group: usize,
     pub side: u8,
     pub platform_cut: bool,
+    /// Whether its calls get no answer.
+    pub hangs: bool,
     pub can_fetch: bool,
     pub frozen: bool,
     pub config: Option<Configuration>,
     pub installed: Option<Arc<Fleet>>,
+    /// Versions put in force since the last start.
+    pub versions: Vec<Version>,
     pub refused: Vec<(Version, Faults)>,
     pub resumed: Vec<Confirmation>,
     pub held: bool,
@@ -98,6 +102,8 @@
 pub struct Network {
     pub now: Millis,
     pub link: Link,
+    /// Whether deltas arrive with another hash.
+    pub damages_deltas: bool,
     pub nodes: Vec<Node>,
     pub replicas: Vec<Replica>,
     pub published: Vec<Published>,
@@ -114,6 +120,7 @@
         let mut network = Network {
             now: Millis(1_000_000),
             link: GOOD,
+            damages_deltas: false,
             nodes: Vec::new(),
             replicas: vec![Replica::Up],
             published: Vec::new(),
@@ -142,10 +149,12 @@
             group,
             side: 0,
             platform_cut: false,
+            hangs: false,
             can_fetch: true,
             frozen: false,
             config: None,
             installed: None,
+            versions: Vec::new(),
             refused: Vec::new(),
             resumed: Vec::new(),
             held: false,
@@ -164,6 +173,7 @@
         let config = Configuration::new(self.now, seed, id, role, peers.collect());
         self.nodes[node].config = Some(config);
         self.nodes[node].installed = None;
+        self.nodes[node].versions.clear();
         self.nodes[node].held = false;
         self.nodes[node].frozen = false;
         self.nodes[node].backlog.clear();
@@ -369,7 +379,12 @@
         self.nodes[a].side == self.nodes[b].side
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
+    fn send(&mut self, from: usize, to: usize, mut message: Message) {
+        if let Message::Delta(delta) = &mut message
+            && self.damages_deltas
+        {
+            delta.hash ^= 1;
+        }
         if self.dice.below(100) < self.link.lost_percent || !self.connected(from, to) {
             return;
         }
@@ -422,6 +437,7 @@
         let published = &self.published[fleet.version.0 as usize - 1];
         let expected = Fleet::parse(published.version, &published.text).unwrap();
         assert_eq!(*fleet, expected, "{name}");
+        self.nodes[node].versions.push(fleet.version);
         self.nodes[node].installed = Some(fleet);
     }
 
@@ -448,7 +464,10 @@
 
     fn answer(&self, watch: &Watching) -> Option<(Duration, Result<Reply, Failure>)> {
         let delay = Duration::from_millis(3);
-        let replica = self.replicas[watch.call.replica % self.replicas.len()];
+        let replica = match self.nodes[watch.node].hangs {
+            true => Replica::Silent,
+            false => self.replicas[watch.call.replica % self.replicas.len()],
+        };
         let most = match replica {
             _ if self.nodes[watch.node].platform_cut => {
                 return Some((delay, Err(Failure::Unreachable(String::new()))));
