Part the configuration's module by its jobs

Change: configuration::{output, in_force, peers, waking} beside the inputs in its root, which re-exports what drivers use; fleet_sections holds the table of sections. No rule changed.

Conclusion: paths that other crates use are as before.

--- a/crates/coordination/src/configuration/mod.rs
+++ b/crates/coordination/src/configuration/mod.rs
@@ -20,18 +20,19 @@
 
 pub mod catch_up;
 pub mod hold;
+mod in_force;
+pub mod output;
+mod peers;
 pub mod start;
 pub mod store;
+mod waking;
 pub mod watch;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
 use ramp_protocol::message::Message;
-use ramp_state::fault::Faults;
-use ramp_state::fleet::Fleet;
 use ramp_state::instances::Role;
 use ramp_state::key::InstanceId;
 use ramp_state::key::Version;
@@ -39,14 +40,17 @@
 use ramp_state::time::Millis;
 
 use crate::configuration::catch_up::CatchUp;
-use crate::configuration::catch_up::Step;
 use crate::configuration::hold::Hold;
+use crate::configuration::in_force::Source;
+pub use crate::configuration::output::Confirmation;
+pub use crate::configuration::output::Counts;
+pub use crate::configuration::output::Output;
+pub use crate::configuration::output::Peer;
+use crate::configuration::peers::ask_version;
 use crate::configuration::start::Start;
 use crate::configuration::store::Applied;
-use crate::configuration::store::Offer;
 use crate::configuration::store::Store;
 use crate::configuration::watch::Attention;
-use crate::configuration::watch::Call;
 use crate::configuration::watch::CallId;
 use crate::configuration::watch::Watcher;
 use crate::dice::Dice;
@@ -64,93 +68,9 @@
 /// Time after which a version is in force everywhere when nothing hinders it.
 pub const LATE: Duration = Duration::from_secs(2);
 
-/// Peers asked in one round to confirm the version after waking late.
-const CONFIRMING_PEERS: usize = 3;
-
 /// Salt of the choice of readers.
 const READER_SALT: u64 = 0x7265_6164_6572;
 
-/// A live member of the own group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Its identity.
-    pub id: InstanceId,
-    /// Where it takes control messages.
-    pub control: SocketAddrV4,
-}
-
-/// What the driver must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Call the platform, and drop a call still in progress; the result goes
-    /// to [`Configuration::platform`].
-    Watch(Call),
-    /// Send a control message.
-    Send {
-        /// Control address of the receiver.
-        to: SocketAddrV4,
-        /// The message.
-        message: Message,
-    },
-    /// Fetch the whole document of a peer over its control address (TCP); the
-    /// result goes to [`Configuration::document`]. A driver that can't answers
-    /// with a failure, which leads to a read of the platform.
-    FetchDocument {
-        /// Control address of the peer.
-        from: SocketAddrV4,
-    },
-    /// Put a fleet in force. The first one lets the process serve.
-    Install(Arc<Fleet>),
-    /// Log and count a document that was refused.
-    Refuse {
-        /// Its version.
-        version: Version,
-        /// All its faults.
-        faults: Faults,
-    },
-    /// Hold traffic.
-    Hold,
-    /// Let traffic go on.
-    Resume(Confirmation),
-}
-
-/// How a hold ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Confirmation {
-    /// A peer or the platform confirmed the version in force.
-    Confirmed,
-    /// Nobody did within [`hold::HOLD_LIMIT`].
-    TimedOut,
-}
-
-/// What happened so far, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Calls of the platform.
-    pub platform_calls: u64,
-    /// Calls that failed.
-    pub platform_failures: u64,
-    /// Answers of replicas that were behind the version in force.
-    pub stale_answers: u64,
-    /// Versions put in force.
-    pub installed: u64,
-    /// Documents refused.
-    pub refused: u64,
-    /// Deltas asked for.
-    pub deltas_asked: u64,
-    /// Whole documents fetched from peers.
-    pub documents_fetched: u64,
-    /// Holds after waking late.
-    pub holds: u64,
-}
-
-/// Where a document came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    Platform,
-    Peer,
-}
-
 /// The configuration of one process.
 #[derive(Debug)]
 pub struct Configuration {
@@ -372,111 +292,6 @@
         }
     }
 
-    /// Takes an answer of the platform; false when its replica is stale.
-    fn replied(&mut self, now: Millis, call: CallId, reply: &Reply) -> bool {
-        if let Reply::Newer(published) = reply {
-            self.offer(now, published, Source::Platform);
-        }
-        if let Some(start) = &mut self.start {
-            start.platform_answered(call);
-        }
-        let version = match reply {
-            Reply::Newer(published) => published.version,
-            Reply::Unchanged { version } => *version,
-        };
-        if version < self.store.version() || self.is_behind() {
-            self.counts.stale_answers += 1;
-            return false;
-        }
-        let heeded = self.hold.as_ref().is_some_and(|h| h.heeds_call(call));
-        self.confirm(heeded);
-        true
-    }
-
-    /// Whether peers have a version that this process wants.
-    fn is_behind(&self) -> bool {
-        self.store.wants(self.catch_up.newest())
-    }
-
-    fn heard(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
-        self.last_heard = now;
-        if self.store.wants(version) {
-            self.catch_up.heard(now, Some(from), version);
-        }
-    }
-
-    /// Tells the sender of a digest that its group missed a version: the
-    /// watches of its readers may hang.
-    fn help(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
-        if version < self.version() && now >= self.installed_at + LATE {
-            self.announce_to(from);
-        }
-    }
-
-    fn announced(&mut self, now: Millis, from: SocketAddrV4, version: Version) {
-        self.heard(now, from, version);
-        if let Some(start) = &mut self.start {
-            start.peer_answered(from);
-        }
-        if self.store.wants(version) && self.catch_up.awaits(from) {
-            let step = self.catch_up.fetch(now, from);
-            self.take_step(now, step);
-        }
-        let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
-        self.confirm(heeded && version == self.store.version());
-    }
-
-    fn asked_for_delta(&mut self, now: Millis, from: SocketAddrV4, have: Version) {
-        self.heard(now, from, have);
-        if have >= self.store.version() {
-            self.announce_to(from);
-            return;
-        }
-        match self.store.delta_since(have) {
-            Some(delta) => self.send(from, Message::Delta(delta)),
-            None => self.announce_to(from),
-        }
-    }
-
-    /// Tells a peer the newest good version. A process on hold keeps silent,
-    /// lest it confirm to another one what it is not sure of itself.
-    fn announce_to(&mut self, to: SocketAddrV4) {
-        if self.hold.is_none() {
-            let config = self.store.version();
-            self.send(to, Message::Announce { config });
-        }
-    }
-
-    fn offer(&mut self, now: Millis, published: &Published, source: Source) {
-        match self.store.offer(published) {
-            Offer::Old => {}
-            Offer::Taken(fleet) => self.install(now, fleet, source),
-            Offer::Refused(faults) => {
-                self.counts.refused += 1;
-                self.catch_up.reached(now, self.store.seen());
-                self.outputs.push_back(Output::Refuse {
-                    version: published.version,
-                    faults,
-                });
-            }
-        }
-    }
-
-    fn install(&mut self, now: Millis, fleet: Arc<Fleet>, source: Source) {
-        self.watcher.set_servers(fleet.servers.len());
-        self.catch_up.reached(now, fleet.version);
-        if self.start.is_some() {
-            return;
-        }
-        self.put_in_force(now, fleet);
-        if source == Source::Platform {
-            let members: Vec<SocketAddrV4> = self.members.iter().map(|m| m.control).collect();
-            members.into_iter().for_each(|to| self.announce_to(to));
-        }
-        let heeded = self.hold.as_ref().is_some_and(Hold::heeds_messages);
-        self.confirm(heeded && source == Source::Peer);
-    }
-
     /// Ends the start when it may end, and fits the attention to the group.
     fn settle(&mut self, now: Millis) {
         self.end_start(now);
@@ -485,23 +300,6 @@
         self.watcher.set_attention(now, attention, rank);
     }
 
-    fn end_start(&mut self, now: Millis) {
-        let behind = self.is_behind();
-        let over = self.start.as_ref().is_some_and(|s| s.is_over(now, behind));
-        let Some(fleet) = self.store.fleet().filter(|_| over).cloned() else {
-            return;
-        };
-        self.start = None;
-        self.last_heard = now;
-        self.put_in_force(now, fleet);
-    }
-
-    fn put_in_force(&mut self, now: Millis, fleet: Arc<Fleet>) {
-        self.installed_at = now;
-        self.counts.installed += 1;
-        self.outputs.push_back(Output::Install(fleet));
-    }
-
     fn attention_at(&self, now: Millis) -> Attention {
         let silent = now >= self.last_heard + SILENCE_LIMIT;
         let chosen = self.role == Role::Agent && self.rank() < READERS_PER_GROUP;
@@ -523,55 +321,4 @@
         let own = score(self.id);
         self.members.iter().filter(|m| score(m.id) > own).count()
     }
-
-    fn ask_to_confirm(&mut self, now: Millis, round: u32) {
-        let mut known = self.peers.clone();
-        known.extend(self.members.iter().map(|member| member.control));
-        for _ in 0..CONFIRMING_PEERS.min(known.len()) {
-            let at = self.dice.below(known.len() as u64) as usize;
-            self.outputs.push_back(ask_version(known.swap_remove(at)));
-        }
-        // Peers answer sooner, and spare the platform when many wake at once.
-        let nobody = self.peers.is_empty() && self.members.is_empty();
-        let turn_of_platform = if nobody { 1 } else { 2 };
-        if round == turn_of_platform {
-            self.watcher.call_now(now);
-        }
-    }
-
-    /// Ends the hold on a word that is `heeded`, unless peers have more.
-    fn confirm(&mut self, heeded: bool) {
-        if heeded && !self.is_behind() {
-            self.resume(Confirmation::Confirmed);
-        }
-    }
-
-    fn resume(&mut self, confirmation: Confirmation) {
-        if self.hold.take().is_some() {
-            self.outputs.push_back(Output::Resume(confirmation));
-        }
-    }
-
-    fn take_step(&mut self, now: Millis, step: Step) {
-        match step {
-            Step::Ask(to) => {
-                self.counts.deltas_asked += 1;
-                let have = self.store.version();
-                self.send(to, Message::AskDelta { have });
-            }
-            Step::Fetch(from) => self.outputs.push_back(Output::FetchDocument { from }),
-            Step::Platform => self.watcher.hurry(now),
-        }
-    }
-
-    fn send(&mut self, to: SocketAddrV4, message: Message) {
-        self.outputs.push_back(Output::Send { to, message });
-    }
-}
-
-fn ask_version(to: SocketAddrV4) -> Output {
-    Output::Send {
-        to,
-        message: Message::AskVersion,
-    }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod fleet_parse;
+pub mod fleet_sections;
 pub mod ini;
 pub mod instances;
 pub mod key;
