Spread the calls of processes that wake late together

Cause: calls that became due while processes were frozen, and the calls by which they confirm their version, all went out in the moment of the wake.

Ruled out: no call while peers may answer: a process cut off from its peers would let traffic go on unconfirmed although the platform could be read.

Change: an overdue call is spread over the span that grows with the fleet, and the confirming call over the same span, at most 1.5 s.

Conclusion: bounded for a data centre or region that freezes; a freeze of the whole fleet at once is held back only by peers that confirm first.

--- a/crates/coordination/src/configuration/mod.rs
+++ b/crates/coordination/src/configuration/mod.rs
@@ -264,6 +264,7 @@
             self.watcher.call_now(now);
             return;
         }
+        self.watcher.woke_late(now);
         if self.hold.replace(Hold::new(now, last_call)).is_none() {
             self.counts.holds += 1;
             self.outputs.push_back(Output::Hold);
--- a/crates/coordination/src/configuration/waking.rs
+++ b/crates/coordination/src/configuration/waking.rs
@@ -23,7 +23,7 @@
         let nobody = self.peers.is_empty() && self.members.is_empty();
         let turn_of_platform = if nobody { 1 } else { 2 };
         if round == turn_of_platform {
-            self.watcher.call_now(now);
+            self.watcher.call_to_confirm(now);
         }
     }
 
--- a/crates/coordination/src/configuration/watch.rs
+++ b/crates/coordination/src/configuration/watch.rs
@@ -21,6 +21,10 @@
 /// Shortest such span.
 pub const SHORTEST_SPREAD: Duration = Duration::from_millis(50);
 
+/// Longest span over which processes that woke late spread their calls; it
+/// ends before the hold does.
+pub const CONFIRM_SPREAD: Duration = Duration::from_millis(1500);
+
 /// Part of that span for each server of the fleet, in microseconds.
 const SPREAD_PER_SERVER_US: u64 = 700;
 
@@ -169,6 +173,21 @@
         self.next_waits = false;
     }
 
+    /// Spreads a call that became due while the process did not run: others
+    /// may have woken with it.
+    pub fn woke_late(&mut self, now: Millis) {
+        if self.next <= now {
+            self.next = self.dice.within(now, self.spread);
+        }
+    }
+
+    /// Plans a call to confirm the version after waking late. Many processes
+    /// may wake at once; those confirmed first confirm the others.
+    pub fn call_to_confirm(&mut self, now: Millis) {
+        self.next = self.dice.within(now, self.spread.min(CONFIRM_SPREAD));
+        self.next_waits = false;
+    }
+
     /// The call that is due, if one is.
     pub fn due(&mut self, now: Millis, after: Version) -> Option<Call> {
         if now < self.next {
--- a/crates/coordination/tests/configuration/main.rs
+++ b/crates/coordination/tests/configuration/main.rs
@@ -21,6 +21,7 @@
 use ramp_coordination::configuration::store::HISTORY_VERSIONS;
 use ramp_coordination::configuration::watch::Attention;
 use ramp_coordination::configuration::watch::CHECK_PERIOD;
+use ramp_coordination::configuration::watch::CONFIRM_SPREAD;
 use ramp_coordination::configuration::watch::CallId;
 use ramp_coordination::configuration::watch::WATCH_WAIT;
 use ramp_coordination::configuration::watch::spread;
@@ -594,6 +595,54 @@
     }
 }
 
+#[test]
+fn processes_that_wake_together_spread_their_calls() {
+    const SERVERS: usize = 300;
+    const PROCESSES: u64 = 64;
+    let servers: String = (0..SERVERS).map(server_text).collect();
+    let document = Published {
+        version: Version(1),
+        text: text(1) + &servers,
+    };
+    let mut calls: Vec<Millis> = (0..PROCESSES)
+        .map(|seed| confirming_call(seed, &document))
+        .collect();
+    calls.sort_unstable();
+    let span = spread(SERVERS).min(CONFIRM_SPREAD);
+    let within = |from: &Millis| {
+        let share = |at: &&Millis| at.since(*from) < span / 4;
+        calls.iter().filter(|at| *at >= from).filter(share).count()
+    };
+    let most = calls.iter().map(within).max().unwrap();
+    let even = PROCESSES as usize / 4;
+    assert!(most < 2 * even, "{most} in a quarter of the span");
+}
+
+fn server_text(i: usize) -> String {
+    format!(
+        "[server s{i}]\nservice = ledger\ndata_centre = boston\n\
+         agent = 127.0.0.1:{}\ncontrol = 127.0.0.1:{}\n",
+        10_000 + i,
+        20_000 + i
+    )
+}
+
+/// Moment of the call that a process without peers makes to confirm `document`.
+fn confirming_call(seed: u64, document: &Published) -> Millis {
+    let mut config = Configuration::new(Millis(0), seed, InstanceId(1), Role::Agent, Vec::new());
+    let begin = Millis(10_000);
+    config.platform(begin, CallId(1), Ok(Reply::Newer(document.clone())));
+    assert!(config.is_serving());
+    config.woke_late(Millis(50_000));
+    loop {
+        let now = config.next_timer().max(Millis(50_000));
+        config.tick(now);
+        if last_call(&mut config).is_some() {
+            return now;
+        }
+    }
+}
+
 #[test]
 fn hold_ends_at_its_limit_when_nobody_answers() {
     for replica in [Replica::Down, Replica::Silent, Replica::Stale(Version(0))] {
