Tell requests that their callers left from those that were cut

Ruled out: counting them as served: the whole answer was not sent. Change: a class and a column of their own; the list of what is the callers' own is exhaustive, so that a new reason must be judged. Conclusion: cut now only counts what the service did.

--- a/bramleyramp/src/report/build.rs
+++ b/bramleyramp/src/report/build.rs
@@ -128,6 +128,7 @@
     match class {
         Class::NotRun => Some(What::NotRun),
         Class::MayHaveRun => Some(What::MayHaveRun),
+        Class::Left => Some(What::Left),
         Class::GivenUp => Some(What::GivenUp),
         Class::Broken => Some(What::Broken),
         Class::Served | Class::Opened | Class::Ended => None,
--- a/bramleyramp/src/report/html.rs
+++ b/bramleyramp/src/report/html.rs
@@ -26,7 +26,9 @@
 svg{max-width:100%;height:auto}
 ";
 
-const COLUMNS: [&str; 6] = ["served", "refused", "cut", "flows", "given up", "broken"];
+const COLUMNS: [&str; 7] = [
+    "served", "refused", "cut", "left", "flows", "given up", "broken",
+];
 
 /// The whole page.
 pub fn render(report: &Report) -> String {
@@ -114,6 +116,7 @@
         page,
         "note",
         "Refused: not run, no byte reached a backend server. Cut: may have run. \
+         Left: its caller went away before its end. \
          Given up: flows that ended with their data centre. Broken: flows lost otherwise.",
     );
 }
@@ -224,6 +227,7 @@
         tally.served,
         tally.not_run,
         tally.may_have_run,
+        tally.left,
         tally.flows,
         tally.given_up,
         tally.broken,
--- a/bramleyramp/src/report/model.rs
+++ b/bramleyramp/src/report/model.rs
@@ -57,6 +57,8 @@
     pub not_run: u64,
     /// Requests cut: may have run.
     pub may_have_run: u64,
+    /// Requests left by their caller before their end, such as feeds.
+    pub left: u64,
     /// Flows opened.
     pub flows: u64,
     /// Flows given up with their data centre.
@@ -100,6 +102,8 @@
     NotRun,
     /// Request cut.
     MayHaveRun,
+    /// Request left by its caller.
+    Left,
     /// Flow given up.
     GivenUp,
     /// Flow broken.
@@ -231,6 +235,7 @@
             served: classes.served,
             not_run: classes.not_run,
             may_have_run: classes.may_have_run,
+            left: classes.left,
             flows: classes.flows,
             given_up: classes.given_up,
             broken: classes.broken,
--- a/bramleyramp/src/report/text.rs
+++ b/bramleyramp/src/report/text.rs
@@ -18,8 +18,8 @@
 use crate::words::percent;
 use crate::words::span;
 
-const HEADINGS: [&str; 9] = [
-    "", "served", "refused", "cut", "flows", "given up", "broken", "half in", "99% in",
+const HEADINGS: [&str; 10] = [
+    "", "served", "refused", "cut", "left", "flows", "given up", "broken", "half in", "99% in",
 ];
 
 /// Rows of one kind that a table shows.
@@ -28,6 +28,7 @@
 /// Headings in words, below the table.
 const LEGEND: &str = "\
 refused: not run, no byte reached a backend server; cut: may have run
+left: its caller went away before its end, such as a feed that was closed
 given up: flows that ended with their data centre; broken: flows lost otherwise
 ";
 
@@ -79,6 +80,7 @@
     match what {
         What::NotRun => "refused (not run)",
         What::MayHaveRun => "cut (may have run)",
+        What::Left => "left by its caller",
         What::GivenUp => "flow given up",
         What::Broken => "flow broken",
     }
@@ -181,6 +183,7 @@
             tally.served,
             tally.not_run,
             tally.may_have_run,
+            tally.left,
             tally.flows,
             tally.given_up,
             tally.broken,
@@ -192,7 +195,7 @@
 
 fn callers(report: &Report) -> String {
     let mut table = Table::new(&[
-        "Callers", "served", "refused", "cut", "flows", "given up", "broken", "may have",
+        "Callers", "served", "refused", "cut", "left", "flows", "given up", "broken", "may have",
     ]);
     for line in &report.callers.top {
         let mut cells = tally_cells(&line.caller.to_string(), &line.tally);
--- a/bramleyramp/tests/report.rs
+++ b/bramleyramp/tests/report.rs
@@ -94,6 +94,17 @@
     assert_eq!(all, ["not_run", "may_have_run", "given_up", "broken"]);
 }
 
+#[test]
+fn what_callers_leave_is_not_called_cut() {
+    let mut fake = Fake::agent("ledger-1", "north");
+    let left = Verdict::MayHaveRun(MayHaveRun::CallerLeft);
+    requests(&mut fake.ledger, 1, "ledger-1", left, 4);
+    let report = ask("report", &[fake.start()], &["--json"]).json();
+    assert_eq!(report["total"]["left"], 4);
+    assert_eq!(report["total"]["may_have_run"], 0);
+    assert_eq!(report["total"]["why"][0]["what"], "left");
+}
+
 #[test]
 fn text_tells_it_in_words() {
     let run = ask("report", &two_agents(), &[]);
--- a/crates/protocol/schema/operator.capnp
+++ b/crates/protocol/schema/operator.capnp
@@ -127,6 +127,7 @@
   givenUp @4 :UInt64;
   broken @5 :UInt64;
   ended @6 :UInt64;
+  left @7 :UInt64;
 }
 
 struct Caller {
--- a/crates/protocol/src/operator_capnp.rs
+++ b/crates/protocol/src/operator_capnp.rs
@@ -3389,11 +3389,15 @@
         pub fn get_ended(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
+        #[inline]
+        pub fn get_left(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3499,6 +3503,14 @@
         pub fn set_ended(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(6, value);
         }
+        #[inline]
+        pub fn get_left(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_left(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3510,73 +3522,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 47, 3, 190, 193, 32, 154, 210),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(53, 68, 122, 208, 225, 107, 47, 156),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
             ::capnp::word(108, 97, 115, 115, 101, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 101, 100, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3634,6 +3653,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 102, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3644,6 +3671,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3657,9 +3685,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,6,3,4,2,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,6,3,4,7,2,1,0];
         pub(crate) const TYPE_ID: u64 = 0xd29a_20c1_be03_2f13;
     }
 }
--- a/crates/protocol/src/summary_codec.rs
+++ b/crates/protocol/src/summary_codec.rs
@@ -162,6 +162,7 @@
     m.set_served(classes.served);
     m.set_not_run(classes.not_run);
     m.set_may_have_run(classes.may_have_run);
+    m.set_left(classes.left);
     m.set_flows(classes.flows);
     m.set_given_up(classes.given_up);
     m.set_broken(classes.broken);
@@ -173,6 +174,7 @@
         served: m.get_served(),
         not_run: m.get_not_run(),
         may_have_run: m.get_may_have_run(),
+        left: m.get_left(),
         flows: m.get_flows(),
         given_up: m.get_given_up(),
         broken: m.get_broken(),
--- a/crates/protocol/tests/operator_codec.rs
+++ b/crates/protocol/tests/operator_codec.rs
@@ -115,6 +115,7 @@
         served: next(),
         not_run: next(),
         may_have_run: next(),
+        left: next(),
         flows: next(),
         given_up: next(),
         broken: next(),
--- a/crates/state/src/burn.rs
+++ b/crates/state/src/burn.rs
@@ -172,12 +172,35 @@
 
 /// Requests that ended as they did through their caller alone.
 fn callers_own(counts: &Counts) -> u64 {
-    [
-        Verdict::NotRun(NotRun::BadRequest),
-        Verdict::NotRun(NotRun::KeyRunning),
-        Verdict::MayHaveRun(MayHaveRun::CallerLeft),
-    ]
-    .into_iter()
-    .map(|verdict| counts.of(Kind::Request(verdict)))
-    .fold(0, u64::saturating_add)
+    counts
+        .kinds()
+        .filter(|(kind, _)| is_callers_own(*kind))
+        .fold(0, |sum, (_, n)| sum.saturating_add(n))
+}
+
+/// Exhaustive, so that a new reason must be judged.
+fn is_callers_own(kind: Kind) -> bool {
+    match kind {
+        Kind::Request(Verdict::NotRun(reason)) => match reason {
+            NotRun::BadRequest | NotRun::KeyRunning | NotRun::CallerLeft => true,
+            NotRun::Overloaded
+            | NotRun::Cold
+            | NotRun::Leaving
+            | NotRun::NoServer
+            | NotRun::DeadlinePassed
+            | NotRun::RetryBudgetSpent
+            | NotRun::ServerRefused
+            | NotRun::DataCentreOut => false,
+        },
+        Kind::Request(Verdict::MayHaveRun(reason)) => match reason {
+            MayHaveRun::CallerLeft | MayHaveRun::KeyRunning => true,
+            MayHaveRun::ServerLost
+            | MayHaveRun::DeadlinePassed
+            | MayHaveRun::DrainLimitPassed
+            | MayHaveRun::DataCentreOut
+            | MayHaveRun::KeyUnknown
+            | MayHaveRun::PeerLost => false,
+        },
+        Kind::Request(Verdict::Served) | Kind::FlowOpened | Kind::FlowEnded(_) => false,
+    }
 }
--- a/crates/state/src/ledger/counts.rs
+++ b/crates/state/src/ledger/counts.rs
@@ -82,6 +82,8 @@
     pub not_run: u64,
     /// Requests cut: may have run.
     pub may_have_run: u64,
+    /// Requests left by their caller before their end, such as feeds.
+    pub left: u64,
     /// Flows opened.
     pub flows: u64,
     /// Flows given up with their data centre.
@@ -104,6 +106,7 @@
         self.served = self.served.saturating_add(other.served);
         self.not_run = self.not_run.saturating_add(other.not_run);
         self.may_have_run = self.may_have_run.saturating_add(other.may_have_run);
+        self.left = self.left.saturating_add(other.left);
         self.flows = self.flows.saturating_add(other.flows);
         self.given_up = self.given_up.saturating_add(other.given_up);
         self.broken = self.broken.saturating_add(other.broken);
@@ -115,6 +118,7 @@
         self.served
             .saturating_add(self.not_run)
             .saturating_add(self.may_have_run)
+            .saturating_add(self.left)
     }
 
     /// Number of events of all classes.
@@ -131,6 +135,7 @@
             Class::Served => &mut self.served,
             Class::NotRun => &mut self.not_run,
             Class::MayHaveRun => &mut self.may_have_run,
+            Class::Left => &mut self.left,
             Class::Opened => &mut self.flows,
             Class::GivenUp => &mut self.given_up,
             Class::Broken => &mut self.broken,
--- a/crates/state/src/ledger/kind.rs
+++ b/crates/state/src/ledger/kind.rs
@@ -28,6 +28,8 @@
     NotRun,
     /// Request cut: may have run.
     MayHaveRun,
+    /// Request left by its caller before its end.
+    Left,
     /// Flow opened.
     Opened,
     /// Flow given up with its data centre.
@@ -100,7 +102,9 @@
     pub fn class(self) -> Class {
         match self {
             Kind::Request(Verdict::Served) => Class::Served,
+            Kind::Request(Verdict::NotRun(NotRun::CallerLeft)) => Class::Left,
             Kind::Request(Verdict::NotRun(_)) => Class::NotRun,
+            Kind::Request(Verdict::MayHaveRun(MayHaveRun::CallerLeft)) => Class::Left,
             Kind::Request(Verdict::MayHaveRun(_)) => Class::MayHaveRun,
             Kind::FlowOpened => Class::Opened,
             Kind::FlowEnded(FlowEnd::GivenUp) => Class::GivenUp,
--- a/crates/state/tests/burn.rs
+++ b/crates/state/tests/burn.rs
@@ -39,7 +39,9 @@
     let own = [
         Verdict::NotRun(NotRun::BadRequest),
         Verdict::NotRun(NotRun::KeyRunning),
+        Verdict::NotRun(NotRun::CallerLeft),
         Verdict::MayHaveRun(MayHaveRun::CallerLeft),
+        Verdict::MayHaveRun(MayHaveRun::KeyRunning),
     ];
     let burn = burn_of(&own.map(|verdict| (5, verdict, 0)));
     assert_eq!(burn.served, Spent::default());
