Count a feed as answered when it opens

Ruled out: leaving feeds out of the objective: opening them late is a fault. Change: the time of a feed's record ends with the head of its answer. Conclusion: uploads still count to their end; a service of long uploads needs an answer objective of its own, by an exception.

--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -33,7 +33,7 @@
     Request {
         /// How it ended.
         verdict: Verdict,
-        /// Time from its head to its end.
+        /// Time from its head to its end; of a feed, to the head of its answer.
         took: Duration,
     },
 }
--- a/crates/transport/src/requests/hand_on.rs
+++ b/crates/transport/src/requests/hand_on.rs
@@ -77,6 +77,9 @@
         None => {}
     }
     let is_feed = job.ask.feed && head::is_event_stream(res.headers());
+    if is_feed {
+        job.progress.feed_opened();
+    }
     let (mut parts, body) = res.into_parts();
     head::pass_back(&mut parts.headers);
     let relay = Relay {
--- a/crates/transport/src/requests/local.rs
+++ b/crates/transport/src/requests/local.rs
@@ -72,6 +72,9 @@
         return Tried::not_run(job, NotRun::ServerRefused);
     }
     let held = if is_feed { hold_connection(held) } else { held };
+    if is_feed {
+        job.progress.feed_opened();
+    }
     let (mut parts, body) = res.into_parts();
     head::pass_back(&mut parts.headers);
     let relay = Relay {
--- a/crates/transport/src/requests/progress.rs
+++ b/crates/transport/src/requests/progress.rs
@@ -34,6 +34,8 @@
     cx: Rc<RequestContext>,
     origin: Origin,
     began: Millis,
+    /// When the head of the answer came, for a feed.
+    feed_opened: Option<Millis>,
     server: Option<InstanceId>,
     /// Whether any byte of it may have reached a backend server.
     written: Rc<Cell<bool>>,
@@ -48,6 +50,7 @@
         cx.request_began();
         Progress {
             began: cx.now(),
+            feed_opened: None,
             cx,
             origin,
             server: None,
@@ -84,6 +87,12 @@
         self.claim.as_ref().is_none_or(Claim::may_send)
     }
 
+    /// It is a feed and the head of its answer has come. That answers it: how
+    /// long it stays open after that is the caller's choice.
+    pub fn feed_opened(&mut self) {
+        self.feed_opened = Some(self.cx.now());
+    }
+
     /// Ends it; only the first call counts.
     pub fn end(&mut self, verdict: Verdict) {
         if self.ended {
@@ -98,13 +107,14 @@
         let Origin::Caller(caller) = self.origin else {
             return;
         };
+        let answered = self.feed_opened.unwrap_or_else(|| self.cx.now());
         self.cx.record(Record {
             caller,
             service: self.cx.service(),
             server: self.server,
             outcome: Outcome::Request {
                 verdict,
-                took: self.cx.now().since(self.began),
+                took: answered.since(self.began),
             },
         });
     }
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -25,6 +25,7 @@
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
 use ramp_state::outcome::Outcome;
+use ramp_state::outcome::Record;
 use ramp_state::verdict::Verdict;
 use ramp_state::view::Group;
 use ramp_state::view::Member;
@@ -115,6 +116,18 @@
         Answer::read(&mut flow).await
     }
 
+    /// Answer times of the requests recorded as served since the last call.
+    pub fn served_times(&self) -> Vec<Duration> {
+        let served = |record: Record| match record.outcome {
+            Outcome::Request {
+                verdict: Verdict::Served,
+                took,
+            } => Some(took),
+            _ => None,
+        };
+        self.cx.records().drain().filter_map(served).collect()
+    }
+
     /// Verdicts recorded since the last call.
     pub fn verdicts(&self) -> Vec<Verdict> {
         let outcomes = self
--- a/crates/transport/tests/requests.rs
+++ b/crates/transport/tests/requests.rs
@@ -383,6 +383,10 @@
         while backend.seen.open.get() > 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
+        // A feed is answered when it opens, however long it stays open.
+        let times = agent.served_times();
+        assert_eq!(times.len(), 10);
+        assert!(times.iter().all(|t| *t < policy.deadline * 2), "{times:?}");
     });
 }
 
