Tell late packets of ended flows from broken flows

Cause: the report counted 3 flows broken in a demo whose callers lost none: packets that came after a flow's end found no owner, were answered with a reset, and counted as a flow that no agent knew. Ruled out: counting only flows of missing members (an agent that restarted within the list's lag has lost its flows too, and is not missing). Change: an agent remembers the flows that ended with it, or that their owner released, for one to two minutes, bounded; a reset of such a flow has a reason of its own and is not recorded. A process that holds no longer hints its version to others, who could take it for a confirmation. Seen failing: a_late_packet_of_an_ended_flow_breaks_nothing before the release was remembered (Unowned in place of Ended).

--- a/crates/coordination/src/flows/asking.rs
+++ b/crates/coordination/src/flows/asking.rs
@@ -186,7 +186,10 @@
         if !open || !denied || !is_home || picture.latest > picture.version {
             return None;
         }
-        let reason = unowned(&picture);
+        let reason = match unowned(&picture) {
+            ResetReason::Unowned if self.ended.contains(key) => ResetReason::Ended,
+            reason => reason,
+        };
         question.progress = Progress::Unowned(reason);
         let segment = question.segment;
         // A reset is never answered with one.
--- a/crates/coordination/src/flows/counts.rs
+++ b/crates/coordination/src/flows/counts.rs
@@ -35,6 +35,8 @@
     pub owner_lost: u64,
     /// See [`ResetReason::Unowned`].
     pub unowned: u64,
+    /// See [`ResetReason::Ended`].
+    pub ended: u64,
     /// See [`ResetReason::Full`].
     pub full: u64,
 }
@@ -103,6 +105,7 @@
             ResetReason::GivenUp => &mut self.given_up,
             ResetReason::OwnerLost => &mut self.owner_lost,
             ResetReason::Unowned => &mut self.unowned,
+            ResetReason::Ended => &mut self.ended,
             ResetReason::Full => &mut self.full,
         };
         *count += 1;
@@ -110,6 +113,6 @@
 
     /// All resets together.
     pub fn total(&self) -> u64 {
-        self.given_up + self.owner_lost + self.unowned + self.full
+        self.given_up + self.owner_lost + self.unowned + self.ended + self.full
     }
 }
--- /dev/null
+++ b/crates/coordination/src/flows/ended.rs
@@ -0,0 +1,52 @@
+//! Flows that have ended a short time ago, in the ordinary way.
+//!
+//! A late packet of such a flow is answered with a reset like that of any
+//! unknown flow, but it does not mean that a flow was broken. Two generations,
+//! of which the older is thrown away when the younger is full or old.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use ramp_state::key::FlowKey;
+use ramp_state::time::Millis;
+
+use super::hash::SeededState;
+
+/// Flows in one generation.
+const GENERATION_LEN: usize = 8_192;
+
+/// Time that a generation takes in flows: longer than TCP repeats itself.
+const GENERATION_SPAN: Duration = Duration::from_secs(60);
+
+/// Keys of flows that ended.
+#[derive(Debug)]
+pub(super) struct Ended {
+    young: HashSet<FlowKey, SeededState>,
+    old: HashSet<FlowKey, SeededState>,
+    young_since: Millis,
+}
+
+impl Ended {
+    pub(super) fn new(seed: u64) -> Ended {
+        let state = SeededState::new(seed);
+        Ended {
+            young: HashSet::with_hasher(state),
+            old: HashSet::with_hasher(state),
+            young_since: Millis(0),
+        }
+    }
+
+    pub(super) fn insert(&mut self, now: Millis, key: FlowKey) {
+        let is_full = self.young.len() >= GENERATION_LEN;
+        if is_full || now.since(self.young_since) > GENERATION_SPAN {
+            std::mem::swap(&mut self.young, &mut self.old);
+            self.young.clear();
+            self.young_since = now;
+        }
+        self.young.insert(key);
+    }
+
+    pub(super) fn contains(&self, key: &FlowKey) -> bool {
+        self.young.contains(key) || self.old.contains(key)
+    }
+}
--- a/crates/coordination/src/flows/hearing.rs
+++ b/crates/coordination/src/flows/hearing.rs
@@ -34,9 +34,10 @@
         }
     }
 
-    pub(super) fn released(&mut self, owner: InstanceId, flows: &[FlowKey]) {
+    pub(super) fn released(&mut self, now: Millis, owner: InstanceId, flows: &[FlowKey]) {
         for key in flows {
             self.directory.remove_if(key, owner);
+            self.ended.insert(now, *key);
         }
     }
 
--- a/crates/coordination/src/flows/mod.rs
+++ b/crates/coordination/src/flows/mod.rs
@@ -27,6 +27,7 @@
 mod bucket;
 mod counts;
 mod directory;
+mod ended;
 mod hash;
 mod hearing;
 mod opening;
--- a/crates/coordination/src/flows/router.rs
+++ b/crates/coordination/src/flows/router.rs
@@ -21,6 +21,7 @@
 use super::Step;
 use super::bucket::TokenBucket;
 use super::directory::Directory;
+use super::ended::Ended;
 use super::hearing::hears;
 use super::questions::Questions;
 use super::registration::Registration;
@@ -42,6 +43,7 @@
     pub(super) is_out: bool,
     pub(super) table: FlowTable,
     pub(super) directory: Directory,
+    pub(super) ended: Ended,
     pub(super) questions: Questions,
     pub(super) placement: Placement,
     pub(super) registration: Registration,
@@ -62,6 +64,7 @@
             is_out: false,
             table: FlowTable::new(mix(seed)),
             directory: Directory::new(mix(seed ^ 1)),
+            ended: Ended::new(mix(seed ^ 4)),
             questions: Questions::new(mix(seed ^ 2)),
             placement: Placement::new(me, mix(seed ^ 3)),
             registration: Registration::new(),
@@ -130,6 +133,7 @@
             return;
         };
         self.placement.ended();
+        self.ended.insert(now, key);
         if let Some(home) = flow.pointer_at {
             self.registration.release(now, home, key);
         }
@@ -141,7 +145,7 @@
         // by which it was told: the owner may just have heard of it earlier.
         match message {
             Message::Register { flows } => self.registered(from, flows),
-            Message::Release { flows } => self.released(from, flows),
+            Message::Release { flows } => self.released(now, from, flows),
             Message::WhoOwns { key, ack } => self.answer(now, from, *key, *ack),
             Message::OwnerIs { key, answer } if self.hears(from) => match answer {
                 Answer::Owns => self.owned_by(from, key),
--- a/crates/coordination/src/flows/step.rs
+++ b/crates/coordination/src/flows/step.rs
@@ -96,6 +96,10 @@
         Unowned {
             display("no agent knows the flow")
         }
+        /// It ended in the ordinary way a short time ago.
+        Ended {
+            display("the flow has ended")
+        }
         /// Every connection that the backend server may hold is in use.
         Full {
             display("the backend server's connections are in use")
--- a/crates/coordination/tests/rules.rs
+++ b/crates/coordination/tests/rules.rs
@@ -113,6 +113,29 @@
     assert_eq!(again, Step::Deliver);
 }
 
+#[test]
+fn a_late_packet_of_an_ended_flow_breaks_nothing() {
+    for told_by_owner in [false, true] {
+        let (mut router, others) = home_of(key(1));
+        if told_by_owner {
+            let flows = vec![key(1)];
+            router.message(NOW, others[0], &Message::Release { flows });
+        } else {
+            router.packet(NOW, FROM_BALANCER, &first(key(1)));
+            router.accepted(NOW, key(1), ISN);
+            let ack = later(key(1), ISN.wrapping_add(1));
+            router.packet(NOW, FROM_BALANCER, &ack);
+            router.closed(NOW, key(1));
+        }
+        router.packet(NOW, FROM_BALANCER, &later(key(1), 77));
+        for other in others {
+            router.message(NOW, other, &not_mine(key(1)));
+        }
+        let resets: Vec<_> = router.take_resets().map(|reset| reset.reason).collect();
+        assert_eq!(resets, [ResetReason::Ended]);
+    }
+}
+
 #[test]
 fn a_half_open_flow_fades_when_another_proves_to_own_it() {
     let (mut router, others) = home_of(key(1));
--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -358,8 +358,8 @@
             ResetReason::OwnerLost | ResetReason::Unowned => FlowEnd::OwnerLost,
             // Its owner counts it too, and both must not.
             ResetReason::GivenUp => return,
-            // The flow never opened.
-            ResetReason::Full => return,
+            // The flow never opened, or its end was counted before.
+            ResetReason::Full | ResetReason::Ended => return,
         };
         self.record(segment.key, Outcome::FlowEnded(end));
     }
--- a/crates/transport/src/control/core.rs
+++ b/crates/transport/src/control/core.rs
@@ -253,7 +253,8 @@
 
     /// Tells a process that acts by an old configuration of the newer one.
     fn hint(&mut self, now: Millis, sender: InstanceId) {
-        if now.since(self.hinted_at) < HINT_PAUSE {
+        // A process that holds does not know whether its own version is newest.
+        if self.configuration.is_held() || now.since(self.hinted_at) < HINT_PAUSE {
             return;
         }
         let Some(to) = self.instances.control_of(sender) else {
