--- a/ramplab/src/main.rs
+++ b/ramplab/src/main.rs
@@ -28,7 +28,12 @@
 fn dispatch() -> CliResult<ExitCode> {
     let mut args = lexopt::Parser::from_env();
     match args.next()? {
-        Some(lexopt::Arg::Value(name)) => cmd::run(&name.to_string_lossy(), args),
+        Some(lexopt::Arg::Value(name)) => {
+            let name = name.to_string_lossy();
+            ramp_transport::logging::start(&name, log::LevelFilter::Warn)
+                .map_err(|err| err.to_string())?;
+            cmd::run(&name, args)
+        }
         Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
             print!("{USAGE}{}", cmd::list());
             Ok(ExitCode::SUCCESS)
