Cut what a leaving server still has when its drain limit has passed

Cause: the drain limit held only when an agent was asked to end; a server that the fleet document lets leave kept its feeds without end. Ruled out: cutting at the agents' flows in the router (requests in progress are the request layer's to end, with their verdict). Change: the traffic thread watches how long its server has been leaving; at the limit the request layer cuts and reports what is left, once, and serves again when operators want the server back. Seen failing: both tests before the watch existed (they did not compile). After: they pass, and so do those of requests.

--- a/crates/transport/src/agent/mod.rs
+++ b/crates/transport/src/agent/mod.rs
@@ -4,6 +4,7 @@
 pub mod device;
 pub mod flows;
 pub mod io;
+pub mod leaving;
 pub mod stack;
 pub mod timers;
 pub mod traffic;
--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -40,6 +40,8 @@
 use crate::agent::flows::Change;
 use crate::agent::flows::Flows;
 use crate::agent::io::FlowId;
+use crate::agent::leaving::Leaving;
+use crate::agent::leaving::Turn;
 use crate::clock::Clock;
 use crate::requests::RequestContext;
 use crate::requests::serve_flow;
@@ -119,6 +121,7 @@
     flows: Flows,
     picture: Option<Arc<GroupPicture>>,
     guard: WakeGuard,
+    leaving: Leaving,
     load: Option<Load>,
     records: Receiver<Record>,
     out: Vec<u8>,
@@ -136,6 +139,7 @@
             flows: Flows::default(),
             picture: None,
             guard: WakeGuard::new(self.clock.now()),
+            leaving: Leaving::default(),
             load: None,
             records: self.requests.records(),
             out: Vec::with_capacity(udp::DATAGRAM_LIMIT_BYTES),
@@ -430,6 +434,7 @@
     fn tick(&mut self) {
         let now = self.traffic.clock.now();
         self.router.tick(now);
+        self.watch_leaving(now);
         let abandoned: Vec<FlowKey> = self.router.take_abandoned().collect();
         for key in abandoned {
             if let Some(id) = self.flows.find(&key) {
@@ -461,6 +466,19 @@
         }
     }
 
+    /// Cuts what a leaving server still has when its drain limit has passed.
+    fn watch_leaving(&mut self, now: Millis) {
+        let picture = self.picture.as_ref();
+        let Some(me) = picture.and_then(|p| p.group.member(self.traffic.me)) else {
+            return;
+        };
+        match self.leaving.turn(now, me) {
+            Turn::Unchanged => {}
+            Turn::Cut => self.traffic.requests.cut_running(),
+            Turn::Resume => self.traffic.requests.resume(),
+        }
+    }
+
     fn tell_load(&mut self) {
         let load = Load {
             flows: self.flows.len() as u32,
--- a/crates/transport/src/requests/context.rs
+++ b/crates/transport/src/requests/context.rs
@@ -214,6 +214,17 @@
         }
     }
 
+    /// Cuts the requests in progress, because the server's drain limit has
+    /// passed.
+    pub fn cut_running(&self) {
+        self.drain.send_replace(Drain::Over);
+    }
+
+    /// Serves again after [`RequestContext::cut_running`].
+    pub fn resume(&self) {
+        self.drain.send_replace(Drain::Serving);
+    }
+
     /// Completes when the drain has come to `stage`.
     pub(super) async fn drained_to(&self, stage: Drain) {
         let mut rx = self.drain.subscribe();
--- /dev/null
+++ b/crates/transport/tests/leaving.rs
@@ -0,0 +1,53 @@
+//! A backend server that leaves keeps its work up to the drain limit, once.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use ramp_state::fleet::Fleet;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+use ramp_state::view::Member;
+use ramp_state::view::View;
+use ramp_transport::agent::leaving::Leaving;
+use ramp_transport::agent::leaving::Turn;
+
+const LIMIT: Duration = Duration::from_millis(5_000);
+
+fn member(state: &str) -> Member {
+    let text = format!(
+        "[defaults]\ndrain_limit_ms = {}\n[data-centre dc]\nregion = r\n\
+         [service s]\naddress = 10.0.0.1:80\n\
+         [server s-1]\nservice = s\ndata_centre = dc\nagent = 127.0.0.1:1\n\
+         control = 127.0.0.1:2\nstate = {state}\n",
+        LIMIT.as_millis()
+    );
+    let fleet = Fleet::parse(Version(1), &text).unwrap();
+    let view = View::compile(&fleet, &HashSet::new());
+    let group = view.group(fleet.services["s"].address).unwrap();
+    group.member(InstanceId::of("s-1")).unwrap().clone()
+}
+
+#[test]
+fn a_leaving_server_is_cut_once_at_its_drain_limit_and_resumes() {
+    let (inside, leaving) = (member("in"), member("leaving"));
+    let mut watch = Leaving::default();
+    let start = Millis(1_000);
+    assert_eq!(watch.turn(start, &inside), Turn::Unchanged);
+    assert_eq!(watch.turn(start, &leaving), Turn::Unchanged);
+    let just_before = start + LIMIT - Duration::from_millis(1);
+    assert_eq!(watch.turn(just_before, &leaving), Turn::Unchanged);
+    assert_eq!(watch.turn(start + LIMIT, &leaving), Turn::Cut);
+    assert_eq!(watch.turn(start + LIMIT * 2, &leaving), Turn::Unchanged);
+    assert_eq!(watch.turn(start + LIMIT * 2, &inside), Turn::Resume);
+    assert_eq!(watch.turn(start + LIMIT * 3, &leaving), Turn::Unchanged);
+}
+
+#[test]
+fn a_server_that_returns_in_time_is_not_cut() {
+    let (inside, leaving) = (member("in"), member("leaving"));
+    let mut watch = Leaving::default();
+    assert_eq!(watch.turn(Millis(0), &leaving), Turn::Unchanged);
+    assert_eq!(watch.turn(Millis(1), &inside), Turn::Unchanged);
+    assert_eq!(watch.turn(Millis(0) + LIMIT, &leaving), Turn::Unchanged);
+}
