Bench decisions and codecs beside baselines, bound control datagrams

Change: criterion benches for packets, changes, admission and codec, each with a baseline in the same run. tests/sizes.rs counts the bytes of heartbeat, digest, claim and delta datagrams, headers and tag included, against bounds worked out from 13 KB/s a node at 340 groups, 12 members and 660 balancers.

--- /dev/null
+++ b/crates/coordination/benches/changes.rs
@@ -0,0 +1,82 @@
+//! Cost of a change of the fleet or a group, each beside a baseline in the
+//! same run.
+
+mod common;
+
+use std::collections::HashSet;
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::Criterion;
+use ramp_coordination::picture::GroupPicture;
+use ramp_state::key::InstanceId;
+use ramp_state::time::Millis;
+use ramp_state::view::Group;
+use ramp_state::view::View;
+
+use common::GROUPS;
+use common::PEER;
+
+/// Open flows of the agent that takes a new picture.
+const FLOWS: usize = 2_000;
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    view(&mut criterion);
+    install(&mut criterion);
+    criterion.final_summary();
+}
+
+fn view(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("view of 340 groups");
+    group.sample_size(20);
+    let fleet = common::fleet(GROUPS);
+    let alive = HashSet::new();
+    let dead = HashSet::from([InstanceId::of(PEER)]);
+    let view = View::compile(&fleet, &alive);
+    let old = view.group(common::service(0)).expect("a known service");
+    group.bench_function("full compile", |b| b.iter(|| View::compile(&fleet, &alive)));
+    group.bench_function("one group compiled and put in", |b| {
+        b.iter(|| {
+            let new = Group::compile(&fleet, "s0").expect("a known service");
+            view.with_group(Arc::new(new))
+        });
+    });
+    group.bench_function("one member dead", |b| {
+        b.iter(|| view.with_group(Arc::new(old.with_dead(&dead))));
+    });
+    group.bench_function("plain copy", |b| b.iter(|| view.clone()));
+    group.finish();
+}
+
+fn install(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("new picture at an agent with 2,000 flows");
+    let members = common::group();
+    let keys = common::keys(&members, FLOWS);
+    let fewer = Arc::new(members.with_dead(&HashSet::from([InstanceId::of(PEER)])));
+    let cases = [
+        ("loads alone", members.clone()),
+        ("a member dead and back", fewer.clone()),
+    ];
+    for (name, other) in cases {
+        let mut router = common::owner(&members, &keys);
+        let pair = [common::picture(other), common::picture(members.clone())];
+        // Two pictures in turn, so that each differs from the one before.
+        let mut turn = pair.iter().cycle();
+        group.bench_function(name, |b| {
+            b.iter(|| {
+                let next: &Arc<GroupPicture> = turn.next().expect("a cycle has no end");
+                router.install(Millis(1), Arc::clone(next));
+            });
+        });
+    }
+    // What a router would do that worked out all homes at once.
+    group.bench_function("home of every flow", |b| {
+        b.iter(|| {
+            for key in &keys {
+                black_box(fewer.home(key.hash64()));
+            }
+        });
+    });
+    group.finish();
+}
