Cut short a flow that can't finish closing

Cause: at the third repeated acknowledgement of a FIN that was lost the TCP library stops its timer; such a flow stayed in the agent's table, and one whose caller never closes its side stays too. Ruled out: dropping repeated bare acknowledgements, as the fabric's stand-in does: it would leave the callers that never close. Change: a flow that has been closing for 15 s is reset and forgotten. Seen failing: with the limit switched off the first test still held the flow at the limit. The second test passes without the change too: there the library's own timer ends the flow; it guards the timers only. After: both pass.

--- a/crates/transport/src/agent/flows.rs
+++ b/crates/transport/src/agent/flows.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
@@ -15,12 +16,19 @@
 use crate::agent::stack::FlowStack;
 use crate::agent::timers::Timers;
 
+/// Time that a flow may take to close. The TCP library gives up sending a lost
+/// FIN again after three repeated acknowledgements, and a caller may never
+/// close its side.
+pub const CLOSE_LIMIT: Duration = Duration::from_secs(15);
+
 /// One open flow.
 struct Flow {
     key: FlowKey,
     stack: Rc<RefCell<FlowStack>>,
     wake_at: Option<Millis>,
     served: bool,
+    /// When a flow that closes is cut short.
+    close_by: Option<Millis>,
 }
 
 /// What driving a flow led to.
@@ -77,6 +85,7 @@
             stack: Rc::new(RefCell::new(stack)),
             wake_at: None,
             served: false,
+            close_by: None,
         });
         if let Some(earlier) = self.by_key.insert(key, id) {
             self.flows.remove(earlier);
@@ -99,6 +108,9 @@
             return Change::None;
         };
         let mut stack = flow.stack.borrow_mut();
+        if flow.close_by.is_some_and(|by| now >= by) {
+            stack.socket().abort();
+        }
         stack.poll(now);
         while let Some(packet) = stack.pop() {
             send(&packet);
@@ -111,7 +123,10 @@
             self.forget(id);
             return Change::Closed(key);
         }
-        if let Some(at) = next
+        if is_closing(state) {
+            flow.close_by.get_or_insert(now + CLOSE_LIMIT);
+        }
+        if let Some(at) = next.into_iter().chain(flow.close_by).min()
             && flow.wake_at.is_none_or(|earlier| at < earlier)
         {
             flow.wake_at = Some(at);
@@ -165,3 +180,11 @@
         self.timers.next()
     }
 }
+
+/// Whether our side of the connection has been closed, and not all of it yet.
+fn is_closing(state: tcp::State) -> bool {
+    matches!(
+        state,
+        tcp::State::FinWait1 | tcp::State::FinWait2 | tcp::State::Closing | tcp::State::LastAck
+    )
+}
