--- a/crates/transport/src/control/core.rs
+++ b/crates/transport/src/control/core.rs
@@ -184,7 +184,7 @@
 
     fn install(&mut self, now: Millis, fleet: Arc<Fleet>) {
         log::info!("configuration {} in force", fleet.version);
-        self.instances.set_servers(fleet.servers.len());
+        self.instances.set_servers(now, fleet.servers.len());
         self.role.install(now, fleet);
     }
 
--- a/crates/transport/src/control/instances.rs
+++ b/crates/transport/src/control/instances.rs
@@ -19,9 +19,6 @@
 /// Shortest time between two reads.
 const SHORTEST_PERIOD: Duration = Duration::from_secs(1);
 
-/// Span over which processes that start together spread their first read.
-const START_SPREAD: Duration = Duration::from_secs(1);
-
 /// One read to be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
@@ -54,19 +51,19 @@
         }
     }
 
-    /// Learns the size of the fleet.
-    pub fn set_servers(&mut self, servers: usize) {
+    /// Learns the size of the fleet, without which nothing is read: when all
+    /// processes start at once, their first reads are spread like later ones.
+    pub fn set_servers(&mut self, now: Millis, servers: usize) {
         let period = PERIOD_PER_SERVER * u32::try_from(servers).unwrap_or(u32::MAX);
         self.period = period.max(SHORTEST_PERIOD);
+        if self.next.is_none() {
+            self.next = Some(now + self.jitter(self.period));
+        }
     }
 
     /// The read that is due.
     pub fn due(&mut self, now: Millis) -> Option<Poll> {
-        let Some(next) = self.next else {
-            self.next = Some(now + self.jitter(START_SPREAD));
-            return None;
-        };
-        if now < next {
+        if now < self.next? {
             return None;
         }
         self.next = Some(now + self.period / 2 + self.jitter(self.period));
--- /dev/null
+++ b/crates/transport/tests/instances.rs
@@ -0,0 +1,44 @@
+//! Reads of the list of instances: spread from the first one on, and rarer in
+//! a larger fleet.
+
+use std::collections::HashMap;
+
+use ramp_state::time::Millis;
+use ramp_transport::control::instances::InstancePoll;
+
+/// Processes at the size to come.
+const PROCESSES: u64 = 4_860;
+
+/// Servers at the size to come.
+const SERVERS: usize = 4_200;
+
+/// Calls that the platform bears, less those for the fleet document when all
+/// processes start at once (its tests count 1,737 in the busiest second).
+const CALLS_LEFT_A_SECOND: u64 = 2_000 - 1_737;
+
+#[test]
+fn reads_of_a_whole_fleet_that_starts_at_once_stay_within_what_is_left() {
+    let mut by_second: HashMap<u64, u64> = HashMap::new();
+    for seed in 0..PROCESSES {
+        let mut poll = InstancePoll::new(ramp_state::key::mix(seed));
+        poll.set_servers(Millis(0), SERVERS);
+        for turn in 0..1_200 {
+            let now = Millis(turn * 100);
+            if poll.due(now).is_some() {
+                *by_second.entry(now.0 / 1_000).or_default() += 1;
+            }
+        }
+    }
+    let most = by_second.values().max().copied().unwrap_or_default();
+    println!("most reads in a second: {most}");
+    assert!(most < CALLS_LEFT_A_SECOND, "{most}");
+}
+
+#[test]
+fn a_small_fleet_reads_soon_and_nothing_is_read_before_its_size_is_known() {
+    let mut poll = InstancePoll::new(1);
+    assert_eq!(poll.due(Millis(60_000)), None);
+    poll.set_servers(Millis(60_000), 10);
+    let first = (0..=1_000).find(|ms| poll.due(Millis(60_000 + ms)).is_some());
+    assert!(first.is_some());
+}
