Part the agent's traffic thread by its jobs

Change: news.rs (what it and control tell each other), packets.rs, driving.rs and the loop itself; no behaviour changed.

--- /dev/null
+++ b/crates/transport/src/agent/driving.rs
@@ -0,0 +1,84 @@
+//! Flows at an agent: driven when they have packets, data or a timer, served
+//! once they are established, and recorded.
+
+use std::rc::Rc;
+
+use ramp_coordination::flows::FlowRouter;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::outcome::Outcome;
+use ramp_state::outcome::Record;
+use ramp_state::time::Millis;
+use tokio::task::spawn_local;
+
+use crate::agent::flows::Change;
+use crate::agent::io::FlowId;
+use crate::agent::news::Event;
+use crate::agent::traffic::Worker;
+use crate::requests::serve_flow;
+
+impl Worker {
+    /// Drives flows that were marked and those whose timer has come.
+    pub(super) fn drive_flows(&mut self) {
+        let now = self.traffic.clock.now();
+        for id in self.flows.pending().take() {
+            self.drive(id, now);
+        }
+        while let Some(id) = self.flows.pop_due(now) {
+            self.drive(id, now);
+        }
+    }
+
+    pub(super) fn drive(&mut self, id: FlowId, now: Millis) {
+        let (router, traffic) = (&mut self.router, &self.traffic);
+        let mut send = |packet: &[u8]| {
+            note_handshake(router, now, packet);
+            // TCP sends a lost packet again.
+            let _ = traffic.socket.try_send_to(packet, traffic.fabric.into());
+        };
+        match self.flows.drive(id, now, &mut send) {
+            Change::None => {}
+            Change::Established(key) => self.serve(id, key),
+            Change::Closed(key) => self.router.closed(now, key),
+        }
+    }
+
+    fn serve(&mut self, id: FlowId, key: FlowKey) {
+        let Some(io) = self.flows.io(id) else {
+            return;
+        };
+        self.record(key, Outcome::FlowOpened);
+        let requests = Rc::clone(&self.traffic.requests);
+        let events = self.traffic.events.clone();
+        let record = self.record_of(key, Outcome::FlowOpened);
+        spawn_local(async move {
+            let end = serve_flow(requests, key.caller, io).await;
+            let outcome = Outcome::FlowEnded(end);
+            let _ = events.send(Event::Record(Record { outcome, ..record }));
+        });
+    }
+
+    pub(super) fn record(&self, key: FlowKey, outcome: Outcome) {
+        self.tell(Event::Record(self.record_of(key, outcome)));
+    }
+
+    fn record_of(&self, key: FlowKey, outcome: Outcome) -> Record {
+        let picture = self.picture.as_ref().expect("flows come after a picture");
+        Record {
+            caller: key.caller,
+            service: picture.group.service,
+            server: Some(self.traffic.me),
+            outcome,
+        }
+    }
+}
+
+/// Tells the router with which number the handshake's answer left.
+fn note_handshake(router: &mut FlowRouter, now: Millis, packet: &[u8]) {
+    let Ok(segment) = Segment::parse_return(packet) else {
+        return;
+    };
+    if segment.syn && segment.has_ack {
+        router.accepted(now, segment.key, segment.seq);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/agent/packets.rs
@@ -0,0 +1,158 @@
+//! Packets of callers at an agent: checked, routed, and handed to their flow,
+//! sent on, or answered with a reset.
+
+use std::io;
+
+use metrics::counter;
+use ramp_coordination::flows::Arrival;
+use ramp_coordination::flows::ResetReason;
+use ramp_coordination::flows::Step;
+use ramp_coordination::picture::GroupPicture;
+use ramp_protocol::header::Header;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::InstanceId;
+use ramp_state::key::Version;
+use ramp_state::key::mix;
+use ramp_state::outcome::FlowEnd;
+use ramp_state::outcome::Outcome;
+use ramp_state::time::Millis;
+
+use crate::agent::news::Event;
+use crate::agent::traffic::Worker;
+
+/// Packets handled before other work gets a turn.
+const BATCH_PACKETS: usize = 64;
+
+impl Worker {
+    pub(super) fn read_batch(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..BATCH_PACKETS {
+            match self.traffic.socket.try_recv(buf) {
+                Ok(len) => self.handle(&buf[..len]),
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // A refusal told by an earlier destination.
+                Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(err) => return Err(err),
+            }
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, datagram: &[u8]) {
+        if self.guard.is_holding() {
+            return count_drop("held");
+        }
+        let Some(picture) = self.picture.clone() else {
+            return count_drop("no_configuration");
+        };
+        let Ok((header, packet)) = Header::read(&self.traffic.key, datagram) else {
+            return count_drop("forged");
+        };
+        let Ok(segment) = Segment::parse(packet) else {
+            return count_drop("malformed");
+        };
+        // Whatever brought it here, only this group's service is served here.
+        if segment.key.service != picture.group.address {
+            return count_drop("other_service");
+        }
+        self.compare_versions(&header, picture.version);
+        self.route(&picture, &header, &segment, packet);
+    }
+
+    fn compare_versions(&self, header: &Header, mine: Version) {
+        if header.config < mine {
+            self.tell(Event::StaleSender(header.sender));
+        }
+        if header.config > mine {
+            self.tell(Event::NewerConfig(header.config));
+        }
+    }
+
+    fn route(&mut self, picture: &GroupPicture, header: &Header, segment: &Segment, packet: &[u8]) {
+        let now = self.traffic.clock.now();
+        let arrival = Arrival {
+            sender: Some(header.sender),
+            hops: header.hops,
+            to_owner: header.to_owner,
+        };
+        match self.router.packet(now, arrival, segment) {
+            Step::Deliver => self.deliver(now, segment, packet),
+            Step::Open => self.open(now, segment, packet),
+            Step::Forward { to, to_owner } => {
+                self.forward(picture, header, to, to_owner, packet);
+            }
+            Step::Drop(reason) => count_drop(reason.label()),
+            Step::Reset(reason) => self.reset(segment, reason),
+        }
+    }
+
+    fn open(&mut self, now: Millis, segment: &Segment, packet: &[u8]) {
+        let seed = mix(self.traffic.seed ^ segment.key.hash64() ^ u64::from(segment.seq));
+        let id = self.flows.open(segment.key, seed, now);
+        self.flows.push(id, packet);
+        self.drive(id, now);
+    }
+
+    fn deliver(&mut self, now: Millis, segment: &Segment, packet: &[u8]) {
+        let Some(id) = self.flows.find(&segment.key) else {
+            return count_drop("no_stack");
+        };
+        self.flows.push(id, packet);
+        self.drive(id, now);
+    }
+
+    fn forward(
+        &mut self,
+        picture: &GroupPicture,
+        header: &Header,
+        to: InstanceId,
+        to_owner: bool,
+        packet: &[u8],
+    ) {
+        let Some(member) = picture.group.member(to).filter(|m| m.reachable) else {
+            return count_drop("no_member");
+        };
+        let header = Header {
+            sender: self.traffic.me,
+            config: picture.version,
+            hops: header.hops + 1,
+            to_owner,
+        };
+        self.out.clear();
+        header.write(&self.traffic.key, packet, &mut self.out);
+        // TCP sends a lost packet again.
+        let _ = self
+            .traffic
+            .socket
+            .try_send_to(&self.out, member.agent.into());
+        counter!("agent_packets_forwarded_total").increment(1);
+    }
+
+    pub(super) fn reset(&mut self, segment: &Segment, reason: ResetReason) {
+        // A reset is never answered by a reset.
+        if segment.rst {
+            return;
+        }
+        self.send_to_caller(&segment.reset());
+        counter!("agent_resets_total").increment(1);
+        let end = match reason {
+            ResetReason::OwnerLost | ResetReason::Unowned => FlowEnd::OwnerLost,
+            // Its owner counts it too, and both must not.
+            ResetReason::GivenUp => return,
+            // The flow never opened, or its end was counted before.
+            ResetReason::Full | ResetReason::Ended => return,
+        };
+        self.record(segment.key, Outcome::FlowEnded(end));
+    }
+
+    pub(super) fn send_to_caller(&self, packet: &[u8]) {
+        // TCP sends a lost packet again.
+        let _ = self
+            .traffic
+            .socket
+            .try_send_to(packet, self.traffic.fabric.into());
+    }
+}
+
+fn count_drop(reason: &'static str) {
+    counter!("agent_packets_dropped_total", "reason" => reason).increment(1);
+}
--- a/crates/transport/src/control/agent.rs
+++ b/crates/transport/src/control/agent.rs
@@ -22,8 +22,8 @@
 use ramp_state::policy::Policy;
 use ramp_state::time::Millis;
 
-use crate::agent::traffic::Event;
-use crate::agent::traffic::Update;
+use crate::agent::news::Event;
+use crate::agent::news::Update;
 use crate::control::role::Dispatch;
 use crate::control::role::News;
 use crate::control::role::Role;
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -132,8 +132,8 @@
     clock: Clock,
     incarnation: Incarnation,
     socket: std::net::UdpSocket,
-    updates: Receiver<agent::traffic::Update>,
-    events: Sender<agent::traffic::Event>,
+    updates: Receiver<agent::news::Update>,
+    events: Sender<agent::news::Event>,
 }
 
 impl AgentTraffic {
