Ask nothing of peers whose data centre is out

Cause: a process that wakes late or starts asks known peers for their version, also agents whose data centre is out by the document it has, so the data centre got control messages long after it was taken out. Ruled out: the balancer's traffic thread; it held until the confirmation. Change: the questions pass over agents whose data centre is out by the newest good document. The first round of a process that has none still asks all. A process that slept can still ask in the first round if it has not heard of the change by then.

--- a/crates/coordination/src/configuration/mod.rs
+++ b/crates/coordination/src/configuration/mod.rs
@@ -31,6 +31,7 @@
 
 use ramp_protocol::message::Message;
 use ramp_state::fault::Faults;
+use ramp_state::fleet::DataCentreState;
 use ramp_state::fleet::Fleet;
 use ramp_state::instances::Role;
 use ramp_state::key::InstanceId;
@@ -346,7 +347,9 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Millis) {
         if let Some(start) = &mut self.start {
-            let asks = start.due(now).iter().map(|to| ask_version(*to));
+            let fleet = self.store.fleet().map(Arc::as_ref);
+            let asked = start.due(now).iter().filter(|to| !is_out(fleet, to));
+            let asks = asked.map(|to| ask_version(*to));
             self.outputs.extend(asks);
         }
         if let Some(round) = self.hold.as_mut().and_then(|hold| hold.due(now)) {
@@ -513,6 +516,8 @@
     fn ask_to_confirm(&mut self, now: Millis, round: u32) {
         let mut known = self.peers.clone();
         known.extend(self.members.iter().map(|member| member.control));
+        let fleet = self.store.fleet().map(Arc::as_ref);
+        known.retain(|peer| !is_out(fleet, peer));
         for _ in 0..CONFIRMING_PEERS.min(known.len()) {
             let at = self.dice.below(known.len() as u64) as usize;
             self.outputs.push_back(ask_version(known.swap_remove(at)));
@@ -548,6 +553,17 @@
     }
 }
 
+/// Whether the peer is an agent whose data centre is out, which gets nothing.
+fn is_out(fleet: Option<&Fleet>, control: &SocketAddrV4) -> bool {
+    let Some(fleet) = fleet else {
+        return false;
+    };
+    let mut servers = fleet.servers.values();
+    let server = servers.find(|server| server.control == *control);
+    let data_centre = server.and_then(|s| fleet.data_centres.get(&s.data_centre));
+    data_centre.is_some_and(|d| d.state == DataCentreState::Out)
+}
+
 fn ask_version(to: SocketAddrV4) -> Output {
     Output::Send {
         to,
--- a/crates/coordination/tests/configuration/main.rs
+++ b/crates/coordination/tests/configuration/main.rs
@@ -3,6 +3,7 @@
 
 mod network;
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use network::BAD;
@@ -14,6 +15,7 @@
 use ramp_coordination::configuration::Confirmation;
 use ramp_coordination::configuration::Output;
 use ramp_coordination::configuration::READERS_PER_GROUP;
+use ramp_coordination::configuration::hold::BACKLOG_LIMIT;
 use ramp_coordination::configuration::hold::HOLD_LIMIT;
 use ramp_coordination::configuration::start::PEERS_LIMIT;
 use ramp_coordination::configuration::start::START_LIMIT;
@@ -510,6 +512,51 @@
     assert!(network.nodes[3].held);
 }
 
+#[test]
+fn peers_whose_data_centre_is_out_are_asked_nothing() {
+    let servers = "[data-centre salem]\nregion = east\nstate = out\n\
+                   [server a]\nservice = ledger\ndata_centre = boston\n\
+                   agent = 10.1.0.1:1\ncontrol = 10.1.0.1:2\n\
+                   [server b]\nservice = ledger\ndata_centre = salem\n\
+                   agent = 10.1.0.2:1\ncontrol = 10.1.0.2:2\n";
+    let peers: [SocketAddrV4; 2] = ["10.1.0.1:2", "10.1.0.2:2"].map(|a| a.parse().unwrap());
+    let id = InstanceId::of("balancer");
+    let mut now = Millis(1_000_000);
+    let mut config = Configuration::new(now, 45, id, Role::Balancer, peers.to_vec());
+    config.tick(now);
+    // It can't know yet.
+    assert_eq!(asked(&mut config), peers);
+    let published = Published {
+        version: Version(1),
+        text: text(1) + servers,
+    };
+    config.platform(now, CallId(1), Ok(Reply::Newer(published)));
+    now = now + PEERS_LIMIT / 2;
+    config.tick(now);
+    assert_eq!(asked(&mut config), [peers[0]]);
+    now = now + PEERS_LIMIT;
+    config.tick(now);
+    assert!(config.is_serving());
+    asked(&mut config);
+    config.woke_late(now);
+    now = now + BACKLOG_LIMIT;
+    config.tick(now);
+    assert_eq!(asked(&mut config), [peers[0]]);
+}
+
+/// Peers that the process wants to ask for their version.
+fn asked(config: &mut Configuration) -> Vec<SocketAddrV4> {
+    let outputs = std::iter::from_fn(|| config.next_output());
+    let asked = outputs.filter_map(|output| match output {
+        Output::Send {
+            to,
+            message: Message::AskVersion,
+        } => Some(to),
+        _ => None,
+    });
+    asked.collect()
+}
+
 #[test]
 fn processes_that_hold_do_not_confirm_one_another() {
     let mut network = started(44);
