Try failures on a fleet of real processes

Cause: the demo makes planned changes only; kills, sleeps, outages, partitions and rival publishers were tried in simulation alone. Change: `ramplab trial NAME` runs a small fleet by the demo's own start, load, end and judgement and brings one failure about. Files of a run get a directory that none had before; ids of processes come again.

--- a/ramplab/src/cmd/mod.rs
+++ b/ramplab/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod slopes;
 mod throughput;
+mod trial;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -76,6 +77,11 @@
         about: "measure a balancer's packets a second",
         run: throughput::run,
     },
+    Command {
+        name: "trial",
+        about: "bring about one failure on a fleet under load",
+        run: trial::run,
+    },
 ];
 
 /// Runs the subcommand `name`.
--- /dev/null
+++ b/ramplab/src/cmd/trial.rs
@@ -0,0 +1,97 @@
+//! `ramplab trial`: one failure on a fleet under load.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::ValueExt;
+use ramplab::demo::run::Demo;
+use ramplab::demo::run::Options;
+use ramplab::trial;
+use ramplab::trial::Scenario;
+
+use crate::cmd::check_history;
+use crate::cmd::on_local_runtime;
+use crate::cmd::until_terminated;
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "\
+Runs a small fleet on loopback under load and brings one failure about; prints
+the broken promises and, last, one JSON object with the counts and figures.
+Exit code 1 when a promise was broken.
+
+Usage:
+    ramplab trial NAME [<option>...]
+
+Names:
+    agent-killed balancer-killed balancer-frozen-out agent-frozen
+    agent-frozen-leaving platform-down-out platform-stale partition
+    two-publishers two-at-once
+
+Options:
+    --seconds N    time for which load is sent [12]
+    --seed N       seed of all random choices [1]
+    --bin PATH     the bramleyramp program [beside this one]
+    --keep         keep the logs and histories
+";
+
+/// Runs the command.
+pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
+    let (scenario, options) = parse(args)?;
+    on_local_runtime(show(scenario, options))
+}
+
+fn parse(mut parser: lexopt::Parser) -> CliResult<(Scenario, Options)> {
+    use lexopt::Arg::Long;
+    use lexopt::Arg::Value;
+    let ramplab = std::env::current_exe()?;
+    let mut scenario = None;
+    let mut options = Options {
+        span: Duration::from_secs(12),
+        seed: 1,
+        bramleyramp: ramplab.with_file_name("bramleyramp"),
+        ramplab,
+        keep: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(name) => scenario = Scenario::named(&name.to_string_lossy()),
+            Long("seconds") => options.span = Duration::from_secs(parser.value()?.parse()?),
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("bin") => options.bramleyramp = PathBuf::from(parser.value()?),
+            Long("keep") => options.keep = true,
+            Long("help") => return Err(CliError::Usage(USAGE.to_string())),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let Some(scenario) = scenario else {
+        return Err(CliError::Usage(USAGE.to_string()));
+    };
+    Ok((scenario, options))
+}
+
+async fn show(scenario: Scenario, options: Options) -> CliResult<ExitCode> {
+    let mut demo = Demo::new(trial::plan(), options)?;
+    eprintln!("trial: files in {}", demo.dir().display());
+    let (outcome, figures) = tokio::select! {
+        outcome = trial::run::run(&mut demo, scenario) => outcome?,
+        _ = until_terminated() => {
+            // Dropping the demo ends its processes.
+            return Err(CliError::Other("trial: interrupted".to_string()));
+        }
+    };
+    check_history::print(&outcome.judgement);
+    let counts = serde_json::json!({
+        "trial": scenario.to_string(),
+        "summary": outcome.judgement.summary,
+        "figures": figures,
+        "ended_badly": outcome.ended_badly,
+    });
+    println!("{counts}");
+    if outcome.judgement.violations.is_empty() && outcome.ended_badly.is_empty() {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(ExitCode::FAILURE)
+    }
+}
--- a/ramplab/src/demo/children.rs
+++ b/ramplab/src/demo/children.rs
@@ -33,9 +33,17 @@
     ///
     /// That of the operating system.
     pub fn create(keep: bool) -> io::Result<WorkDir> {
-        let path = std::env::temp_dir().join(format!("ramplab-demo-{}", std::process::id()));
-        fs::create_dir_all(&path)?;
-        Ok(WorkDir { path, keep })
+        let id = std::process::id();
+        // Kept files of an earlier process with this id stay as they are.
+        for number in 1.. {
+            let path = std::env::temp_dir().join(format!("ramplab-demo-{id}-{number}"));
+            match fs::create_dir(&path) {
+                Ok(()) => return Ok(WorkDir { path, keep }),
+                Err(err) if err.kind() == io::ErrorKind::AlreadyExists => {}
+                Err(err) => return Err(err),
+            }
+        }
+        Err(io::ErrorKind::AlreadyExists.into())
     }
 
     /// A file in it.
@@ -134,6 +142,48 @@
         Ok(())
     }
 
+    /// Kills a process without a warning.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub fn kill(&mut self, name: &str) -> io::Result<()> {
+        let Some(position) = self.processes.iter().position(|p| p.name == name) else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        let mut process = self.processes.swap_remove(position);
+        process.child.kill()?;
+        process.child.wait().map(|_| ())
+    }
+
+    /// Stops a process where it is, without its knowledge.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system, and when there is none of the name.
+    pub fn freeze(&self, name: &str) -> io::Result<()> {
+        self.find(name)?.signal("-STOP")
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system, and when there is none of the name.
+    pub fn wake(&self, name: &str) -> io::Result<()> {
+        self.find(name)?.signal("-CONT")
+    }
+
+    /// Whether a process of the name was started and not ended since.
+    pub fn has(&self, name: &str) -> bool {
+        self.find(name).is_ok()
+    }
+
+    fn find(&self, name: &str) -> io::Result<&Process> {
+        let found = self.processes.iter().find(|p| p.name == name);
+        found.ok_or(io::ErrorKind::NotFound.into())
+    }
+
     /// Asks a process to end and waits for it; past `limit` it is killed.
     /// Tells whether it ended in time and with success.
     ///
@@ -193,12 +243,19 @@
         if self.child.try_wait()?.is_some() {
             return Ok(());
         }
-        // The library can only kill; the shell can ask.
-        Command::new("sh")
-            .args(["-c", "kill -TERM \"$0\""])
+        self.signal("-TERM")
+    }
+
+    fn signal(&self, signal: &str) -> io::Result<()> {
+        // The library can only kill; the shell can send other signals.
+        let status = Command::new("sh")
+            .args(["-c", "kill \"$0\" \"$1\"", signal])
             .arg(self.child.id().to_string())
-            .status()
-            .map(|_| ())
+            .status()?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(io::Error::other(format!("{}: no signal", self.name)))
     }
 
     async fn wait(&mut self, limit: Duration) -> io::Result<bool> {
--- a/ramplab/src/demo/documents.rs
+++ b/ramplab/src/demo/documents.rs
@@ -92,8 +92,12 @@
 
 /// Settings of a balancer or an agent.
 pub fn settings(layout: &Layout, node: &Node) -> String {
+    // Agents tell where they stand by the fleet document, so that none is
+    // asked whose data centre is out.
     let peers: Vec<String> = layout
-        .nodes()
+        .servers
+        .iter()
+        .map(|server| &server.agent)
         .filter(|peer| peer.name != node.name)
         .map(|peer| peer.listed_control.to_string())
         .collect();
--- a/ramplab/src/demo/layout.rs
+++ b/ramplab/src/demo/layout.rs
@@ -9,9 +9,6 @@
 
 use crate::demo::plan::Plan;
 
-/// Balancers in use at once.
-const BALANCERS: usize = 3;
-
 /// Last part of the addresses of balancers and backend servers.
 const BALANCER_HOST: u8 = 100;
 const BACKEND_HOST: u8 = 200;
@@ -59,6 +56,8 @@
     pub packets: SocketAddrV4,
     /// Where the fabric shows its counts.
     pub counts: SocketAddrV4,
+    /// Where the relay takes cuts.
+    pub cuts: SocketAddrV4,
     /// Balancers; the last is the one that joins later.
     pub balancers: Vec<Node>,
     /// Backend servers with their agents.
@@ -76,10 +75,11 @@
             platform: free(host(0, 1))?,
             packets: free(host(0, 2))?,
             counts: free(host(0, 2))?,
+            cuts: free(host(0, 3))?,
             balancers: Vec::new(),
             servers: Vec::new(),
         };
-        for number in 0..=BALANCERS {
+        for number in 0..=plan.balancers {
             let name = format!("balancer-{}", number + 1);
             let mut node = node(plan, name, number, BALANCER_HOST + number as u8)?;
             node.listed_address = node.address;
--- a/ramplab/src/demo/plan.rs
+++ b/ramplab/src/demo/plan.rs
@@ -25,6 +25,8 @@
     /// Services: feeds, claims and balances go to the first, uploads to the
     /// last.
     pub services: [ServicePlan; 2],
+    /// Balancers in use at once.
+    pub balancers: usize,
     /// Requests that a warm server runs at once.
     pub slots: u32,
     /// Connections that a server holds.
@@ -99,6 +101,7 @@
                     servers: 3,
                 },
             ],
+            balancers: 3,
             slots: 5,
             connections: 2000,
             caller_delay_ms: 1.0,
--- a/ramplab/src/demo/run.rs
+++ b/ramplab/src/demo/run.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use hyper::StatusCode;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -107,6 +108,40 @@
         self.dir.path()
     }
 
+    /// Addresses of its fleet.
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// Its processes.
+    pub fn children(&mut self) -> &mut Children {
+        &mut self.children
+    }
+
+    /// Time for which load is sent.
+    pub fn span(&self) -> Duration {
+        self.options.span
+    }
+
+    /// The balancer that joins later.
+    pub fn spare(&self) -> Node {
+        self.layout.balancers[self.plan.balancers].clone()
+    }
+
+    /// Replaces the cuts between data centres, as `PUT /cuts` takes them.
+    ///
+    /// # Errors
+    ///
+    /// When the relay does not take them.
+    pub async fn cut(&self, cuts: String) -> io::Result<()> {
+        let relay = self.layout.cuts.into();
+        let answer = ask(relay, Method::PUT, "/cuts", cuts, STOP_LIMIT).await?;
+        if answer.status != StatusCode::OK {
+            return Err(io::Error::other("the relay takes no cuts"));
+        }
+        Ok(())
+    }
+
     /// Runs it to its end.
     ///
     /// # Errors
@@ -114,9 +149,21 @@
     /// When a process does not start or ends by itself, or the platform does
     /// not take a change.
     pub async fn run(&mut self) -> io::Result<Outcome> {
+        self.run_changes(Demo::change).await
+    }
+
+    /// Runs the fleet under load while `changes` are made, and judges it.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Demo::run`] and of the changes.
+    pub async fn run_changes(
+        &mut self,
+        changes: impl AsyncFnOnce(&mut Demo, &mut Operators<'_>) -> io::Result<()>,
+    ) -> io::Result<Outcome> {
         let layout = self.layout.clone();
         let plan = self.plan.clone();
-        let spare = layout.balancers[layout.balancers.len() - 1].clone();
+        let spare = self.spare();
         let writer = Writer::create(&self.dir.file("operators.history"), "operators")?;
         let mut operators = Operators {
             plan: &plan,
@@ -125,6 +172,7 @@
                 absent_balancers: vec![spare.name.clone()],
                 ..Wishes::default()
             },
+            fleet_version: 1,
             history: Rc::new(RefCell::new(writer)),
         };
         operators.record_list();
@@ -137,7 +185,9 @@
         tokio::time::sleep(KEYS_KNOWN_AFTER).await;
         self.say("the fleet serves; load begins");
         self.start_load()?;
-        self.change(&mut operators, &spare).await?;
+        let load_ends = Instant::now() + self.options.span;
+        changes(self, &mut operators).await?;
+        tokio::time::sleep_until(load_ends).await;
         self.children.wait("load", LOAD_END_LIMIT).await?;
         self.say("the load has ended");
         watchers.abort_all();
@@ -189,6 +239,7 @@
         command
             .args(["relay", "--delay-ms"])
             .arg(self.plan.data_centre_delay_ms.to_string())
+            .args(["--cuts", &self.layout.cuts.to_string()])
             .arg("--history")
             .arg(self.dir.file("relay.history"))
             .arg("--ready-file")
@@ -226,7 +277,12 @@
         Ok(())
     }
 
-    fn start_node(&mut self, node: &Node) -> io::Result<()> {
+    /// Starts a balancer or an agent.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub fn start_node(&mut self, node: &Node) -> io::Result<()> {
         let settings = self.dir.file(format!("{}.ini", node.name));
         fs::write(&settings, documents::settings(&self.layout, node))?;
         let is_balancer = self.layout.balancers.iter().any(|b| b.name == node.name);
@@ -281,7 +337,8 @@
     }
 
     /// Makes the planned changes, each at its time.
-    async fn change(&mut self, operators: &mut Operators<'_>, spare: &Node) -> io::Result<()> {
+    async fn change(&mut self, operators: &mut Operators<'_>) -> io::Result<()> {
+        let spare = self.spare();
         let started = Instant::now();
         let times = Timeline::over(self.options.span);
         let out = self.plan.data_centres[1];
@@ -303,8 +360,8 @@
 
         let label = format!("replaces {replaced} by {}", spare.name);
         self.until(started + times.replace, &label).await?;
-        self.start_node(spare)?;
-        self.until_serving(spare).await?;
+        self.start_node(&spare)?;
+        self.until_serving(&spare).await?;
         operators.add_balancer(&spare.name).await?;
         operators.retire_balancer(&replaced).await?;
         tokio::time::sleep(LEAVE_TIME).await;
@@ -312,10 +369,7 @@
             self.ended_badly.push(replaced.clone());
         }
         operators.remove_balancer(&replaced).await?;
-        self.children.check()?;
-        let left = (started + times.end).duration_since(Instant::now());
-        tokio::time::sleep(left).await;
-        Ok(())
+        self.children.check()
     }
 
     async fn until(&mut self, moment: Instant, label: &str) -> io::Result<()> {
@@ -324,7 +378,8 @@
         self.children.check()
     }
 
-    fn say(&self, label: &str) {
+    /// Tells what happens.
+    pub fn say(&self, label: &str) {
         eprintln!(
             "{:>5.1} s  demo: {label}",
             self.started.elapsed().as_secs_f64()
@@ -352,7 +407,12 @@
         Ok(())
     }
 
-    async fn until_serving(&mut self, node: &Node) -> io::Result<()> {
+    /// Waits until a balancer or an agent takes traffic.
+    ///
+    /// # Errors
+    ///
+    /// When it does not in time.
+    pub async fn until_serving(&mut self, node: &Node) -> io::Result<()> {
         let serving = watcher::until_serving(node.control, START_LIMIT).await;
         self.children.check()?;
         if serving {
--- a/ramplab/src/demo/steps.rs
+++ b/ramplab/src/demo/steps.rs
@@ -29,6 +29,8 @@
     pub layout: &'a Layout,
     /// What they want now.
     pub wishes: Wishes,
+    /// Last version of the fleet document that they published.
+    pub fleet_version: u64,
     /// Where their changes are noted.
     pub history: SharedWriter,
 }
@@ -126,9 +128,37 @@
         self.publish_instances(None).await
     }
 
-    async fn publish_fleet(&self, change: Change) -> io::Result<()> {
+    /// Notes that a process is about to be killed.
+    pub fn record_kill(&self, process: &str) {
+        let process = process.to_string();
+        self.history.borrow_mut().write(What::Killed { process });
+    }
+
+    /// Sets how the platform answers: `up`, `down` or `stale VERSION`.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take it.
+    pub async fn set_platform(&self, mode: &str) -> io::Result<()> {
+        self.put("/mode", mode.to_string()).await.map(|_| ())
+    }
+
+    /// Two publishers publish the same fleet at once; returns the later
+    /// version.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not take one of them.
+    pub async fn publish_twice_at_once(&self) -> io::Result<u64> {
+        let text = documents::fleet(self.plan, self.layout, &self.wishes);
+        let (a, b) = tokio::try_join!(self.put("/fleet", text.clone()), self.put("/fleet", text))?;
+        Ok(a.max(b))
+    }
+
+    async fn publish_fleet(&mut self, change: Change) -> io::Result<()> {
         let text = documents::fleet(self.plan, self.layout, &self.wishes);
         let version = self.put("/fleet", text).await?;
+        self.fleet_version = version;
         self.record(version, change);
         Ok(())
     }
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod rng;
 pub mod slopes;
 pub mod throughput;
+pub mod trial;
--- /dev/null
+++ b/ramplab/src/trial/run.rs
@@ -0,0 +1,28 @@
+//! A trial from the first process to the last.
+
+use std::io;
+
+use crate::demo::run::Demo;
+use crate::demo::run::Outcome;
+use crate::trial::Scenario;
+use crate::trial::figures::Figures;
+use crate::trial::scenarios::Trial;
+
+/// Runs `scenario` on the fleet of `demo`.
+///
+/// # Errors
+///
+/// Those of [`Demo::run_changes`].
+pub async fn run(demo: &mut Demo, scenario: Scenario) -> io::Result<(Outcome, Figures)> {
+    let mut figures = Figures::default();
+    let outcome = demo
+        .run_changes(async |demo, operators| {
+            let mut trial = Trial::new(demo, operators);
+            trial.act(scenario).await?;
+            figures = trial.figures;
+            Ok(())
+        })
+        .await?;
+    figures.count_ends(&outcome.judgement);
+    Ok((outcome, figures))
+}
