--- a/crates/coordination/src/configuration/mod.rs
+++ b/crates/coordination/src/configuration/mod.rs
@@ -30,6 +30,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ramp_protocol::message::Message;
@@ -47,6 +48,7 @@
 pub use crate::configuration::output::Output;
 pub use crate::configuration::output::Peer;
 use crate::configuration::peers::ask_version;
+use crate::configuration::peers::is_out;
 use crate::configuration::start::Start;
 use crate::configuration::store::Applied;
 use crate::configuration::store::Store;
@@ -274,7 +276,9 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Millis) {
         if let Some(start) = &mut self.start {
-            let asks = start.due(now).iter().map(|to| ask_version(*to));
+            let fleet = self.store.fleet().map(Arc::as_ref);
+            let asked = start.due(now).iter().filter(|to| !is_out(fleet, to));
+            let asks = asked.map(|to| ask_version(*to));
             self.outputs.extend(asks);
         }
         if let Some(round) = self.hold.as_mut().and_then(|hold| hold.due(now)) {
--- a/crates/coordination/src/configuration/peers.rs
+++ b/crates/coordination/src/configuration/peers.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddrV4;
 
 use ramp_protocol::message::Message;
+use ramp_state::fleet::DataCentreState;
+use ramp_state::fleet::Fleet;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
 
@@ -91,3 +93,14 @@
         message: Message::AskVersion,
     }
 }
+
+/// Whether the peer is an agent whose data centre is out, which gets nothing.
+pub(super) fn is_out(fleet: Option<&Fleet>, control: &SocketAddrV4) -> bool {
+    let Some(fleet) = fleet else {
+        return false;
+    };
+    let mut servers = fleet.servers.values();
+    let server = servers.find(|server| server.control == *control);
+    let data_centre = server.and_then(|s| fleet.data_centres.get(&s.data_centre));
+    data_centre.is_some_and(|d| d.state == DataCentreState::Out)
+}
--- a/crates/coordination/src/configuration/waking.rs
+++ b/crates/coordination/src/configuration/waking.rs
@@ -1,11 +1,14 @@
 //! What a process does between waking late and letting traffic go on.
 
+use std::sync::Arc;
+
 use ramp_state::time::Millis;
 
 use crate::configuration::Configuration;
 use crate::configuration::output::Confirmation;
 use crate::configuration::output::Output;
 use crate::configuration::peers::ask_version;
+use crate::configuration::peers::is_out;
 
 /// Peers asked in one round to confirm the version after waking late.
 const CONFIRMING_PEERS: usize = 3;
@@ -15,6 +18,8 @@
     pub(super) fn ask_to_confirm(&mut self, now: Millis, round: u32) {
         let mut known = self.peers.clone();
         known.extend(self.members.iter().map(|member| member.control));
+        let fleet = self.store.fleet().map(Arc::as_ref);
+        known.retain(|peer| !is_out(fleet, peer));
         for _ in 0..CONFIRMING_PEERS.min(known.len()) {
             let at = self.dice.below(known.len() as u64) as usize;
             self.outputs.push_back(ask_version(known.swap_remove(at)));
--- a/ramplab/src/demo/launch.rs
+++ b/ramplab/src/demo/launch.rs
@@ -56,6 +56,7 @@
         command
             .args(["relay", "--delay-ms"])
             .arg(self.plan.data_centre_delay_ms.to_string())
+            .args(["--cuts", &self.layout.cuts.to_string()])
             .arg("--history")
             .arg(self.dir.file("relay.history"))
             .arg("--ready-file")
@@ -93,7 +94,12 @@
         Ok(())
     }
 
-    pub(super) fn start_node(&mut self, node: &Node) -> io::Result<()> {
+    /// Starts a balancer or an agent.
+    ///
+    /// # Errors
+    ///
+    /// That of the operating system.
+    pub fn start_node(&mut self, node: &Node) -> io::Result<()> {
         let settings = self.dir.file(format!("{}.ini", node.name));
         fs::write(&settings, documents::settings(&self.layout, node))?;
         let is_balancer = self.layout.balancers.iter().any(|b| b.name == node.name);
@@ -160,7 +166,12 @@
         Ok(())
     }
 
-    pub(super) async fn until_serving(&mut self, node: &Node) -> io::Result<()> {
+    /// Waits until a balancer or an agent takes traffic.
+    ///
+    /// # Errors
+    ///
+    /// When it does not in time.
+    pub async fn until_serving(&mut self, node: &Node) -> io::Result<()> {
         let serving = watcher::until_serving(node.control, START_LIMIT).await;
         self.children.check()?;
         if serving {
