End each flow once in the ledger when its data centre is taken out

Cause: the owner recorded such a flow twice: as given up when the picture came, and as left by its caller when its stream broke. Change: the end of the stream decides; while the data centre is out it is given up. Before: two ends a flow. Seen failing: the test without the change ends with Closed in place of GivenUp.

--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -19,8 +19,6 @@
 use ramp_protocol::seal::FleetKey;
 use ramp_state::key::FlowKey;
 use ramp_state::key::InstanceId;
-use ramp_state::outcome::FlowEnd;
-use ramp_state::outcome::Outcome;
 use ramp_state::outcome::Record;
 use ramp_state::time::Millis;
 use tokio::net::UdpSocket;
@@ -179,7 +177,6 @@
     /// told by a reset; many wait for data and would not notice otherwise.
     fn give_up_flows(&mut self) {
         for key in self.flows.keys() {
-            self.record(key, Outcome::FlowEnded(FlowEnd::GivenUp));
             if let Some(id) = self.flows.find(&key) {
                 self.flows.abort(id);
             }
--- a/crates/transport/src/requests/flow.rs
+++ b/crates/transport/src/requests/flow.rs
@@ -52,6 +52,7 @@
         }
     };
     match ended {
+        _ if !cx.requests.borrow().is_reachable() => FlowEnd::GivenUp,
         Ok(()) => FlowEnd::Closed,
         Err(_) => FlowEnd::CallerLeft,
     }
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -146,7 +146,20 @@
 
 /// Lets every agent know the whole group, all idle and warm.
 pub fn acquaint(agents: &[&Agent], policy: &Policy, leaving: &[InstanceId]) {
-    let mut members: Vec<Member> = agents.iter().map(|a| member(a, policy, leaving)).collect();
+    let members = agents.iter().map(|a| member(a, policy, leaving)).collect();
+    show(agents, policy, members);
+}
+
+/// Shows the agent that its data centre was taken out.
+pub fn take_out(agent: &Agent, policy: &Policy) {
+    let member = Member {
+        reachable: false,
+        ..member(agent, policy, &[])
+    };
+    show(&[agent], policy, vec![member]);
+}
+
+fn show(agents: &[&Agent], policy: &Policy, mut members: Vec<Member>) {
     members.sort_by_key(|m| m.id);
     let load = Load {
         slots: policy.slots,
--- a/crates/transport/tests/requests.rs
+++ b/crates/transport/tests/requests.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper_util::rt::TokioIo;
 use ramp_coordination::random::Random;
 use ramp_state::fleet::Policy;
+use ramp_state::outcome::FlowEnd;
 use ramp_state::verdict::MayHaveRun;
 use ramp_state::verdict::NotRun;
 use ramp_state::verdict::Verdict;
+use ramp_transport::requests::serve_flow;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -23,6 +26,7 @@
 use common::listen;
 use common::nobody;
 use common::run;
+use common::take_out;
 
 const GET: &str = "GET /balance HTTP/1.1\r\nhost: ledger\r\nconnection: close\r\n\r\n";
 const CLAIM: &str = "POST /claims HTTP/1.1\r\nhost: ledger\r\nconnection: close\r\n\
@@ -604,3 +608,30 @@
         assert_eq!(backend.seen.begun.get(), 0);
     });
 }
+
+#[test]
+fn a_flow_that_ends_with_its_data_centre_is_given_up() {
+    run(async {
+        let backend = Backend::start(Script::Hold).await;
+        let agent = Agent::start("a", backend.at).await;
+        let policy = warm_policy(5);
+        acquaint(&[&agent], &policy, &[]);
+        for out in [false, true] {
+            let (caller, ours) = tokio::io::duplex(1_024);
+            let cx = agent.cx.clone();
+            let from = "192.0.2.9:1024".parse().unwrap();
+            let end = spawn_local(serve_flow(cx, from, TokioIo::new(ours)));
+            tokio::task::yield_now().await;
+            if out {
+                take_out(&agent, &policy);
+            }
+            drop(caller);
+            let expected = if out {
+                FlowEnd::GivenUp
+            } else {
+                FlowEnd::Closed
+            };
+            assert_eq!(end.await.unwrap(), expected);
+        }
+    });
+}
