Hold a layout's ports until all are picked

Each port was let go as soon as the kernel had given it, and could be given again. Ruled out: a fault of the settings' reader; the two addresses were the same. Change: the sockets are held until the whole layout is picked.

--- a/ramplab/src/demo/layout.rs
+++ b/ramplab/src/demo/layout.rs
@@ -71,17 +71,18 @@
     ///
     /// When the kernel gives no port.
     pub fn pick(plan: &Plan) -> io::Result<Layout> {
+        let mut ports = Ports::default();
         let mut layout = Layout {
-            platform: free(host(0, 1))?,
-            packets: free(host(0, 2))?,
-            counts: free(host(0, 2))?,
-            cuts: free(host(0, 3))?,
+            platform: ports.free(host(0, 1))?,
+            packets: ports.free(host(0, 2))?,
+            counts: ports.free(host(0, 2))?,
+            cuts: ports.free(host(0, 3))?,
             balancers: Vec::new(),
             servers: Vec::new(),
         };
         for number in 0..=plan.balancers {
             let name = format!("balancer-{}", number + 1);
-            let mut node = node(plan, name, number, BALANCER_HOST + number as u8)?;
+            let mut node = node(plan, &mut ports, name, number, BALANCER_HOST + number as u8)?;
             node.listed_address = node.address;
             layout.balancers.push(node);
         }
@@ -91,8 +92,8 @@
                 let place = layout.servers.len() as u8;
                 layout.servers.push(Server {
                     service: service.name,
-                    agent: node(plan, name, number, 1 + place)?,
-                    backend: free(host(data_centre(number), BACKEND_HOST + place))?,
+                    agent: node(plan, &mut ports, name, number, 1 + place)?,
+                    backend: ports.free(host(data_centre(number), BACKEND_HOST + place))?,
                 });
             }
         }
@@ -106,17 +107,17 @@
     }
 }
 
-fn node(plan: &Plan, name: String, number: usize, last: u8) -> io::Result<Node> {
+fn node(plan: &Plan, ports: &mut Ports, name: String, number: usize, last: u8) -> io::Result<Node> {
     let place = data_centre(number);
     let ip = host(place, last);
     Ok(Node {
         name,
         data_centre: plan.data_centres[usize::from(place) - 1],
-        address: free(ip)?,
-        control: free(ip)?,
-        metrics: free(ip)?,
-        listed_address: free(ip)?,
-        listed_control: free(ip)?,
+        address: ports.free(ip)?,
+        control: ports.free(ip)?,
+        metrics: ports.free(ip)?,
+        listed_address: ports.free(ip)?,
+        listed_control: ports.free(ip)?,
     })
 }
 
@@ -129,14 +130,24 @@
     Ipv4Addr::new(127, 20, data_centre, last)
 }
 
-/// A port that is free for UDP and TCP. Nothing else uses these addresses, so
-/// it stays free until the process takes it.
-fn free(ip: Ipv4Addr) -> io::Result<SocketAddrV4> {
-    for _ in 0..PORT_ATTEMPTS {
-        let port = UdpSocket::bind((ip, 0))?.local_addr()?.port();
-        if TcpListener::bind((ip, port)).is_ok() {
-            return Ok(SocketAddrV4::new(ip, port));
+/// Ports given by the kernel. They are held until all are picked, since a port
+/// that was let go may be given again.
+#[derive(Default)]
+struct Ports {
+    held: Vec<(UdpSocket, TcpListener)>,
+}
+
+impl Ports {
+    /// A port that is free for UDP and TCP.
+    fn free(&mut self, ip: Ipv4Addr) -> io::Result<SocketAddrV4> {
+        for _ in 0..PORT_ATTEMPTS {
+            let udp = UdpSocket::bind((ip, 0))?;
+            let port = udp.local_addr()?.port();
+            if let Ok(tcp) = TcpListener::bind((ip, port)) {
+                self.held.push((udp, tcp));
+                return Ok(SocketAddrV4::new(ip, port));
+            }
         }
+        Err(io::ErrorKind::AddrInUse.into())
     }
-    Err(io::ErrorKind::AddrInUse.into())
 }
--- a/ramplab/tests/demo.rs
+++ b/ramplab/tests/demo.rs
@@ -1,5 +1,6 @@
 //! The demo's documents, as the programs under trial read them.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ramp_state::fleet::DataCentreState;
@@ -13,6 +14,7 @@
 use ramplab::demo::documents;
 use ramplab::demo::documents::Wishes;
 use ramplab::demo::layout::Layout;
+use ramplab::demo::layout::Node;
 use ramplab::demo::plan::Plan;
 use ramplab::demo::plan::Timeline;
 
@@ -83,3 +85,17 @@
     assert!(t.back - t.out > Duration::from_millis(ramplab::check::IN_FORCE_MS));
     assert!(t.end - t.drain > Duration::from_millis(ramplab::check::IN_FORCE_MS));
 }
+
+#[test]
+fn no_two_addresses_of_a_layout_are_the_same() {
+    for _ in 0..200 {
+        let layout = Layout::pick(&Plan::quillfield()).unwrap();
+        let of_node = |n: &Node| [n.control, n.metrics, n.listed_control, n.address];
+        let nodes = layout.nodes().flat_map(of_node);
+        let backends = layout.servers.iter().map(|server| server.backend);
+        let others = [layout.platform, layout.packets, layout.counts, layout.cuts];
+        let all: Vec<_> = nodes.chain(backends).chain(others).collect();
+        let different: HashSet<_> = all.iter().collect();
+        assert_eq!(different.len(), all.len());
+    }
+}
