--- a/bramleyramp/src/cmd/balancer.rs
+++ b/bramleyramp/src/cmd/balancer.rs
@@ -2,10 +2,13 @@
 
 use std::process::ExitCode;
 
+use ramp_platform::packet::PlatformPacket;
 use ramp_state::instances::Role;
 use ramp_transport::daemon::run_balancer;
+use ramp_transport::passthrough::daemon as passthrough;
 
 use crate::daemon;
+use crate::daemon::Bodies;
 use crate::error::CliResult;
 
 const USAGE: &str = "\
@@ -14,16 +17,23 @@
 
 Usage:
     bramleyramp balancer --settings FILE [--log LEVEL]
+    bramleyramp balancer --on-platform [--log LEVEL]
 
 Exit code: 0 after an orderly end, 2 with faults in the settings.
 
 Options:
     --settings FILE  Settings of the process (INI); see docs/CONFIGURATION.md.
+    --on-platform    Take settings and configuration from the users' platform
+                     and pass packets through; see docs/PLATFORM.md.
     --log LEVEL      error, warn, info (default), debug or trace.
     -h, --help       Show this text.
 ";
 
 /// Runs the subcommand.
 pub fn run(args: lexopt::Parser) -> CliResult<ExitCode> {
-    daemon::run(args, USAGE, Role::Balancer, run_balancer)
+    let bodies = Bodies {
+        own: run_balancer,
+        on_platform: passthrough::run_balancer::<PlatformPacket>,
+    };
+    daemon::run(args, USAGE, Role::Balancer, &bodies)
 }
--- a/bramleyramp/src/daemon.rs
+++ b/bramleyramp/src/daemon.rs
@@ -1,59 +1,97 @@
-//! What the two daemons share on the command line: a settings file, logs.
+//! What the two daemons share on the command line: a settings file or the
+//! users' platform, and logs.
 
 use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use log::LevelFilter;
+use ramp_platform::settings;
+use ramp_platform::store::Store;
 use ramp_state::instances::Role;
 use ramp_state::settings::Settings;
 use ramp_transport::daemon::DaemonError;
 use ramp_transport::logging;
+use ramp_transport::passthrough::place::Place;
 
 use crate::error::CliError;
 use crate::error::CliResult;
 
+/// Where a daemon takes its settings from.
+enum Origin {
+    /// A file of the project's own format.
+    File(PathBuf),
+    /// The users' platform, which also publishes the configuration.
+    Platform,
+}
+
 /// Options of a daemon.
 struct Args {
-    settings: PathBuf,
+    origin: Origin,
     log: LevelFilter,
 }
 
-/// Reads the settings of a daemon of `role` and runs it with `body`.
-pub fn run(
-    args: lexopt::Parser,
-    usage: &str,
-    role: Role,
-    body: impl FnOnce(Settings) -> Result<(), DaemonError>,
-) -> CliResult<std::process::ExitCode> {
+/// What runs a daemon, by where its settings come from.
+pub struct Bodies {
+    /// With a settings file.
+    pub own: fn(Settings) -> Result<(), DaemonError>,
+    /// On the users' platform.
+    pub on_platform: fn(Place, Store) -> Result<(), DaemonError>,
+}
+
+/// Reads the settings of a daemon of `role` and runs it.
+pub fn run(args: lexopt::Parser, usage: &str, role: Role, bodies: &Bodies) -> CliResult<ExitCode> {
     let Some(args) = parse(args, usage)? else {
         print!("{usage}");
-        return Ok(std::process::ExitCode::SUCCESS);
+        return Ok(ExitCode::SUCCESS);
     };
-    let file = args.settings.display().to_string();
-    let text = fs::read_to_string(&args.settings)
-        .map_err(|err| CliError::Input(format!("{file}: {err}")))?;
-    let settings = Settings::parse(&text, role)
-        .map_err(|faults| CliError::Input(faults.in_file(&file).to_string()))?;
-    logging::start(&settings.name, args.log).map_err(|err| CliError::Other(err.to_string()))?;
-    body(settings).map_err(|err| CliError::Other(err.to_string()))?;
-    Ok(std::process::ExitCode::SUCCESS)
+    let ended = match args.origin {
+        Origin::File(path) => {
+            let settings = read_settings(&path, role)?;
+            start_logs(&settings.name, args.log)?;
+            (bodies.own)(settings)
+        }
+        Origin::Platform => {
+            let place = settings::load().map_err(|err| CliError::Input(err.to_string()))?;
+            start_logs(&place.name, args.log)?;
+            let store = Store::new(place.platform);
+            (bodies.on_platform)(place, store)
+        }
+    };
+    ended.map_err(|err| CliError::Other(err.to_string()))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read_settings(path: &Path, role: Role) -> CliResult<Settings> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|err| CliError::Input(format!("{file}: {err}")))?;
+    Settings::parse(&text, role)
+        .map_err(|faults| CliError::Input(faults.in_file(&file).to_string()))
+}
+
+fn start_logs(instance: &str, level: LevelFilter) -> CliResult<()> {
+    logging::start(instance, level).map_err(|err| CliError::Other(err.to_string()))
 }
 
 fn parse(mut args: lexopt::Parser, usage: &str) -> CliResult<Option<Args>> {
     use lexopt::prelude::*;
 
-    let mut settings = None;
+    let mut origin = None;
     let mut log = LevelFilter::Info;
     while let Some(arg) = args.next()? {
         match arg {
-            Long("settings") => settings = Some(PathBuf::from(args.value()?)),
+            Long("settings") => {
+                origin = Some(Origin::File(PathBuf::from(args.value()?)));
+            }
+            Long("on-platform") => origin = Some(Origin::Platform),
             Long("log") => log = args.value()?.parse()?,
             Long("help") | Short('h') => return Ok(None),
             _ => return Err(arg.unexpected().into()),
         }
     }
-    let Some(settings) = settings else {
+    let Some(origin) = origin else {
         return Err(CliError::Usage(usage.to_string()));
     };
-    Ok(Some(Args { settings, log }))
+    Ok(Some(Args { origin, log }))
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod flows;
 pub mod group;
 pub mod outgoing;
+pub mod passthrough;
 pub mod peers;
 pub mod picture;
 pub mod published;
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -0,0 +1,315 @@
+//! Decisions of an agent whose packets pass through.
+//!
+//! The agent has the last word on a new flow: it knows best whether its
+//! server drains, is cold or silent, and which service it is. Packets of open
+//! flows always go to the server, which alone knows what it has; what the
+//! server bounces goes back to the balancer that sent it. The mark that
+//! a packet carries to the server and back names that balancer.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::time::Millis;
+
+use super::mark::Mark;
+use super::mark::Senders;
+use super::quota::Quota;
+use super::view::View;
+
+/// Time a server has to answer the opening of a flow.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
+/// Time between two openings that try whether a silent server is back.
+const RETRY_SILENT: Duration = Duration::from_millis(100);
+
+/// Silence from which a server that answers again counts as restarted.
+const RESTART_SILENCE: Duration = Duration::from_millis(400);
+
+/// Silence after which a flow is forgotten here; its server may still have it.
+const FLOW_KEPT: Duration = Duration::from_secs(30);
+
+/// Flows looked at for their age with each packet.
+const SWEEP_FLOWS: usize = 2;
+
+/// What to do with a packet from a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inbound {
+    /// Give it to the server with this mark.
+    Pass {
+        /// The mark.
+        mark: Mark,
+        /// Tell the balancer that the server has the flow.
+        owned: bool,
+    },
+    /// Send it back.
+    Refuse(Refusal),
+}
+
+/// What to do with a packet that the server bounced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bounce {
+    /// Send the packet back to this balancer.
+    Return(Ipv4Addr),
+    /// Tell this balancer only that the server does not have the flow.
+    Deny(Ipv4Addr),
+    /// Its mark is not of this process's making.
+    Unknown,
+}
+
+/// A flow at the server.
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    /// Balancer that waits to hear of its owner.
+    asked_by: Option<Ipv4Addr>,
+    /// Whether the server has sent something on it.
+    open: bool,
+    /// Whether a request is in progress.
+    busy: bool,
+    seen_at: Millis,
+}
+
+/// State of an agent; see the module's head.
+#[derive(Debug)]
+pub struct Agent {
+    me: Ipv4Addr,
+    service: ServiceId,
+    leaving: bool,
+    flows: IndexMap<FlowKey, Flow>,
+    busy: u16,
+    senders: Senders,
+    quota: Quota,
+    /// First opening that the server has not answered.
+    unanswered_since: Option<Millis>,
+    tried_at: Millis,
+    cold_until: Millis,
+    sweep_at: usize,
+}
+
+impl Agent {
+    /// Agent of the server at `me`. `nonce` tells marks of this process from
+    /// those of an earlier one.
+    pub fn new(me: Ipv4Addr, service: ServiceId, nonce: u8) -> Agent {
+        Agent {
+            me,
+            service,
+            leaving: false,
+            flows: IndexMap::new(),
+            busy: 0,
+            senders: Senders::new(nonce),
+            quota: Quota::default(),
+            unanswered_since: None,
+            tried_at: Millis(0),
+            cold_until: Millis(0),
+            sweep_at: 0,
+        }
+    }
+
+    /// Takes no new flows from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> u16 {
+        self.busy
+    }
+
+    /// Flows that the server is known to have.
+    pub fn open_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// A packet that the balancer `from` sent.
+    pub fn inbound(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        frame: &Frame,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Inbound {
+        self.sweep(now);
+        if seg.opens
+            && !self.flows.contains_key(&seg.key)
+            && let Err(refusal) = self.admit(view, now, frame, seg)
+        {
+            return Inbound::Refuse(refusal);
+        }
+        let asked = inquiry != Inquiry::None;
+        let flow = self.flows.entry(seg.key).or_insert(Flow {
+            asked_by: None,
+            open: false,
+            busy: false,
+            seen_at: now,
+        });
+        flow.seen_at = now;
+        let owned = asked && flow.open && !seg.opens;
+        if asked && !owned {
+            flow.asked_by = Some(from);
+        }
+        if seg.len > 0 && !flow.busy {
+            flow.busy = true;
+            self.busy = self.busy.saturating_add(1);
+        }
+        let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
+        Inbound::Pass { mark, owned }
+    }
+
+    /// A packet that the server sent to a caller. Gives the balancer that
+    /// waits to hear that the server has the flow.
+    pub fn outbound(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        seg: &Segment,
+    ) -> Option<Ipv4Addr> {
+        self.answered(view, now);
+        if seg.rst {
+            self.forget(&seg.key);
+            return None;
+        }
+        let flow = self.flows.entry(seg.key).or_insert(Flow {
+            asked_by: None,
+            open: true,
+            busy: false,
+            seen_at: now,
+        });
+        flow.seen_at = now;
+        flow.open = true;
+        if seg.len > 0 && flow.busy {
+            flow.busy = false;
+            self.busy = self.busy.saturating_sub(1);
+        }
+        flow.asked_by.take()
+    }
+
+    /// A packet that the server does not take.
+    pub fn bounced(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        mark: u32,
+        seg: &Segment,
+    ) -> Bounce {
+        self.answered(view, now);
+        self.forget(&seg.key);
+        let Some((sender, copy)) = self.senders.of(Mark(mark)) else {
+            return Bounce::Unknown;
+        };
+        if copy {
+            Bounce::Deny(sender)
+        } else {
+            Bounce::Return(sender)
+        }
+    }
+
+    fn admit(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        frame: &Frame,
+        seg: &Segment,
+    ) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if frame.service != self.service {
+            return Err(Refusal::OtherService);
+        }
+        let Some(view) = view else {
+            // The balancer's view is all there is.
+            self.note_opening(now);
+            return Ok(());
+        };
+        if view.version >= frame.version && !view.sends_to(seg.key.service, self.service) {
+            return Err(Refusal::OtherService);
+        }
+        let member = view.member(self.me);
+        if member.is_some_and(|m| m.draining) {
+            return Err(Refusal::Draining);
+        }
+        if member.is_some_and(|m| m.evacuated) {
+            return Err(Refusal::Evacuated);
+        }
+        self.admit_silent(now)?;
+        self.admit_cold(view, now)?;
+        self.note_opening(now);
+        Ok(())
+    }
+
+    /// Lets only a few openings through while the server does not answer.
+    fn admit_silent(&self, now: Millis) -> Result<(), Refusal> {
+        let Some(since) = self.unanswered_since else {
+            return Ok(());
+        };
+        if now.since(since) < ANSWER_LIMIT || now.since(self.tried_at) >= RETRY_SILENT {
+            return Ok(());
+        }
+        Err(Refusal::Silent)
+    }
+
+    fn admit_cold(&mut self, view: &View, now: Millis) -> Result<(), Refusal> {
+        let Some(rate) = view.cold_rate_per_s(self.service) else {
+            return Ok(());
+        };
+        let member = view.member(self.me);
+        // A server that is not listed yet has just started.
+        let cold = member.is_none_or(|m| m.is_cold(now)) || now < self.cold_until;
+        if !cold {
+            self.quota.note(now);
+            return Ok(());
+        }
+        if self.quota.take(now, rate.floor().max(1.0) as usize) {
+            return Ok(());
+        }
+        Err(Refusal::Cold)
+    }
+
+    fn note_opening(&mut self, now: Millis) {
+        self.tried_at = now;
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// The server answers; after a long silence it has most likely restarted.
+    fn answered(&mut self, view: Option<&View>, now: Millis) {
+        let Some(since) = self.unanswered_since.take() else {
+            return;
+        };
+        if now.since(since) < RESTART_SILENCE {
+            return;
+        }
+        let cold_start = view.and_then(|v| v.cold_start(self.service));
+        self.cold_until = now + cold_start.unwrap_or_default();
+    }
+
+    fn forget(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.swap_remove(key) {
+            self.busy = self.busy.saturating_sub(u16::from(flow.busy));
+        }
+    }
+
+    fn sweep(&mut self, now: Millis) {
+        for _ in 0..SWEEP_FLOWS {
+            if self.flows.is_empty() {
+                return;
+            }
+            self.sweep_at = self.sweep_at.wrapping_add(1);
+            let at = self.sweep_at % self.flows.len();
+            let Some((key, flow)) = self.flows.get_index(at) else {
+                return;
+            };
+            if now.since(flow.seen_at) > FLOW_KEPT {
+                let key = *key;
+                self.forget(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -0,0 +1,238 @@
+//! Everything that the platform has published, as one process knows it.
+//!
+//! A listing replaces what was known, changes add to it. The version of the
+//! configuration never falls. A server that vanishes is remembered for a
+//! while: it may live on and have flows although its record lapsed.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use ramp_state::key::DataCentreId;
+use ramp_state::key::ServerId;
+use ramp_state::time::Millis;
+
+use super::published::Change;
+use super::published::Changes;
+use super::published::Configuration;
+use super::published::Listing;
+use super::published::Record;
+use super::published::RecordKey;
+use super::published::Revision;
+use super::published::Server;
+use super::published::ServerState;
+use super::view::Departed;
+use super::view::Member;
+use super::view::View;
+
+/// Time in which a server that lapsed while the platform was away is listed
+/// again, if it lives.
+pub const RETURN_LIMIT: Duration = Duration::from_millis(2500);
+
+/// How long a server that vanished may still be asked for its flows.
+const DEPARTED_KEPT: Duration = Duration::from_secs(20);
+
+/// A listed server and when its record was read.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    server: Server,
+    read_at: Millis,
+}
+
+/// Records of the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    cursor: Revision,
+    newest: Revision,
+    configuration: Option<Arc<Configuration>>,
+    servers: IndexMap<ServerId, Listed>,
+    evacuated: IndexSet<DataCentreId>,
+    /// When each data centre was taken back.
+    taken_back: IndexMap<DataCentreId, Millis>,
+    departed: Vec<Departed>,
+    /// Since when the platform has answered without a gap.
+    well_since: Option<Millis>,
+    /// Whether the platform failed before it first answered.
+    failed_first: bool,
+}
+
+impl Catalog {
+    /// Nothing is known yet.
+    pub fn new() -> Catalog {
+        Catalog::default()
+    }
+
+    /// Revision after which changes must be followed.
+    pub fn cursor(&self) -> Revision {
+        self.cursor
+    }
+
+    /// Newest revision of anything that is known.
+    pub fn newest(&self) -> Revision {
+        self.newest
+    }
+
+    /// Whether a configuration is known.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.is_some()
+    }
+
+    /// Takes note that the platform did not answer.
+    pub fn platform_failed(&mut self) {
+        if self.well_since.take().is_none() && self.cursor == Revision(0) {
+            self.failed_first = true;
+        }
+    }
+
+    /// Replaces everything by a listing.
+    pub fn replace(&mut self, now: Millis, listing: Listing) {
+        self.answered(now);
+        if listing.cursor < self.cursor {
+            return;
+        }
+        let old = std::mem::take(&mut self.servers);
+        let evacuated = std::mem::take(&mut self.evacuated);
+        for record in listing.records {
+            self.write(now, record, &old);
+        }
+        for (id, listed) in old {
+            if !self.servers.contains_key(&id) {
+                self.depart(now, listed.server);
+            }
+        }
+        for data_centre in evacuated {
+            if !self.evacuated.contains(&data_centre) {
+                self.taken_back.insert(data_centre, now);
+            }
+        }
+        self.cursor = listing.cursor;
+        self.newest = self.newest.max(listing.newest);
+    }
+
+    /// Adds changes.
+    pub fn apply(&mut self, now: Millis, changes: Changes) {
+        self.answered(now);
+        let none = IndexMap::new();
+        for change in changes.changes {
+            match change {
+                Change::Written(record) => self.write(now, record, &none),
+                Change::Removed(key) => self.remove(now, key),
+            }
+        }
+        self.cursor = self.cursor.max(changes.cursor);
+        self.newest = self.newest.max(changes.newest);
+    }
+
+    /// Compiles what the traffic threads need.
+    pub fn view(&self, now: Millis) -> Option<View> {
+        let configuration = Arc::clone(self.configuration.as_ref()?);
+        let mut members: IndexMap<Ipv4Addr, Member> = IndexMap::new();
+        for listed in self.servers.values() {
+            let member = self.member(listed, &configuration);
+            let held = members.entry(member.address).or_insert(member);
+            // Addresses are used again: the server that started last has it.
+            if held.born_ms < member.born_ms {
+                *held = member;
+            }
+        }
+        let mut departed = self.departed.clone();
+        departed.retain(|d| now.since(d.at) < DEPARTED_KEPT && !members.contains_key(&d.address));
+        Some(View::new(
+            self.newest,
+            configuration,
+            members.into_values().collect(),
+            departed,
+            self.settled_at(),
+        ))
+    }
+
+    /// Moment from which a server that is not listed counts as gone.
+    fn settled_at(&self) -> Option<Millis> {
+        let since = self.well_since?;
+        if self.failed_first {
+            return Some(since + RETURN_LIMIT);
+        }
+        Some(since)
+    }
+
+    fn answered(&mut self, now: Millis) {
+        if self.well_since.is_none() {
+            if self.cursor > Revision(0) {
+                self.failed_first = true;
+            }
+            self.well_since = Some(now);
+        }
+        self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
+    }
+
+    fn write(&mut self, now: Millis, record: Record, old: &IndexMap<ServerId, Listed>) {
+        match record {
+            Record::Configuration(new) => {
+                let held = self.configuration.as_ref().map(|c| c.version);
+                if held.is_none_or(|version| version < new.version) {
+                    self.configuration = Some(Arc::new(new));
+                }
+            }
+            Record::Server(id, server) => {
+                let listed = old.get(&id).or_else(|| self.servers.get(&id));
+                // An unchanged record says nothing new of how cold it is.
+                let read_at = match listed {
+                    Some(listed) if listed.server == server => listed.read_at,
+                    _ => now,
+                };
+                self.departed.retain(|d| d.address != *server.address.ip());
+                self.servers.insert(id, Listed { server, read_at });
+            }
+            Record::Evacuation(data_centre) => {
+                self.evacuated.insert(data_centre);
+            }
+        }
+    }
+
+    fn remove(&mut self, now: Millis, key: RecordKey) {
+        match key {
+            // The last good configuration stays in force.
+            RecordKey::Configuration => {}
+            RecordKey::Server(id) => {
+                if let Some(listed) = self.servers.swap_remove(&id) {
+                    self.depart(now, listed.server);
+                }
+            }
+            RecordKey::Evacuation(data_centre) => {
+                if self.evacuated.swap_remove(&data_centre) {
+                    self.taken_back.insert(data_centre, now);
+                }
+            }
+        }
+    }
+
+    fn depart(&mut self, now: Millis, server: Server) {
+        let address = *server.address.ip();
+        self.departed.retain(|d| d.address != address);
+        self.departed.push(Departed { address, at: now });
+    }
+
+    fn member(&self, listed: &Listed, configuration: &Configuration) -> Member {
+        let server = &listed.server;
+        let policy = configuration
+            .services
+            .iter()
+            .find(|p| p.service == server.service);
+        let mut cold_until = listed.read_at + server.cold_for;
+        if let (Some(back), Some(policy)) = (self.taken_back.get(&server.data_centre), policy) {
+            // Its servers may have restarted while nothing was sent to them.
+            cold_until = cold_until.max(*back + policy.cold_start);
+        }
+        Member {
+            address: *server.address.ip(),
+            service: server.service,
+            draining: server.state == ServerState::Draining,
+            evacuated: self.evacuated.contains(&server.data_centre),
+            cold_until,
+            cold_rate_per_s: policy.and_then(|p| p.cold_rate_per_s),
+            born_ms: server.born_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/view.rs
@@ -0,0 +1,180 @@
+//! Immutable tables that the traffic threads decide by.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::key::Version;
+use ramp_state::key::mix;
+use ramp_state::time::Millis;
+
+use super::catalog::RETURN_LIMIT;
+use super::published::Configuration;
+use super::published::Revision;
+use super::published::Route;
+use super::published::ServicePolicy;
+use super::published::Share;
+
+/// One backend server with its agent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Member {
+    /// Address of the machine, which names the member.
+    pub address: Ipv4Addr,
+    /// Service that it serves.
+    pub service: ServiceId,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
+    /// Until when it is cold.
+    pub cold_until: Millis,
+    /// New flows a second that it bears while cold; none: not limited.
+    pub cold_rate_per_s: Option<f64>,
+    /// Start of the server, Unix milliseconds.
+    pub born_ms: u64,
+}
+
+impl Member {
+    /// Whether it may get new flows.
+    pub fn takes_new(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
+
+    /// Whether it is in cold start and limited.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until && self.cold_rate_per_s.is_some()
+    }
+}
+
+/// A server that is no longer listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departed {
+    /// Address of its machine.
+    pub address: Ipv4Addr,
+    /// When it was missed first.
+    pub at: Millis,
+}
+
+/// Tables of one moment.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Position in the platform's history.
+    pub revision: Revision,
+    /// Version of the configuration.
+    pub version: Version,
+    /// Silence after which a flow may be forgotten.
+    pub idle_limit: Duration,
+    routes: IndexMap<SocketAddrV4, Route>,
+    policies: Vec<ServicePolicy>,
+    members: Vec<Member>,
+    departed: Vec<Departed>,
+    settled_at: Option<Millis>,
+}
+
+impl View {
+    /// View of these records. `settled_at`: from when a server that is not
+    /// listed counts as gone; none while the platform does not answer.
+    pub fn new(
+        revision: Revision,
+        configuration: Arc<Configuration>,
+        members: Vec<Member>,
+        departed: Vec<Departed>,
+        settled_at: Option<Millis>,
+    ) -> View {
+        let routes = configuration.routes.iter();
+        View {
+            revision,
+            version: configuration.version,
+            idle_limit: configuration.idle_limit,
+            routes: routes.map(|r| (r.address, r.clone())).collect(),
+            policies: configuration.services.clone(),
+            members,
+            departed,
+            settled_at,
+        }
+    }
+
+    /// New flows a second that a cold server of a service bears; none: not
+    /// limited.
+    pub fn cold_rate_per_s(&self, service: ServiceId) -> Option<f64> {
+        self.policy(service)?.cold_rate_per_s
+    }
+
+    /// How long a server of a service is cold after its start.
+    pub fn cold_start(&self, service: ServiceId) -> Option<Duration> {
+        Some(self.policy(service)?.cold_start)
+    }
+
+    fn policy(&self, service: ServiceId) -> Option<&ServicePolicy> {
+        self.policies.iter().find(|p| p.service == service)
+    }
+
+    /// The route of an address.
+    pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
+        self.routes.get(&address)
+    }
+
+    /// Whether the route of an address sends anything to `service`.
+    pub fn sends_to(&self, address: SocketAddrV4, service: ServiceId) -> bool {
+        let named = |route: &Route| route.shares.iter().any(|s| s.service == service);
+        self.route(address).is_some_and(named)
+    }
+
+    /// All members.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// The member at an address.
+    pub fn member(&self, address: Ipv4Addr) -> Option<&Member> {
+        self.members.iter().find(|m| m.address == address)
+    }
+
+    /// Everyone who may have flows: members, and those lately departed.
+    pub fn holders(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let members = self.members.iter().map(|m| m.address);
+        members.chain(self.departed.iter().map(|d| d.address))
+    }
+
+    /// Whether a server at `address` is known to be gone.
+    pub fn is_gone(&self, address: Ipv4Addr, now: Millis) -> bool {
+        if !self.is_settled(now) || self.member(address).is_some() {
+            return false;
+        }
+        let departed = self.departed.iter().find(|d| d.address == address);
+        departed.is_none_or(|d| now.since(d.at) >= RETURN_LIMIT)
+    }
+
+    /// Whether a server that is not listed has had the time to come back.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.settled_at.is_some_and(|at| now >= at)
+    }
+}
+
+impl Route {
+    /// Service of a new flow: by weight, the same at every process.
+    pub fn service_of(&self, flow: &FlowKey) -> Option<ServiceId> {
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        if total == 0 {
+            return self.shares.first().map(|s| s.service);
+        }
+        let mut left = mix(flow.hash64()) % total;
+        for Share { service, weight } in &self.shares {
+            let weight = u64::from(*weight);
+            if left < weight {
+                return Some(*service);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// Rank of a member for a flow; the highest goes first.
+pub fn rank(flow: &FlowKey, member: Ipv4Addr) -> u64 {
+    mix(flow.hash64() ^ mix(u64::from(u32::from(member))))
+}
--- /dev/null
+++ b/crates/protocol/src/hop.rs
@@ -0,0 +1,221 @@
+//! Frames between a balancer and an agent where packets pass through.
+//!
+//! Each datagram is one fixed header, followed by a caller's packet in the
+//! kinds that carry one. The header names the flow, so that a reader needs no
+//! knowledge of the packet's own layout.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use quick_error::quick_error;
+use zerocopy::FromBytes;
+use zerocopy::Immutable;
+use zerocopy::IntoBytes;
+use zerocopy::KnownLayout;
+use zerocopy::Unaligned;
+use zerocopy::byteorder::network_endian::U16;
+use zerocopy::byteorder::network_endian::U32;
+use zerocopy::byteorder::network_endian::U64;
+
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::key::Version;
+
+/// First byte of a frame.
+const MAGIC: u8 = 0xb7;
+
+/// Length of the header, in bytes.
+pub const FRAME_LEN_BYTES: usize = size_of::<Raw>();
+
+quick_error! {
+    /// Why a datagram is not a frame.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum FrameError {
+        /// Too short, or not ours.
+        Foreign {
+            display("not a frame of the system")
+        }
+        /// Its kind is not known.
+        UnknownKind(kind: u8) {
+            display("unknown kind of frame {}", kind)
+        }
+    }
+}
+
+/// What a frame is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameKind {
+    /// Balancer to agent: a packet for its server.
+    Carry(Inquiry),
+    /// Agent to balancer: the packet was not taken; it comes back whole.
+    Returned(Refusal),
+    /// Agent to balancer: its server does not have the flow; no packet.
+    Denied,
+    /// Agent to balancer: its server has the flow; no packet.
+    Owned,
+}
+
+/// What the balancer wants to hear about a packet that it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inquiry {
+    /// Nothing: the owner is known.
+    None,
+    /// Whether the server has the flow; the packet back if it has not.
+    Owner,
+    /// Whether the server has the flow; other copies are on their way.
+    OwnerOfCopy,
+}
+
+/// Why an agent did not take a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The server does not have the flow, or can't accept it.
+    Bounced,
+    /// The server is draining.
+    Draining,
+    /// The data centre is evacuated.
+    Evacuated,
+    /// The server is in cold start and takes no more for now.
+    Cold,
+    /// The configuration sends this flow to another service.
+    OtherService,
+    /// The agent is shutting down.
+    Leaving,
+    /// The server does not answer its agent.
+    Silent,
+}
+
+/// Header of a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// What it is for.
+    pub kind: FrameKind,
+    /// The flow.
+    pub flow: FlowKey,
+    /// Service that the balancer chose; echoed by the agent.
+    pub service: ServiceId,
+    /// Configuration version that the sender has in force.
+    pub version: Version,
+    /// Position in the platform's history up to which the sender has read.
+    pub revision: u64,
+    /// Requests in progress at the agent's server; zero from a balancer.
+    pub in_progress: u16,
+    /// Open flows at the agent's server; zero from a balancer.
+    pub open_flows: u16,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct Raw {
+    magic: u8,
+    kind: u8,
+    detail: u8,
+    reserved: u8,
+    caller_ip: U32,
+    service_ip: U32,
+    caller_port: U16,
+    service_port: U16,
+    service: U64,
+    version: U64,
+    revision: U64,
+    in_progress: U16,
+    open_flows: U16,
+}
+
+const KIND_CARRY: u8 = 1;
+const KIND_RETURNED: u8 = 2;
+const KIND_DENIED: u8 = 3;
+const KIND_OWNED: u8 = 4;
+
+const INQUIRIES: [Inquiry; 3] = [Inquiry::None, Inquiry::Owner, Inquiry::OwnerOfCopy];
+
+const REFUSALS: [Refusal; 7] = [
+    Refusal::Bounced,
+    Refusal::Draining,
+    Refusal::Evacuated,
+    Refusal::Cold,
+    Refusal::OtherService,
+    Refusal::Leaving,
+    Refusal::Silent,
+];
+
+impl Frame {
+    /// Writes the header and then `packet` into `buf`, which is emptied first.
+    pub fn write(&self, packet: &[u8], buf: &mut Vec<u8>) {
+        let (kind, detail) = self.kind.code();
+        let raw = Raw {
+            magic: MAGIC,
+            kind,
+            detail,
+            reserved: 0,
+            caller_ip: U32::new((*self.flow.caller.ip()).into()),
+            service_ip: U32::new((*self.flow.service.ip()).into()),
+            caller_port: U16::new(self.flow.caller.port()),
+            service_port: U16::new(self.flow.service.port()),
+            service: U64::new(self.service.0),
+            version: U64::new(self.version.0),
+            revision: U64::new(self.revision),
+            in_progress: U16::new(self.in_progress),
+            open_flows: U16::new(self.open_flows),
+        };
+        buf.clear();
+        buf.extend_from_slice(raw.as_bytes());
+        buf.extend_from_slice(packet);
+    }
+
+    /// Reads the header; what stands behind it is the packet, if any.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`] when `buf` does not begin with a frame.
+    pub fn read(buf: &[u8]) -> Result<Frame, FrameError> {
+        let Ok((raw, _)) = Raw::ref_from_prefix(buf) else {
+            return Err(FrameError::Foreign);
+        };
+        if raw.magic != MAGIC {
+            return Err(FrameError::Foreign);
+        }
+        let Some(kind) = FrameKind::from_code(raw.kind, raw.detail) else {
+            return Err(FrameError::UnknownKind(raw.kind));
+        };
+        let end = |ip: U32, port: U16| SocketAddrV4::new(Ipv4Addr::from(ip.get()), port.get());
+        Ok(Frame {
+            kind,
+            flow: FlowKey {
+                caller: end(raw.caller_ip, raw.caller_port),
+                service: end(raw.service_ip, raw.service_port),
+            },
+            service: ServiceId(raw.service.get()),
+            version: Version(raw.version.get()),
+            revision: raw.revision.get(),
+            in_progress: raw.in_progress.get(),
+            open_flows: raw.open_flows.get(),
+        })
+    }
+}
+
+impl FrameKind {
+    fn code(self) -> (u8, u8) {
+        match self {
+            FrameKind::Carry(inquiry) => (KIND_CARRY, index_of(&INQUIRIES, inquiry)),
+            FrameKind::Returned(refusal) => (KIND_RETURNED, index_of(&REFUSALS, refusal)),
+            FrameKind::Denied => (KIND_DENIED, 0),
+            FrameKind::Owned => (KIND_OWNED, 0),
+        }
+    }
+
+    fn from_code(kind: u8, detail: u8) -> Option<FrameKind> {
+        let detail = usize::from(detail);
+        Some(match kind {
+            KIND_CARRY => FrameKind::Carry(*INQUIRIES.get(detail)?),
+            KIND_RETURNED => FrameKind::Returned(*REFUSALS.get(detail)?),
+            KIND_DENIED => FrameKind::Denied,
+            KIND_OWNED => FrameKind::Owned,
+            _ => return None,
+        })
+    }
+}
+
+fn index_of<T: PartialEq>(all: &[T], one: T) -> u8 {
+    all.iter().position(|x| *x == one).unwrap_or_default() as u8
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,7 +19,9 @@
 #[rustfmt::skip]
 pub mod operator_capnp;
 pub mod codec;
+pub mod format;
 pub mod header;
+pub mod hop;
 pub mod message;
 pub mod operator;
 pub mod operator_codec;
--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -25,6 +25,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceId(pub u64);
 
+/// Stable identity of a backend server, a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u64);
+
+/// Stable identity of a data centre, a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DataCentreId(pub u64);
+
+impl ServerId {
+    /// Identity of the backend server called `name`.
+    pub fn of(name: &str) -> ServerId {
+        ServerId(hash_name(name))
+    }
+}
+
+impl DataCentreId {
+    /// Identity of the data centre called `name`.
+    pub fn of(name: &str) -> DataCentreId {
+        DataCentreId(hash_name(name))
+    }
+}
+
 impl InstanceId {
     /// Identity of the instance called `name`.
     pub fn of(name: &str) -> InstanceId {
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -219,7 +219,7 @@
 
 /// Starts a traffic thread. The process can't go on without it, so a failure
 /// ends the process; the platform starts another.
-fn start_thread(
+pub(crate) fn start_thread(
     name: &str,
     body: impl FnOnce() -> io::Result<()> + Send + 'static,
 ) -> io::Result<()> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logging;
 pub mod metrics_http;
 pub mod operator;
+pub mod passthrough;
 pub mod platform;
 pub mod requests;
 pub mod signal;
--- /dev/null
+++ b/crates/transport/src/passthrough/agent.rs
@@ -0,0 +1,260 @@
+//! Traffic thread of an agent whose packets pass through.
+
+use std::io;
+use std::marker::PhantomData;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use flume::TryRecvError;
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Bounce;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::hop::FRAME_LEN_BYTES;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_state::key::FlowKey;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+use super::news::Event;
+use super::news::Update;
+use super::place::Beside;
+use super::place::Place;
+use super::sockets;
+use crate::clock::Clock;
+use crate::udp;
+
+/// Longest time for which a leaving agent waits for requests in progress.
+const LEAVE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Shortest time for which a leaving agent goes on.
+const LEAVE_LEAST: Duration = Duration::from_millis(100);
+
+/// What the traffic thread is started with.
+pub struct Traffic {
+    /// Where the process runs.
+    pub place: Place,
+    /// The server beside it.
+    pub beside: Beside,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Tells this process's marks from those of an earlier one.
+    pub nonce: u8,
+    /// Socket that balancers send to.
+    pub data: UdpSocket,
+    /// Socket that the server sends to.
+    pub outbound: UdpSocket,
+    /// News from control; the thread ends when control is gone.
+    pub updates: Receiver<Update>,
+    /// News to control.
+    pub events: Sender<Event>,
+}
+
+struct Worker<F> {
+    traffic: Traffic,
+    view: Option<Arc<View>>,
+    agent: Agent,
+    heard: Revision,
+    leaving_since: Option<Millis>,
+    out: Vec<u8>,
+    format: PhantomData<F>,
+}
+
+impl Traffic {
+    /// Runs until control is gone or a leaving agent has nothing to do.
+    ///
+    /// # Errors
+    ///
+    /// A socket failed.
+    pub fn run<F: PacketFormat>(self) -> io::Result<()> {
+        let agent = Agent::new(self.place.ip, self.beside.service, self.nonce);
+        let mut worker = Worker::<F> {
+            traffic: self,
+            view: None,
+            agent,
+            heard: Revision(0),
+            leaving_since: None,
+            out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
+            format: PhantomData,
+        };
+        let mut buf = vec![0; sockets::DATAGRAM_LIMIT_BYTES];
+        while worker.take_updates() && !worker.is_finished() {
+            worker.turn(&mut buf)?;
+        }
+        // Control may be gone already, which also ends this thread.
+        let _ = worker.traffic.events.send(Event::Finished);
+        Ok(())
+    }
+}
+
+impl<F: PacketFormat> Worker<F> {
+    fn take_updates(&mut self) -> bool {
+        loop {
+            match self.traffic.updates.try_recv() {
+                Ok(Update::View(view)) => self.view = Some(view),
+                Ok(Update::Leave) => {
+                    self.agent.leave();
+                    self.leaving_since = Some(self.traffic.clock.now());
+                }
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Disconnected) => return false,
+            }
+        }
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let spent = self.traffic.clock.now().since(since);
+        spent >= LEAVE_LIMIT || (spent >= LEAVE_LEAST && self.agent.in_progress() == 0)
+    }
+
+    fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        let both = [&self.traffic.data, &self.traffic.outbound];
+        let [data, outbound] = sockets::wait(both, udp::IDLE_TURN)?;
+        if outbound {
+            self.read_server(buf)?;
+        }
+        if data {
+            self.read_balancers(buf)?;
+        }
+        Ok(())
+    }
+
+    fn read_balancers(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..sockets::BATCH_DATAGRAMS {
+            let Some((len, from)) = sockets::receive(&self.traffic.data, buf)? else {
+                return Ok(());
+            };
+            self.handle_frame(&mut buf[..len], from);
+        }
+        Ok(())
+    }
+
+    fn read_server(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..sockets::BATCH_DATAGRAMS {
+            let Some((len, _)) = sockets::receive(&self.traffic.outbound, buf)? else {
+                return Ok(());
+            };
+            self.handle_server(&buf[..len]);
+        }
+        Ok(())
+    }
+
+    fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
+        let Ok(frame) = Frame::read(buf) else {
+            return;
+        };
+        let FrameKind::Carry(inquiry) = frame.kind else {
+            return;
+        };
+        let packet = &mut buf[FRAME_LEN_BYTES..];
+        let Some(passing) = F::read(packet) else {
+            return;
+        };
+        self.hear(Revision(frame.revision));
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let segment = &passing.segment;
+        match self
+            .agent
+            .inbound(view, now, from, &frame, inquiry, segment)
+        {
+            Inbound::Pass { mark, owned } => {
+                F::mark(packet, mark.0);
+                self.to_server(packet);
+                if owned {
+                    self.tell(from, FrameKind::Owned, segment.key, &[]);
+                }
+            }
+            Inbound::Refuse(refusal) => {
+                let kind = match inquiry {
+                    Inquiry::OwnerOfCopy => FrameKind::Denied,
+                    Inquiry::None | Inquiry::Owner => FrameKind::Returned(refusal),
+                };
+                self.tell(from, kind, segment.key, packet);
+            }
+        }
+    }
+
+    fn handle_server(&mut self, packet: &[u8]) {
+        let Some(passing) = F::read_from_server(packet) else {
+            return;
+        };
+        let now = self.traffic.clock.now();
+        let view = self.view.as_deref();
+        let key = passing.segment.key;
+        if passing.bounced {
+            match self
+                .agent
+                .bounced(view, now, passing.mark, &passing.segment)
+            {
+                Bounce::Return(to) => {
+                    let kind = FrameKind::Returned(ramp_protocol::hop::Refusal::Bounced);
+                    self.tell(to, kind, key, packet);
+                }
+                Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
+                Bounce::Unknown => {}
+            }
+            return;
+        }
+        let asked_by = self.agent.outbound(view, now, &passing.segment);
+        self.to_caller(key, packet);
+        if let Some(to) = asked_by {
+            self.tell(to, FrameKind::Owned, key, &[]);
+        }
+    }
+
+    fn to_server(&self, packet: &[u8]) {
+        let server = self.traffic.beside.server;
+        if let Err(err) = self.traffic.outbound.send_to(packet, server) {
+            log::debug!("a packet to the server was not sent: {err}");
+        }
+    }
+
+    fn to_caller(&self, flow: FlowKey, packet: &[u8]) {
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.traffic.place.data_port);
+        if let Err(err) = self.traffic.data.send_to(packet, to) {
+            log::debug!("a packet to the caller {to} was not sent: {err}");
+        }
+    }
+
+    fn tell(&mut self, to: Ipv4Addr, kind: FrameKind, flow: FlowKey, packet: &[u8]) {
+        let view = self.view.as_deref();
+        let frame = Frame {
+            kind,
+            flow,
+            service: self.traffic.beside.service,
+            version: view.map_or(Version(0), |v| v.version),
+            revision: view.map_or(0, |v| v.revision.0),
+            in_progress: self.agent.in_progress(),
+            open_flows: u16::try_from(self.agent.open_flows()).unwrap_or(u16::MAX),
+        };
+        frame.write(packet, &mut self.out);
+        let to = SocketAddrV4::new(to, self.traffic.place.peer_port);
+        if let Err(err) = self.traffic.data.send_to(&self.out, to) {
+            log::debug!("a frame to {to} was not sent: {err}");
+        }
+    }
+
+    /// Tells control when a balancer knows more than this process.
+    fn hear(&mut self, revision: Revision) {
+        let known = self.view.as_ref().map(|v| v.revision);
+        if revision <= self.heard || known.is_some_and(|known| revision <= known) {
+            return;
+        }
+        self.heard = revision;
+        // Control outlives this thread; if it is gone, the next turn ends.
+        let _ = self.traffic.events.send(Event::Heard(revision));
+    }
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -0,0 +1,280 @@
+//! Traffic thread of a balancer whose packets pass through.
+
+use std::io;
+use std::marker::PhantomData;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use flume::TryRecvError;
+use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::Reset;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::hop::FRAME_LEN_BYTES;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::time::Millis;
+
+use super::news::Event;
+use super::news::Update;
+use super::place::Place;
+use super::sockets;
+use crate::clock::Clock;
+use crate::udp;
+
+/// Time in which the routers notice that a balancer is not ready.
+const ROUTERS_LEAVE: Duration = Duration::from_millis(1500);
+
+/// Silence of the routers after which a leaving balancer ends.
+const QUIET: Duration = Duration::from_millis(500);
+
+/// Time kept back from the grace time for the end itself.
+const END_MARGIN: Duration = Duration::from_millis(1000);
+
+/// What the traffic thread is started with.
+pub struct Traffic {
+    /// Where the process runs.
+    pub place: Place,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Socket that the routers send to.
+    pub data: UdpSocket,
+    /// Socket between balancers and agents.
+    pub peers: UdpSocket,
+    /// News from control; the thread ends when control is gone.
+    pub updates: Receiver<Update>,
+    /// News to control.
+    pub events: Sender<Event>,
+}
+
+struct Worker<F> {
+    traffic: Traffic,
+    view: Option<Arc<View>>,
+    balancer: Balancer,
+    heard: Revision,
+    leaving_since: Option<Millis>,
+    last_packet: Millis,
+    out: Vec<u8>,
+    format: PhantomData<F>,
+}
+
+impl Traffic {
+    /// Runs until control is gone or a leaving balancer has nothing to do.
+    ///
+    /// # Errors
+    ///
+    /// A socket failed.
+    pub fn run<F: PacketFormat>(self) -> io::Result<()> {
+        let mut worker = Worker::<F> {
+            traffic: self,
+            view: None,
+            balancer: Balancer::new(),
+            heard: Revision(0),
+            leaving_since: None,
+            last_packet: Millis(0),
+            out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
+            format: PhantomData,
+        };
+        let mut buf = vec![0; sockets::DATAGRAM_LIMIT_BYTES];
+        while worker.take_updates() && !worker.is_finished() {
+            worker.turn(&mut buf)?;
+        }
+        // Control may be gone already, which also ends this thread.
+        let _ = worker.traffic.events.send(Event::Finished);
+        Ok(())
+    }
+}
+
+impl<F: PacketFormat> Worker<F> {
+    fn take_updates(&mut self) -> bool {
+        loop {
+            match self.traffic.updates.try_recv() {
+                Ok(Update::View(view)) => self.take_view(view),
+                Ok(Update::Leave) => self.leaving_since = Some(self.traffic.clock.now()),
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Disconnected) => return false,
+            }
+        }
+    }
+
+    fn take_view(&mut self, view: Arc<View>) {
+        let now = self.traffic.clock.now();
+        for reset in self.balancer.concluded(&view, now) {
+            self.reset(reset);
+        }
+        self.view = Some(view);
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let now = self.traffic.clock.now();
+        let quiet = now.since(self.last_packet) >= QUIET;
+        let spent = now.since(since);
+        let limit = self.traffic.place.grace.saturating_sub(END_MARGIN);
+        spent >= limit || (spent >= ROUTERS_LEAVE && quiet)
+    }
+
+    fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        let both = [&self.traffic.data, &self.traffic.peers];
+        let [data, peers] = sockets::wait(both, udp::IDLE_TURN)?;
+        if peers {
+            self.read_peers(buf)?;
+        }
+        if data {
+            self.read_data(buf)?;
+        }
+        self.tell_heard();
+        Ok(())
+    }
+
+    fn read_data(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..sockets::BATCH_DATAGRAMS {
+            let Some((len, _)) = sockets::receive(&self.traffic.data, buf)? else {
+                return Ok(());
+            };
+            self.last_packet = self.traffic.clock.now();
+            self.handle_packet(&mut buf[..len]);
+        }
+        Ok(())
+    }
+
+    fn read_peers(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..sockets::BATCH_DATAGRAMS {
+            let Some((len, from)) = sockets::receive(&self.traffic.peers, buf)? else {
+                return Ok(());
+            };
+            self.handle_frame(&mut buf[..len], from);
+        }
+        Ok(())
+    }
+
+    fn handle_packet(&mut self, packet: &mut [u8]) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let Some(passing) = F::read(packet) else {
+            return;
+        };
+        let now = self.traffic.clock.now();
+        let step = self.balancer.arrival(&view, now, &passing.segment);
+        self.carry_out(&view, passing.segment.key, step, packet);
+    }
+
+    fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let Ok(frame) = Frame::read(buf) else {
+            return;
+        };
+        let now = self.traffic.clock.now();
+        let packet = &mut buf[FRAME_LEN_BYTES..];
+        match frame.kind {
+            FrameKind::Owned => self.balancer.owned(now, from, &frame),
+            FrameKind::Denied => {
+                let step = self.balancer.denied(&view, now, from, &frame);
+                if let Step::Reset(reset) = step {
+                    self.reset(reset);
+                }
+            }
+            FrameKind::Returned(refusal) => {
+                self.handle_returned(&view, now, from, refusal, packet);
+            }
+            // Only a balancer sends these.
+            FrameKind::Carry(_) => {}
+        }
+    }
+
+    fn handle_returned(
+        &mut self,
+        view: &View,
+        now: Millis,
+        from: Ipv4Addr,
+        refusal: Refusal,
+        packet: &mut [u8],
+    ) {
+        let Some(passing) = F::read(packet) else {
+            return;
+        };
+        let segment = passing.segment;
+        let step = self.balancer.returned(view, now, from, refusal, &segment);
+        self.carry_out(view, segment.key, step, packet);
+    }
+
+    fn carry_out(&mut self, view: &View, flow: FlowKey, step: Step, packet: &mut [u8]) {
+        match step {
+            Step::Carry {
+                agent,
+                inquiry,
+                service,
+            } => self.send(view, flow, agent, inquiry, service, packet),
+            Step::Ask(agents) => {
+                let service = ServiceId(0);
+                for agent in agents {
+                    self.send(view, flow, agent, Inquiry::OwnerOfCopy, service, packet);
+                }
+            }
+            Step::Reset(reset) => self.reset(reset),
+            Step::Drop(_) => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        view: &View,
+        flow: FlowKey,
+        agent: Ipv4Addr,
+        inquiry: Inquiry,
+        service: ServiceId,
+        packet: &[u8],
+    ) {
+        let frame = Frame {
+            kind: FrameKind::Carry(inquiry),
+            flow,
+            service,
+            version: view.version,
+            revision: view.revision.0,
+            in_progress: 0,
+            open_flows: 0,
+        };
+        frame.write(packet, &mut self.out);
+        let to = SocketAddrV4::new(agent, self.traffic.place.data_port);
+        if let Err(err) = self.traffic.peers.send_to(&self.out, to) {
+            log::debug!("a packet to {agent} was not sent: {err}");
+        }
+    }
+
+    fn reset(&mut self, reset: Reset) {
+        F::reset(&reset.flow, reset.seq, &mut self.out);
+        let to = SocketAddrV4::new(*reset.flow.caller.ip(), self.traffic.place.data_port);
+        log::info!("reset {} {:?}", reset.flow.caller, reset.reason);
+        if let Err(err) = self.traffic.data.send_to(&self.out, to) {
+            log::debug!("a reset to {to} was not sent: {err}");
+        }
+    }
+
+    /// Tells control when a peer knows more than this process.
+    fn tell_heard(&mut self) {
+        let heard = self.balancer.newest_heard();
+        let known = self.view.as_ref().map(|v| v.revision);
+        if heard <= self.heard || known.is_some_and(|known| heard <= known) {
+            return;
+        }
+        self.heard = heard;
+        // Control outlives this thread; if it is gone, the next turn ends.
+        let _ = self.traffic.events.send(Event::Heard(heard));
+    }
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -0,0 +1,141 @@
+//! A balancer or an agent as a whole process.
+
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+use flume::Receiver;
+use flume::Sender;
+use ramp_coordination::passthrough::source::Source;
+use ramp_protocol::format::PacketFormat;
+use ramp_state::key::mix;
+use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+use super::agent;
+use super::balancer;
+use super::control::Control;
+use super::news::Event;
+use super::news::Update;
+use super::place::Place;
+use super::ready;
+use super::ready::Readiness;
+use super::sockets;
+use crate::clock;
+use crate::clock::Clock;
+use crate::daemon::DaemonError;
+use crate::daemon::start_thread;
+use crate::signal::wait_for_end;
+
+/// Runs a balancer until it was asked to end and the routers have left it.
+///
+/// # Errors
+///
+/// [`DaemonError`] when an address can't be bound or a socket fails.
+pub fn run_balancer<F: PacketFormat>(place: Place, source: impl Source) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let (updates_tx, updates) = flume::unbounded();
+    let (events, events_rx) = flume::unbounded();
+    let traffic = balancer::Traffic {
+        clock,
+        data: bind(SocketAddrV4::new(place.ip, place.data_port))?,
+        peers: bind(SocketAddrV4::new(place.ip, place.peer_port))?,
+        place: place.clone(),
+        updates,
+        events,
+    };
+    start_thread("traffic", move || traffic.run::<F>())?;
+    block_on(run_control(place, clock, source, updates_tx, events_rx))
+}
+
+/// Runs an agent until it was asked to end and has no request in progress.
+///
+/// # Errors
+///
+/// [`DaemonError`] when an address can't be bound or a socket fails.
+pub fn run_agent<F: PacketFormat>(place: Place, source: impl Source) -> Result<(), DaemonError> {
+    let Some(beside) = place.beside.clone() else {
+        return Err(DaemonError::NotAgent);
+    };
+    let clock = Clock::start();
+    let (updates_tx, updates) = flume::unbounded();
+    let (events, events_rx) = flume::unbounded();
+    let traffic = agent::Traffic {
+        clock,
+        nonce: mix(clock::incarnation().0) as u8,
+        data: bind(SocketAddrV4::new(place.ip, place.data_port))?,
+        outbound: bind(beside.outbound)?,
+        place: place.clone(),
+        beside,
+        updates,
+        events,
+    };
+    start_thread("traffic", move || traffic.run::<F>())?;
+    block_on(run_control(place, clock, source, updates_tx, events_rx))
+}
+
+async fn run_control(
+    place: Place,
+    clock: Clock,
+    source: impl Source,
+    updates: Sender<Update>,
+    events: Receiver<Event>,
+) -> Result<(), DaemonError> {
+    let readiness = Rc::new(Readiness::default());
+    let listener = ready::bind(place.ready)
+        .await
+        .map_err(|err| DaemonError::Bind(place.ready, err))?;
+    spawn_local(ready::serve(listener, Rc::clone(&readiness)));
+    spawn_local(watch_end(updates.clone(), Rc::clone(&readiness)));
+    spawn_local(watch_reload());
+    let control = Control {
+        source,
+        clock,
+        updates,
+        events,
+        readiness,
+    };
+    control.run().await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Tells the traffic thread when the process is asked to end.
+async fn watch_end(updates: Sender<Update>, readiness: Rc<Readiness>) {
+    if let Err(err) = wait_for_end().await {
+        log::error!("signals can't be watched: {err}");
+        return;
+    }
+    log::info!("asked to end");
+    readiness.leave();
+    // The traffic thread is gone only when the process ends.
+    let _ = updates.send(Update::Leave);
+}
+
+/// Takes the signal that the settings have changed. Addresses can't change
+/// while the process runs, and everything else comes from the platform.
+async fn watch_reload() {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(err) => {
+            log::error!("the signal to reload can't be watched: {err}");
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        log::info!("asked to reload: the settings in use stay until the next start");
+    }
+}
+
+fn bind(address: SocketAddrV4) -> Result<UdpSocket, DaemonError> {
+    sockets::bind(address).map_err(|err| DaemonError::Bind(address, err))
+}
+
+fn block_on(task: impl Future<Output = Result<(), DaemonError>>) -> Result<(), DaemonError> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, task)
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/news.rs
@@ -0,0 +1,24 @@
+//! What control and the traffic thread tell each other.
+
+use std::sync::Arc;
+
+use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::view::View;
+
+/// News from control to the traffic thread.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// A new view is in force.
+    View(Arc<View>),
+    /// The process was asked to end.
+    Leave,
+}
+
+/// News from the traffic thread to control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A peer has read the platform up to here.
+    Heard(Revision),
+    /// Everything that can be finished is finished.
+    Finished,
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/ready.rs
@@ -0,0 +1,85 @@
+//! Tells whoever asks whether this process is ready for packets.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Whether the process is ready: from its first view until it leaves.
+#[derive(Debug, Default)]
+pub struct Readiness {
+    begun: Cell<bool>,
+    leaving: Cell<bool>,
+}
+
+impl Readiness {
+    /// The process has a view.
+    pub fn begin(&self) {
+        if !self.begun.replace(true) {
+            log::info!("ready");
+        }
+    }
+
+    /// The process leaves and is never ready again.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn is_ready(&self) -> bool {
+        self.begun.get() && !self.leaving.get()
+    }
+}
+
+/// Answers every request with 200 or 503. Must run inside a `LocalSet`.
+pub async fn serve(listener: TcpListener, readiness: Rc<Readiness>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("a question for readiness was not accepted: {err}");
+                continue;
+            }
+        };
+        let readiness = Rc::clone(&readiness);
+        spawn_local(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let answer = answer(readiness.is_ready());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // Whoever goes away early loses only its own answer.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Binds the address on which readiness is asked for.
+///
+/// # Errors
+///
+/// It can't be bound.
+pub async fn bind(address: SocketAddrV4) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+fn answer(ready: bool) -> Response<Empty<Bytes>> {
+    let mut answer = Response::new(Empty::new());
+    if !ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    answer
+}
