Place new flows by requests in progress

Cause: a flow went to its home however busy; after a loss of power everybody opens at once, and servers shed while others had free slots.

Change: agents tell requests in progress with each frame and send an opening back while all slots are in use; balancers keep the home unless it seems full, then take the least busy, and after two refusals insist.

--- a/bramleyramp/src/daemon.rs
+++ b/bramleyramp/src/daemon.rs
@@ -55,6 +55,7 @@
         Origin::Platform => {
             let place = settings::load().map_err(|err| CliError::Input(err.to_string()))?;
             start_logs(&place.name, args.log)?;
+            log::info!("started");
             let store = Store::new(place.platform);
             (bodies.on_platform)(place, store)
         }
--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -35,6 +35,9 @@
 /// Silence after which a flow is forgotten here; its server may still have it.
 const FLOW_KEPT: Duration = Duration::from_secs(30);
 
+/// Silence after which a request no longer counts as in progress.
+const REQUEST_LIMIT: Duration = Duration::from_secs(3);
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
@@ -70,8 +73,10 @@
     asked_by: Option<Ipv4Addr>,
     /// Whether the server has sent something on it.
     open: bool,
-    /// Whether a request is in progress.
+    /// Whether a request is in progress, or about to come.
     busy: bool,
+    /// Sequence number behind the newest data of the caller.
+    next_seq: u32,
     seen_at: Millis,
 }
 
@@ -92,6 +97,24 @@
     sweep_at: usize,
 }
 
+impl Flow {
+    /// Whether a packet of the caller opens the flow or brings new data. The
+    /// request of a flow that opens is counted at once: it follows soon, and
+    /// openings that come together must not be taken for an idle server's.
+    fn begins_request(&mut self, seg: &Segment) -> bool {
+        if seg.opens {
+            self.next_seq = seg.seq;
+            return true;
+        }
+        let end = seg.seq.wrapping_add(seg.len);
+        let new = seg.len > 0 && end.wrapping_sub(self.next_seq) as i32 > 0;
+        if new {
+            self.next_seq = end;
+        }
+        new
+    }
+}
+
 impl Agent {
     /// Agent of the server at `me`. `nonce` tells marks of this process from
     /// those of an earlier one.
@@ -139,7 +162,7 @@
         self.sweep(now);
         if seg.opens
             && !self.flows.contains_key(&seg.key)
-            && let Err(refusal) = self.admit(view, now, frame, seg)
+            && let Err(refusal) = self.admit(view, now, frame, inquiry, seg)
         {
             return Inbound::Refuse(refusal);
         }
@@ -148,6 +171,7 @@
             asked_by: None,
             open: false,
             busy: false,
+            next_seq: seg.seq,
             seen_at: now,
         });
         flow.seen_at = now;
@@ -155,7 +179,7 @@
         if asked && !owned {
             flow.asked_by = Some(from);
         }
-        if seg.len > 0 && !flow.busy {
+        if flow.begins_request(seg) && !flow.busy {
             flow.busy = true;
             self.busy = self.busy.saturating_add(1);
         }
@@ -180,11 +204,12 @@
             asked_by: None,
             open: true,
             busy: false,
+            next_seq: seg.ack,
             seen_at: now,
         });
         flow.seen_at = now;
         flow.open = true;
-        if seg.len > 0 && flow.busy {
+        if (seg.len > 0 || seg.fin) && flow.busy {
             flow.busy = false;
             self.busy = self.busy.saturating_sub(1);
         }
@@ -216,6 +241,7 @@
         view: Option<&View>,
         now: Millis,
         frame: &Frame,
+        inquiry: Inquiry,
         seg: &Segment,
     ) -> Result<(), Refusal> {
         if self.leaving {
@@ -240,6 +266,9 @@
             return Err(Refusal::Evacuated);
         }
         self.admit_silent(now)?;
+        if inquiry != Inquiry::OwnerThoughBusy && member.is_some_and(|m| m.is_full(self.busy)) {
+            return Err(Refusal::Busy);
+        }
         self.admit_cold(view, now)?;
         self.note_opening(now);
         Ok(())
@@ -286,6 +315,8 @@
         if now.since(since) < RESTART_SILENCE {
             return;
         }
+        self.flows.clear();
+        self.busy = 0;
         let cold_start = view.and_then(|v| v.cold_start(self.service));
         self.cold_until = now + cold_start.unwrap_or_default();
     }
@@ -303,10 +334,15 @@
             }
             self.sweep_at = self.sweep_at.wrapping_add(1);
             let at = self.sweep_at % self.flows.len();
-            let Some((key, flow)) = self.flows.get_index(at) else {
+            let Some((key, flow)) = self.flows.get_index_mut(at) else {
                 return;
             };
-            if now.since(flow.seen_at) > FLOW_KEPT {
+            let silence = now.since(flow.seen_at);
+            if flow.busy && silence > REQUEST_LIMIT {
+                flow.busy = false;
+                self.busy = self.busy.saturating_sub(1);
+            }
+            if silence > FLOW_KEPT {
                 let key = *key;
                 self.forget(&key);
             }
--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -19,11 +19,13 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use super::choice::Choice;
+use super::choice::Loads;
+use super::choice::first_ranked;
 use super::published::Revision;
 use super::suspects::Suspects;
 use super::view::Member;
 use super::view::View;
-use super::view::rank;
 
 /// Time between two copies of a packet to all holders of one flow.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
@@ -113,6 +115,8 @@
 #[derive(Clone, Debug)]
 struct Search {
     excluded: Vec<Ipv4Addr>,
+    /// Members that refused because they are busy, and may be asked again.
+    busy: Vec<Ipv4Addr>,
     asked_at: Option<Millis>,
     seen_at: Millis,
     seq: u32,
@@ -124,6 +128,7 @@
     flows: IndexMap<FlowKey, Flow>,
     searches: IndexMap<FlowKey, Search>,
     suspects: Suspects,
+    loads: Loads,
     sweep_at: usize,
     newest_heard: Revision,
 }
@@ -167,15 +172,19 @@
         now: Millis,
         from: Ipv4Addr,
         refusal: Refusal,
+        frame: &Frame,
         seg: &Segment,
     ) -> Step {
+        self.hear(now, from, frame);
         if refusal == Refusal::Silent {
             self.suspects.add(from, now);
-        } else {
-            self.suspects.clear(from);
         }
         if seg.opens {
-            self.exclude(now, seg, from);
+            if refusal == Refusal::Busy {
+                self.search(now, seg).busy.push(from);
+            } else {
+                self.exclude(now, seg, from);
+            }
             return self.place(view, now, seg);
         }
         let flow = self.flows.get(&seg.key).copied();
@@ -196,8 +205,7 @@
 
     /// An agent's server does not have the flow.
     pub fn denied(&mut self, view: &View, now: Millis, from: Ipv4Addr, frame: &Frame) -> Step {
-        self.suspects.clear(from);
-        self.newest_heard = self.newest_heard.max(Revision(frame.revision));
+        self.hear(now, from, frame);
         let Some(search) = self.searches.get_mut(&frame.flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
@@ -209,8 +217,7 @@
 
     /// An agent's server has the flow.
     pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
-        self.suspects.clear(from);
-        self.newest_heard = self.newest_heard.max(Revision(frame.revision));
+        self.hear(now, from, frame);
         self.searches.swap_remove(&frame.flow);
         self.flows.insert(
             frame.flow,
@@ -264,22 +271,31 @@
         let Some(service) = service else {
             return reset_or_drop(seg, ResetReason::NoRoute);
         };
-        let excluded = self.searches.get(&seg.key).map(|s| s.excluded.as_slice());
-        let excluded = excluded.unwrap_or_default();
+        let (excluded, busy) = match self.searches.get(&seg.key) {
+            Some(search) => (search.excluded.as_slice(), search.busy.as_slice()),
+            None => Default::default(),
+        };
         let able =
             |m: &&Member| m.service == service && m.takes_new() && !excluded.contains(&m.address);
-        let trusted = |m: &&Member| !self.suspects.holds(m.address, now);
-        let able_members = || view.members().iter().filter(able);
-        let best = first_ranked(&seg.key, able_members().filter(trusted));
-        let Some(member) = best.or_else(|| first_ranked(&seg.key, able_members())) else {
+        let able: Vec<&Member> = view.members().iter().filter(able).collect();
+        let choice = Choice {
+            flow: &seg.key,
+            able: &able,
+            busy,
+            suspects: &self.suspects,
+            loads: &self.loads,
+            now,
+        };
+        let Some(chosen) = choice.choose() else {
             self.flows.swap_remove(&seg.key);
             self.searches.swap_remove(&seg.key);
             return reset_or_drop(seg, ResetReason::NoMember);
         };
-        self.remember(now, seg, member, service);
+        self.loads.sent(chosen.agent);
+        self.remember(now, seg, chosen.agent, service);
         Step::Carry {
-            agent: member,
-            inquiry: Inquiry::Owner,
+            agent: chosen.agent,
+            inquiry: chosen.inquiry,
             service,
         }
     }
@@ -375,11 +391,23 @@
         })
     }
 
-    fn exclude(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
+    /// What every message of an agent tells.
+    fn hear(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.suspects.clear(from);
+        self.loads.told(from, frame.in_progress, now);
+        self.newest_heard = self.newest_heard.max(Revision(frame.revision));
+    }
+
+    fn search(&mut self, now: Millis, seg: &Segment) -> &mut Search {
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg));
         search.seen_at = now;
         search.seq = seg.ack;
+        search
+    }
+
+    fn exclude(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
+        let search = self.search(now, seg);
         if !search.excluded.contains(&agent) {
             search.excluded.push(agent);
         }
@@ -429,6 +457,7 @@
     fn new(now: Millis, seg: &Segment) -> Search {
         Search {
             excluded: Vec::new(),
+            busy: Vec::new(),
             asked_at: None,
             seen_at: now,
             seq: seg.ack,
@@ -447,9 +476,3 @@
         reason,
     })
 }
-
-fn first_ranked<'a>(flow: &FlowKey, members: impl Iterator<Item = &'a Member>) -> Option<Ipv4Addr> {
-    members
-        .map(|m| m.address)
-        .max_by_key(|address| rank(flow, *address))
-}
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -228,6 +228,7 @@
         Member {
             address: *server.address.ip(),
             service: server.service,
+            slots: server.slots,
             draining: server.state == ServerState::Draining,
             evacuated: self.evacuated.contains(&server.data_centre),
             cold_until,
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -15,6 +15,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod catalog;
+mod choice;
 pub mod mark;
 pub mod published;
 mod quota;
--- a/crates/coordination/src/passthrough/published.rs
+++ b/crates/coordination/src/passthrough/published.rs
@@ -77,6 +77,8 @@
     pub data_centre: DataCentreId,
     /// Whether it wants new flows.
     pub state: ServerState,
+    /// Requests that it works on at the same time; zero when untold.
+    pub slots: u16,
     /// How long it stays cold, from the moment of the record.
     pub cold_for: Duration,
     /// Start of this run of the server, Unix milliseconds; zero when untold.
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -26,6 +26,8 @@
     pub address: Ipv4Addr,
     /// Service that it serves.
     pub service: ServiceId,
+    /// Requests that it works on at the same time; zero when untold.
+    pub slots: u16,
     /// Whether it is leaving.
     pub draining: bool,
     /// Whether its data centre is evacuated.
@@ -44,6 +46,11 @@
         !self.draining && !self.evacuated
     }
 
+    /// Whether a server with that many requests in progress has no free slot.
+    pub fn is_full(&self, in_progress: u16) -> bool {
+        self.slots > 0 && in_progress >= self.slots
+    }
+
     /// Whether it is in cold start and limited.
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until && self.cold_rate_per_s.is_some()
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -62,6 +62,8 @@
     None,
     /// Whether the server has the flow; the packet back if it has not.
     Owner,
+    /// As [`Inquiry::Owner`], and no other server is less busy.
+    OwnerThoughBusy,
     /// Whether the server has the flow; other copies are on their way.
     OwnerOfCopy,
 }
@@ -83,6 +85,8 @@
     Leaving,
     /// The server does not answer its agent.
     Silent,
+    /// All slots of the server are in use.
+    Busy,
 }
 
 /// Header of a frame.
@@ -127,9 +131,14 @@
 const KIND_DENIED: u8 = 3;
 const KIND_OWNED: u8 = 4;
 
-const INQUIRIES: [Inquiry; 3] = [Inquiry::None, Inquiry::Owner, Inquiry::OwnerOfCopy];
+const INQUIRIES: [Inquiry; 4] = [
+    Inquiry::None,
+    Inquiry::Owner,
+    Inquiry::OwnerThoughBusy,
+    Inquiry::OwnerOfCopy,
+];
 
-const REFUSALS: [Refusal; 7] = [
+const REFUSALS: [Refusal; 8] = [
     Refusal::Bounced,
     Refusal::Draining,
     Refusal::Evacuated,
@@ -137,6 +146,7 @@
     Refusal::OtherService,
     Refusal::Leaving,
     Refusal::Silent,
+    Refusal::Busy,
 ];
 
 impl Frame {
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -180,7 +180,7 @@
             Inbound::Refuse(refusal) => {
                 let kind = match inquiry {
                     Inquiry::OwnerOfCopy => FrameKind::Denied,
-                    Inquiry::None | Inquiry::Owner => FrameKind::Returned(refusal),
+                    _ => FrameKind::Returned(refusal),
                 };
                 self.tell(from, kind, segment.key, packet);
             }
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -191,7 +191,7 @@
                 }
             }
             FrameKind::Returned(refusal) => {
-                self.handle_returned(&view, now, from, refusal, packet);
+                self.handle_returned(&view, now, from, refusal, &frame, packet);
             }
             // Only a balancer sends these.
             FrameKind::Carry(_) => {}
@@ -204,13 +204,16 @@
         now: Millis,
         from: Ipv4Addr,
         refusal: Refusal,
+        frame: &Frame,
         packet: &mut [u8],
     ) {
         let Some(passing) = F::read(packet) else {
             return;
         };
         let segment = passing.segment;
-        let step = self.balancer.returned(view, now, from, refusal, &segment);
+        let step = self
+            .balancer
+            .returned(view, now, from, refusal, frame, &segment);
         self.carry_out(view, segment.key, step, packet);
     }
 
