Let a few processes read the platform for all others

Change: the processes that the settings name as seeds read the platform; everyone else follows one of them over TCP and reads for itself as soon as none is current or heard. Changes that come close together are read in one call. A reader that is refused follows another one.

Ruled out: longer watches alone (changes cost most of the calls).

--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -378,7 +378,7 @@
             return Step::Drop(DropReason::Asked);
         }
         // A holder that this view does not have yet may own the flow.
-        if !view.is_settled(now) || self.newest_heard > view.revision {
+        if !view.is_settled(now) || self.newest_heard > view.cursor {
             return Step::Drop(DropReason::Unsettled);
         }
         let seq = search.seq;
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -41,6 +41,15 @@
     read_at: Millis,
 }
 
+impl Listed {
+    /// The record as it would read at `now`.
+    fn server_at(&self, now: Millis) -> Server {
+        let mut server = self.server;
+        server.cold_for = server.cold_for.saturating_sub(now.since(self.read_at));
+        server
+    }
+}
+
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -69,9 +78,9 @@
         self.cursor
     }
 
-    /// Newest revision of anything that is known.
-    pub fn newest(&self) -> Revision {
-        self.newest
+    /// Whether the platform has answered without a gap.
+    pub fn is_well(&self) -> bool {
+        self.well_since.is_some()
     }
 
     /// Whether a configuration is known.
@@ -125,6 +134,20 @@
         self.newest = self.newest.max(changes.newest);
     }
 
+    /// Everything that is known, for a process that follows this one.
+    pub fn listing(&self, now: Millis) -> Listing {
+        let configuration = self.configuration.iter();
+        let configuration = configuration.map(|c| Record::Configuration(Configuration::clone(c)));
+        let evacuated = self.evacuated.iter().copied().map(Record::Evacuation);
+        let servers = self.servers.iter();
+        let servers = servers.map(|(id, listed)| Record::Server(*id, listed.server_at(now)));
+        Listing {
+            cursor: self.cursor,
+            newest: self.newest,
+            records: configuration.chain(evacuated).chain(servers).collect(),
+        }
+    }
+
     /// Compiles what the traffic threads need.
     pub fn view(&self, now: Millis) -> Option<View> {
         let configuration = Arc::clone(self.configuration.as_ref()?);
@@ -141,6 +164,7 @@
         departed.retain(|d| now.since(d.at) < DEPARTED_KEPT && !members.contains_key(&d.address));
         Some(View::new(
             self.newest,
+            self.cursor,
             configuration,
             members.into_values().collect(),
             departed,
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -10,12 +10,14 @@
 //! - [`catalog`]: those records as one process knows them
 //! - [`view`]: immutable tables compiled from the catalog
 //! - [`balancer`] and [`agent`]: the decisions for each packet
+//! - [`feeds`]: who reads the platform, and who follows whom
 //! - [`source`]: what the platform's client must offer
 
 pub mod agent;
 pub mod balancer;
 pub mod catalog;
 mod choice;
+pub mod feeds;
 pub mod mark;
 pub mod published;
 mod quota;
--- a/crates/coordination/src/passthrough/published.rs
+++ b/crates/coordination/src/passthrough/published.rs
@@ -10,13 +10,15 @@
 use ramp_state::key::ServerId;
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Position in the platform's history; only rises.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
 /// Part of a route's new flows that a service gets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// The service.
     pub service: ServiceId,
@@ -25,7 +27,7 @@
 }
 
 /// Address that callers connect to, and who serves it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Address and port in callers' packets.
     pub address: SocketAddrV4,
@@ -34,7 +36,7 @@
 }
 
 /// What the configuration says of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServicePolicy {
     /// The service.
     pub service: ServiceId,
@@ -45,7 +47,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version.
     pub version: Version,
@@ -58,7 +60,7 @@
 }
 
 /// Whether a backend server wants new flows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// It does.
     Ready,
@@ -67,7 +69,7 @@
 }
 
 /// What a backend server says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Service that it serves.
     pub service: ServiceId,
@@ -86,7 +88,7 @@
 }
 
 /// Names one record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RecordKey {
     /// The configuration.
     Configuration,
@@ -97,7 +99,7 @@
 }
 
 /// One record as it was written.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// The newest configuration.
     Configuration(Configuration),
@@ -108,7 +110,7 @@
 }
 
 /// One change of the records.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// A record was written.
     Written(Record),
@@ -117,7 +119,7 @@
 }
 
 /// All records at one revision or a little later.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// Revision after which changes must be followed.
     pub cursor: Revision,
@@ -128,7 +130,7 @@
 }
 
 /// Changes since a revision, in their order.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// Revision after which to go on.
     pub cursor: Revision,
@@ -137,3 +139,19 @@
     /// The changes.
     pub changes: Vec<Change>,
 }
+
+/// What a process that reads the platform tells those that follow it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// Everything that it knows.
+    Listing(Listing),
+    /// What has changed since.
+    Changes(Changes),
+    /// Nothing has changed.
+    Alive {
+        /// Revision up to which it has read.
+        cursor: Revision,
+        /// Whether the platform has answered it lately.
+        current: bool,
+    },
+}
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -69,8 +69,10 @@
 /// Tables of one moment.
 #[derive(Clone, Debug)]
 pub struct View {
-    /// Position in the platform's history.
-    pub revision: Revision,
+    /// Newest revision of anything that the view is made of.
+    pub newest: Revision,
+    /// Revision up to which the platform's history is known.
+    pub cursor: Revision,
     /// Version of the configuration.
     pub version: Version,
     /// Silence after which a flow may be forgotten.
@@ -86,7 +88,8 @@
     /// View of these records. `settled_at`: from when a server that is not
     /// listed counts as gone; none while the platform does not answer.
     pub fn new(
-        revision: Revision,
+        newest: Revision,
+        cursor: Revision,
         configuration: Arc<Configuration>,
         members: Vec<Member>,
         departed: Vec<Departed>,
@@ -94,7 +97,8 @@
     ) -> View {
         let routes = configuration.routes.iter();
         View {
-            revision,
+            newest,
+            cursor,
             version: configuration.version,
             idle_limit: configuration.idle_limit,
             routes: routes.map(|r| (r.address, r.clone())).collect(),
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -100,7 +100,7 @@
     pub service: ServiceId,
     /// Configuration version that the sender has in force.
     pub version: Version,
-    /// Position in the platform's history up to which the sender has read.
+    /// Newest revision of the platform's records that the sender knows.
     pub revision: u64,
     /// Requests in progress at the agent's server; zero from a balancer.
     pub in_progress: u16,
--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -4,13 +4,17 @@
 use std::hash::Hasher;
 use std::net::SocketAddrV4;
 
+use serde::Deserialize;
+use serde::Serialize;
 use siphasher::sip::SipHasher13;
 
 /// Salt of the public name hash; it only spreads names, it protects nothing.
 const NAME_SALT: (u64, u64) = (0x6272_616d_6c65_7900, 0x7261_6d70_0000_0001);
 
 /// Version of the fleet document, given by the platform. Only ever rises.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Version(pub u64);
 
 /// Start number of a process: a later start of the same instance has a higher one.
@@ -22,15 +26,15 @@
 pub struct InstanceId(pub u64);
 
 /// Stable identity of a service, a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServiceId(pub u64);
 
 /// Stable identity of a backend server, a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub u64);
 
 /// Stable identity of a data centre, a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DataCentreId(pub u64);
 
 impl ServerId {
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -236,7 +236,7 @@
             flow,
             service: self.traffic.beside.service,
             version: view.map_or(Version(0), |v| v.version),
-            revision: view.map_or(0, |v| v.revision.0),
+            revision: view.map_or(0, |v| v.newest.0),
             in_progress: self.agent.in_progress(),
             open_flows: u16::try_from(self.agent.open_flows()).unwrap_or(u16::MAX),
         };
@@ -249,7 +249,7 @@
 
     /// Tells control when a balancer knows more than this process.
     fn hear(&mut self, revision: Revision) {
-        let known = self.view.as_ref().map(|v| v.revision);
+        let known = self.view.as_ref().map(|v| v.cursor);
         if revision <= self.heard || known.is_some_and(|known| revision <= known) {
             return;
         }
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -249,7 +249,7 @@
             flow,
             service,
             version: view.version,
-            revision: view.revision.0,
+            revision: view.newest.0,
             in_progress: 0,
             open_flows: 0,
         };
@@ -272,7 +272,7 @@
     /// Tells control when a peer knows more than this process.
     fn tell_heard(&mut self) {
         let heard = self.balancer.newest_heard();
-        let known = self.view.as_ref().map(|v| v.revision);
+        let known = self.view.as_ref().map(|v| v.cursor);
         if heard <= self.heard || known.is_some_and(|known| heard <= known) {
             return;
         }
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -1,6 +1,8 @@
-//! Control of a process whose packets pass through: follows what the platform
-//! publishes and hands each new view to the traffic thread.
+//! Control of a process whose packets pass through: learns what the platform
+//! publishes, from the platform or from a reader of it, and hands each new
+//! view to the traffic thread.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,33 +10,46 @@
 use flume::Receiver;
 use flume::Sender;
 use ramp_coordination::passthrough::catalog::Catalog;
+use ramp_coordination::passthrough::feeds::Feeds;
 use ramp_coordination::passthrough::published::Changes;
+use ramp_coordination::passthrough::published::News;
+use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::source::Source;
 use ramp_coordination::passthrough::source::SourceError;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::feed::Feed;
+use super::feed::Following;
 use super::news::Event;
 use super::news::Update;
 use super::ready::Readiness;
 use crate::clock::Clock;
 
-/// Time that the platform holds a watch open when nothing changes.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// Time that the platform holds a watch open when nothing changes. A watch
+/// that is lost without a sign is noticed a little later.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause after an answer with changes: what comes close together is read in
+/// one call.
+const SETTLE: Duration = Duration::from_millis(200);
 
 /// Pause after a failed call, growing up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(50);
 
-/// Longest pause between failed calls.
+/// Longest pause of a reader between failed calls.
 const RETRY_LONGEST: Duration = Duration::from_millis(400);
 
+/// Longest pause of everyone else.
+const RETRY_LONGEST_FOLLOWER: Duration = Duration::from_millis(1000);
+
 /// Failed calls in a row from which the platform counts as away.
 const AWAY_AFTER: u32 = 2;
 
-/// Time a watch has to bring what a peer already knows.
+/// Time in which whatever brings changes must bring what a peer knows.
 const CATCH_UP: Duration = Duration::from_millis(300);
 
-/// Follows the platform through `source`.
+/// Follows the platform through `source` or a reader.
 pub struct Control<S> {
     /// The platform's client.
     pub source: S,
@@ -46,45 +61,59 @@
     pub events: Receiver<Event>,
     /// Told once a view is there.
     pub readiness: Rc<Readiness>,
+    /// What is known, and those that follow this process.
+    pub feed: Rc<Feed>,
+    /// Whom to follow.
+    pub feeds: Feeds,
+}
+
+/// How one attempt to learn something ended.
+enum Turn {
+    /// The platform or a reader has told something, or nothing was new.
+    Learned,
+    /// The platform failed.
+    Failed(SourceError),
+    /// The reader can't be followed any more.
+    ReaderLost(String),
+    /// The traffic thread has finished.
+    Finished,
 }
 
 impl<S: Source> Control<S> {
     /// Runs until the traffic thread has finished.
     pub async fn run(mut self) {
-        let mut catalog = Catalog::new();
-        let mut list = true;
         let mut failures = 0;
+        let mut list = true;
         loop {
-            let result = if list {
-                let listing = self.source.list().await;
-                listing.map(|listing| catalog.replace(self.clock.now(), listing))
-            } else {
-                match self.watch(&catalog).await {
-                    Watched::Changed(result) => {
-                        result.map(|changes| catalog.apply(self.clock.now(), changes))
-                    }
-                    Watched::Behind => continue,
-                    Watched::Finished => return,
-                }
+            let away = failures >= AWAY_AFTER;
+            let reader = self.feeds.pick(self.clock.now(), away);
+            let turn = match reader {
+                // At the start the platform itself is asked first: a reader
+                // starts no sooner than this process.
+                Some(reader) if !list || failures > 0 => self.follow(reader).await,
+                _ if list => self.list().await,
+                _ => self.watch().await,
             };
-            match result {
-                Ok(()) => {
+            match turn {
+                Turn::Finished => return,
+                Turn::Learned => {
                     if failures >= AWAY_AFTER {
                         log::info!("the platform is back");
                     }
                     failures = 0;
                     list = false;
-                    self.publish(&catalog);
                 }
-                Err(err) => {
+                Turn::ReaderLost(reason) => {
+                    if let Some(reader) = reader {
+                        log::info!("the reader {reader} is not followed now: {reason}");
+                        self.feeds.failed(reader, self.clock.now());
+                    }
+                    list &= !self.feed.catalog.borrow().is_complete();
+                }
+                Turn::Failed(err) => {
                     failures += 1;
                     list |= err == SourceError::Forgotten;
-                    log::warn!("{err}; failed calls in a row: {failures}");
-                    if failures == AWAY_AFTER {
-                        catalog.platform_failed();
-                        self.publish(&catalog);
-                    }
-                    if self.pause(failures).await {
+                    if self.fail(&err, failures).await {
                         return;
                     }
                 }
@@ -92,51 +121,164 @@
         }
     }
 
-    fn publish(&self, catalog: &Catalog) {
-        let Some(view) = catalog.view(self.clock.now()) else {
-            return;
-        };
-        self.readiness.begin();
-        // The traffic thread is gone only when the process ends.
-        let _ = self.updates.send(Update::View(Arc::new(view)));
+    async fn list(&mut self) -> Turn {
+        match self.source.list().await {
+            Ok(listing) => {
+                self.feed.note_answer(true);
+                self.learn(News::Listing(listing));
+                Turn::Learned
+            }
+            Err(err) => Turn::Failed(err),
+        }
     }
-}
 
-/// How a watch ended.
-enum Watched {
-    Changed(Result<Changes, SourceError>),
-    /// A peer knows more: the watch may be dead.
-    Behind,
-    Finished,
-}
+    async fn watch(&mut self) -> Turn {
+        let Some(result) = self.watch_once().await else {
+            return Turn::Finished;
+        };
+        match result {
+            Ok(changes) => {
+                self.feed.note_answer(true);
+                let settle = !changes.changes.is_empty();
+                self.learn(News::Changes(changes));
+                if settle && self.pause(SETTLE).await {
+                    return Turn::Finished;
+                }
+                Turn::Learned
+            }
+            Err(err) => Turn::Failed(err),
+        }
+    }
 
-impl<S: Source> Control<S> {
-    async fn watch(&mut self, catalog: &Catalog) -> Watched {
-        let known = catalog.newest();
-        let watch = self.source.watch(catalog.cursor(), WATCH_WAIT);
+    /// One call; none when the traffic thread has finished.
+    async fn watch_once(&mut self) -> Option<Result<Changes, SourceError>> {
+        let cursor = self.cursor();
+        let watch = self.source.watch(cursor, WATCH_WAIT);
         tokio::pin!(watch);
+        let end = tokio::select! {
+            result = &mut watch => return Some(result),
+            end = until_behind(&self.events, &self.feed) => end,
+        };
+        match end {
+            Behind::Peer => {
+                let late = timeout(CATCH_UP, &mut watch).await;
+                Some(late.unwrap_or_else(|_| Err(unheard())))
+            }
+            Behind::Finished => None,
+        }
+    }
+
+    async fn follow(&mut self, reader: SocketAddrV4) -> Turn {
+        let mut following = match Following::start(reader, self.cursor()).await {
+            Ok(following) => following,
+            Err(err) => return Turn::ReaderLost(err.to_string()),
+        };
+        let events = self.events.clone();
+        let limit = self.feeds.follow_limit().unwrap_or(Duration::MAX);
+        let until = sleep(limit);
+        tokio::pin!(until);
+        let mut behind = false;
         loop {
-            let event = tokio::select! {
-                result = &mut watch => return Watched::Changed(result),
-                event = self.events.recv_async() => event,
+            let next = async {
+                if behind {
+                    return timeout(CATCH_UP, following.next()).await?;
+                }
+                following.next().await
             };
-            match event {
-                Ok(Event::Heard(heard)) if heard > known => {
-                    return match timeout(CATCH_UP, &mut watch).await {
-                        Ok(result) => Watched::Changed(result),
-                        Err(_) => Watched::Behind,
+            let news = tokio::select! {
+                news = next => news,
+                () = &mut until => return Turn::Learned,
+                end = until_behind(&events, &self.feed), if !behind => {
+                    let Behind::Peer = end else {
+                        return Turn::Finished;
                     };
+                    behind = true;
+                    continue;
+                }
+            };
+            match news {
+                Ok(News::Alive { current: false, .. }) => {
+                    return Turn::ReaderLost("it is not current".to_string());
+                }
+                Ok(News::Alive { .. }) if behind => {
+                    return Turn::ReaderLost("a peer knows more".to_string());
+                }
+                Ok(news) => {
+                    behind = false;
+                    self.learn(news);
+                }
+                Err(err) => return Turn::ReaderLost(err.to_string()),
+            }
+        }
+    }
+
+    /// Takes news in, and tells the traffic thread and the followers.
+    fn learn(&self, news: News) {
+        let now = self.clock.now();
+        self.feed.tell(&news);
+        let mut catalog = self.feed.catalog.borrow_mut();
+        let quiet = catalog.is_well();
+        match news {
+            News::Listing(listing) if listing.cursor == Revision(0) => return,
+            News::Listing(listing) => catalog.replace(now, listing),
+            News::Changes(changes) => {
+                let nothing = changes.changes.is_empty() && quiet;
+                catalog.apply(now, changes);
+                if nothing {
+                    return;
+                }
+            }
+            News::Alive { cursor, .. } => {
+                let changes = Changes {
+                    cursor,
+                    ..Changes::default()
+                };
+                catalog.apply(now, changes);
+                if quiet {
+                    return;
                 }
-                Ok(Event::Heard(_)) => {}
-                Ok(Event::Finished) | Err(_) => return Watched::Finished,
             }
         }
+        self.publish(&catalog);
+    }
+
+    fn publish(&self, catalog: &Catalog) {
+        let Some(view) = catalog.view(self.clock.now()) else {
+            return;
+        };
+        self.readiness.begin();
+        // The traffic thread is gone only when the process ends.
+        let _ = self.updates.send(Update::View(Arc::new(view)));
     }
 
-    /// Waits before the next try; true when the process ends.
-    async fn pause(&self, failures: u32) -> bool {
+    fn cursor(&self) -> Revision {
+        self.feed.catalog.borrow().cursor()
+    }
+
+    /// Takes note of a failure and waits before the next try; true when the
+    /// process ends.
+    async fn fail(&mut self, err: &SourceError, failures: u32) -> bool {
+        if failures.is_power_of_two() {
+            log::warn!("{err}; failed calls in a row: {failures}");
+        }
+        if failures == AWAY_AFTER {
+            self.feed.note_answer(false);
+            let mut catalog = self.feed.catalog.borrow_mut();
+            catalog.platform_failed();
+            self.publish(&catalog);
+        }
+        let longest = if self.feeds.is_reader() {
+            RETRY_LONGEST
+        } else {
+            RETRY_LONGEST_FOLLOWER
+        };
         let longer = RETRY_FIRST * 2u32.saturating_pow(failures.min(8) - 1);
-        let pause = sleep(longer.min(RETRY_LONGEST));
+        self.pause(longer.min(longest)).await
+    }
+
+    /// Waits; true when the process ends.
+    async fn pause(&self, span: Duration) -> bool {
+        let pause = sleep(span);
         tokio::pin!(pause);
         loop {
             tokio::select! {
@@ -149,3 +291,28 @@
         }
     }
 }
+
+/// Why waiting for news ended early.
+enum Behind {
+    /// A peer knows more than this process.
+    Peer,
+    /// The traffic thread has finished.
+    Finished,
+}
+
+async fn until_behind(events: &Receiver<Event>, feed: &Feed) -> Behind {
+    loop {
+        match events.recv_async().await {
+            Ok(Event::Heard(heard)) => {
+                if heard > feed.catalog.borrow().cursor() {
+                    return Behind::Peer;
+                }
+            }
+            Ok(Event::Finished) | Err(_) => return Behind::Finished,
+        }
+    }
+}
+
+fn unheard() -> SourceError {
+    SourceError::Unreachable("a peer knows more than the watch has brought".to_string())
+}
--- a/crates/transport/src/passthrough/daemon.rs
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -7,9 +7,12 @@
 
 use flume::Receiver;
 use flume::Sender;
+use ramp_coordination::passthrough::feeds::Feeds;
 use ramp_coordination::passthrough::source::Source;
 use ramp_protocol::format::PacketFormat;
+use ramp_state::key::InstanceId;
 use ramp_state::key::mix;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -19,6 +22,7 @@
 use super::agent;
 use super::balancer;
 use super::control::Control;
+use super::feed::Feed;
 use super::news::Event;
 use super::news::Update;
 use super::place::Place;
@@ -86,18 +90,23 @@
     events: Receiver<Event>,
 ) -> Result<(), DaemonError> {
     let readiness = Rc::new(Readiness::default());
-    let listener = ready::bind(place.ready)
-        .await
-        .map_err(|err| DaemonError::Bind(place.ready, err))?;
+    let listener = listen(place.ready).await?;
     spawn_local(ready::serve(listener, Rc::clone(&readiness)));
     spawn_local(watch_end(updates.clone(), Rc::clone(&readiness)));
     spawn_local(watch_reload());
+    let feed = Rc::new(Feed::new(clock));
+    if let Some(address) = place.feed {
+        let listener = listen(address).await?;
+        spawn_local(Rc::clone(&feed).serve(listener));
+    }
     let control = Control {
         source,
         clock,
         updates,
         events,
         readiness,
+        feed,
+        feeds: Feeds::new(InstanceId::of(&place.name), place.feed, &place.readers),
     };
     control.run().await;
     log::info!("stopped");
@@ -131,6 +140,11 @@
     }
 }
 
+async fn listen(address: SocketAddrV4) -> Result<TcpListener, DaemonError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|err| DaemonError::Bind(address, err))
+}
+
 fn bind(address: SocketAddrV4) -> Result<UdpSocket, DaemonError> {
     sockets::bind(address).map_err(|err| DaemonError::Bind(address, err))
 }
--- /dev/null
+++ b/crates/transport/src/passthrough/feed.rs
@@ -0,0 +1,195 @@
+//! What a reader of the platform tells those that follow it: one line of JSON
+//! for each piece of news, over TCP.
+//!
+//! A follower first sends a line with the revision that it has. Unless that
+//! is the reader's own, it gets everything; then it gets what changes, and a
+//! sign of life when nothing does.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ramp_coordination::passthrough::catalog::Catalog;
+use ramp_coordination::passthrough::published::News;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_state::time::Millis;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::io::Lines;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::broadcast;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+
+/// Time between two signs of life.
+const ALIVE_EVERY: Duration = Duration::from_millis(500);
+
+/// Silence of a reader after which it counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Time that a reader has to accept a follower, and a follower to say what it
+/// has or to take what it is sent.
+const PEER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Age of the platform's last answer from which a reader is not current.
+const CURRENT_LIMIT: Duration = Duration::from_millis(1600);
+
+/// Pieces of news that a slow follower may be behind before it is let go.
+const BACKLOG_NEWS: usize = 32;
+
+/// What this process knows, and those that follow it.
+#[derive(Debug)]
+pub struct Feed {
+    /// Records of the platform.
+    pub catalog: RefCell<Catalog>,
+    answered_at: Cell<Option<Millis>>,
+    news: broadcast::Sender<Arc<str>>,
+    clock: Clock,
+}
+
+/// A reader that this process follows.
+#[derive(Debug)]
+pub struct Following {
+    lines: Lines<BufReader<OwnedReadHalf>>,
+    /// Kept open: the reader takes its end for the follower's.
+    _write: OwnedWriteHalf,
+}
+
+impl Feed {
+    /// Feed of a process that knows nothing yet.
+    pub fn new(clock: Clock) -> Feed {
+        let (news, _) = broadcast::channel(BACKLOG_NEWS);
+        Feed {
+            catalog: RefCell::new(Catalog::new()),
+            answered_at: Cell::new(None),
+            news,
+            clock,
+        }
+    }
+
+    /// Takes note whether the platform itself has answered.
+    pub fn note_answer(&self, answered: bool) {
+        let now = self.clock.now();
+        self.answered_at.set(answered.then_some(now));
+    }
+
+    /// Tells all followers.
+    pub fn tell(&self, news: &News) {
+        if self.news.receiver_count() == 0 {
+            return;
+        }
+        match line(news) {
+            // Nobody may be left by now, which is no fault.
+            Ok(line) => drop(self.news.send(line)),
+            Err(err) => log::error!("news can't be written: {err}"),
+        }
+    }
+
+    /// Serves followers until the listener fails. Must run inside a `LocalSet`.
+    pub async fn serve(self: Rc<Feed>, listener: TcpListener) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(err) => {
+                    log::warn!("a follower was not accepted: {err}");
+                    continue;
+                }
+            };
+            let feed = Rc::clone(&self);
+            spawn_local(async move {
+                if let Err(err) = feed.serve_one(stream).await {
+                    log::debug!("a follower left: {err}");
+                }
+            });
+        }
+    }
+
+    async fn serve_one(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (read, mut write) = stream.into_split();
+        let mut lines = BufReader::new(read).lines();
+        let has = timeout(PEER_LIMIT, lines.next_line()).await??;
+        let has: Revision = serde_json::from_str(&has.unwrap_or_default())?;
+        let mut news = self.news.subscribe();
+        if has != self.cursor() {
+            let listing = self.catalog.borrow().listing(self.clock.now());
+            send(&mut write, &line(&News::Listing(listing))?).await?;
+        }
+        loop {
+            send(&mut write, &line(&self.alive())?).await?;
+            tokio::select! {
+                // A follower says nothing more: this is its end.
+                _ = lines.next_line() => return Ok(()),
+                next = timeout(ALIVE_EVERY, news.recv()) => match next {
+                    Ok(Ok(line)) => send(&mut write, &line).await?,
+                    Ok(Err(err)) => return Err(io::Error::other(err)),
+                    Err(_) => {}
+                },
+            }
+        }
+    }
+
+    fn cursor(&self) -> Revision {
+        self.catalog.borrow().cursor()
+    }
+
+    fn alive(&self) -> News {
+        let age = |at: Millis| self.clock.now().since(at);
+        let answered_at = self.answered_at.get();
+        News::Alive {
+            cursor: self.cursor(),
+            current: answered_at.is_some_and(|at| age(at) < CURRENT_LIMIT),
+        }
+    }
+}
+
+impl Following {
+    /// Follows the reader at `address`; `has` is what is known already.
+    ///
+    /// # Errors
+    ///
+    /// It can't be reached in time.
+    pub async fn start(address: SocketAddrV4, has: Revision) -> io::Result<Following> {
+        let stream = timeout(PEER_LIMIT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (read, mut write) = stream.into_split();
+        let mut hello = serde_json::to_string(&has)?;
+        hello.push('\n');
+        send(&mut write, &hello).await?;
+        Ok(Following {
+            lines: BufReader::new(read).lines(),
+            _write: write,
+        })
+    }
+
+    /// The next piece of news. Nothing is lost when the call is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The reader has ended, is silent for too long, or can't be understood.
+    pub async fn next(&mut self) -> io::Result<News> {
+        let line = timeout(SILENCE_LIMIT, self.lines.next_line()).await??;
+        let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
+        Ok(serde_json::from_str(&line)?)
+    }
+}
+
+async fn send(write: &mut OwnedWriteHalf, line: &str) -> io::Result<()> {
+    timeout(PEER_LIMIT, write.write_all(line.as_bytes())).await?
+}
+
+fn line(news: &News) -> io::Result<Arc<str>> {
+    let mut line = serde_json::to_string(news)?;
+    line.push('\n');
+    Ok(line.into())
+}
--- a/crates/transport/src/passthrough/mod.rs
+++ b/crates/transport/src/passthrough/mod.rs
@@ -9,6 +9,7 @@
 pub mod balancer;
 pub mod control;
 pub mod daemon;
+pub mod feed;
 pub mod http;
 pub mod news;
 pub mod place;
--- a/crates/transport/src/passthrough/place.rs
+++ b/crates/transport/src/passthrough/place.rs
@@ -19,6 +19,10 @@
     pub peer_port: u16,
     /// Where readiness is asked for.
     pub ready: SocketAddrV4,
+    /// Where this process may be followed, if others know of it.
+    pub feed: Option<SocketAddrV4>,
+    /// Processes that read the platform for the others; some may be gone.
+    pub readers: Vec<SocketAddrV4>,
     /// The platform.
     pub platform: SocketAddrV4,
     /// Time from the request to end until the process is killed.
--- a/crates/transport/src/passthrough/ready.rs
+++ b/crates/transport/src/passthrough/ready.rs
@@ -2,8 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -67,15 +65,6 @@
     }
 }
 
-/// Binds the address on which readiness is asked for.
-///
-/// # Errors
-///
-/// It can't be bound.
-pub async fn bind(address: SocketAddrV4) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 fn answer(ready: bool) -> Response<Empty<Bytes>> {
     let mut answer = Response::new(Empty::new());
     if !ready {
