Part refusals of new flows from denials of open ones

A member that had refused an opening, or had not confirmed it in time, counted as one whose server does not have the flow; with the others' denials the caller was reset.

Change: placing a new flow and searching an owner are two things with two tables. Besides, the walk that forgets old flows stood still while the table grew with each packet (what_is_remembered_stays_bounded).

Ruled out: old views (all processes had the same one), lost frames (they only delay).

--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -21,6 +21,7 @@
 use super::mark::Mark;
 use super::mark::Senders;
 use super::quota::Quota;
+use super::sweep::Sweep;
 use super::view::View;
 
 /// Time a server has to answer the opening of a flow.
@@ -94,7 +95,7 @@
     unanswered_since: Option<Millis>,
     tried_at: Millis,
     cold_until: Millis,
-    sweep_at: usize,
+    swept: Sweep,
 }
 
 impl Flow {
@@ -130,7 +131,7 @@
             unanswered_since: None,
             tried_at: Millis(0),
             cold_until: Millis(0),
-            sweep_at: 0,
+            swept: Sweep::default(),
         }
     }
 
@@ -328,24 +329,14 @@
     }
 
     fn sweep(&mut self, now: Millis) {
-        for _ in 0..SWEEP_FLOWS {
-            if self.flows.is_empty() {
-                return;
-            }
-            self.sweep_at = self.sweep_at.wrapping_add(1);
-            let at = self.sweep_at % self.flows.len();
-            let Some((key, flow)) = self.flows.get_index_mut(at) else {
-                return;
-            };
+        let busy = &mut self.busy;
+        self.swept.forget(&mut self.flows, SWEEP_FLOWS, |flow| {
             let silence = now.since(flow.seen_at);
             if flow.busy && silence > REQUEST_LIMIT {
                 flow.busy = false;
-                self.busy = self.busy.saturating_sub(1);
-            }
-            if silence > FLOW_KEPT {
-                let key = *key;
-                self.forget(&key);
+                *busy = busy.saturating_sub(1);
             }
-        }
+            silence > FLOW_KEPT
+        });
     }
 }
--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -24,6 +24,7 @@
 use super::choice::first_ranked;
 use super::published::Revision;
 use super::suspects::Suspects;
+use super::sweep::Sweep;
 use super::view::Member;
 use super::view::View;
 
@@ -34,7 +35,7 @@
 const CONFIRM_LIMIT: Duration = Duration::from_millis(120);
 
 /// Flows looked at for their age with each packet.
-const SWEEP_FLOWS: usize = 2;
+const SWEEP_FLOWS: usize = 4;
 
 /// Silence after which a finished flow is forgotten.
 const FINISHED_KEPT: Duration = Duration::from_secs(3);
@@ -111,12 +112,22 @@
     finished: bool,
 }
 
-/// Looking for a member that takes a new flow, or for the owner of an old one.
-#[derive(Clone, Debug)]
-struct Search {
-    excluded: Vec<Ipv4Addr>,
+/// Looking for a member that takes a new flow.
+#[derive(Clone, Debug, Default)]
+struct Placing {
+    /// Members that refused it, or did not confirm it in time. Such a member
+    /// may have the flow all the same.
+    refused: Vec<Ipv4Addr>,
     /// Members that refused because they are busy, and may be asked again.
     busy: Vec<Ipv4Addr>,
+    seen_at: Millis,
+}
+
+/// Looking for the owner of an open flow.
+#[derive(Clone, Debug)]
+struct Search {
+    /// Holders whose servers do not have it.
+    denied: Vec<Ipv4Addr>,
     asked_at: Option<Millis>,
     seen_at: Millis,
     seq: u32,
@@ -126,10 +137,13 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     flows: IndexMap<FlowKey, Flow>,
+    placings: IndexMap<FlowKey, Placing>,
     searches: IndexMap<FlowKey, Search>,
     suspects: Suspects,
     loads: Loads,
-    sweep_at: usize,
+    swept_flows: Sweep,
+    swept_placings: Sweep,
+    swept_searches: Sweep,
     newest_heard: Revision,
 }
 
@@ -180,10 +194,11 @@
             self.suspects.add(from, now);
         }
         if seg.opens {
+            let placing = self.placing(now, seg.key);
             if refusal == Refusal::Busy {
-                self.search(now, seg).busy.push(from);
+                placing.busy.push(from);
             } else {
-                self.exclude(now, seg, from);
+                placing.refused.push(from);
             }
             return self.place(view, now, seg);
         }
@@ -199,7 +214,7 @@
         if seg.rst {
             return Step::Drop(DropReason::AlreadyEnded);
         }
-        self.exclude(now, seg, from);
+        self.note_denial(now, seg, from);
         self.ask(view, now, seg)
     }
 
@@ -209,8 +224,8 @@
         let Some(search) = self.searches.get_mut(&frame.flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
-        if !search.excluded.contains(&from) {
-            search.excluded.push(from);
+        if !search.denied.contains(&from) {
+            search.denied.push(from);
         }
         self.conclude(view, now, frame.flow)
     }
@@ -218,6 +233,7 @@
     /// An agent's server has the flow.
     pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
+        self.placings.swap_remove(&frame.flow);
         self.searches.swap_remove(&frame.flow);
         self.flows.insert(
             frame.flow,
@@ -258,7 +274,7 @@
             }
             let agent = flow.agent;
             self.suspects.add(agent, now);
-            self.exclude(now, seg, agent);
+            self.placing(now, seg.key).refused.push(agent);
         }
         self.place(view, now, seg)
     }
@@ -271,12 +287,12 @@
         let Some(service) = service else {
             return reset_or_drop(seg, ResetReason::NoRoute);
         };
-        let (excluded, busy) = match self.searches.get(&seg.key) {
-            Some(search) => (search.excluded.as_slice(), search.busy.as_slice()),
+        let (refused, busy) = match self.placings.get(&seg.key) {
+            Some(placing) => (placing.refused.as_slice(), placing.busy.as_slice()),
             None => Default::default(),
         };
         let able =
-            |m: &&Member| m.service == service && m.takes_new() && !excluded.contains(&m.address);
+            |m: &&Member| m.service == service && m.takes_new() && !refused.contains(&m.address);
         let able: Vec<&Member> = view.members().iter().filter(able).collect();
         let choice = Choice {
             flow: &seg.key,
@@ -288,7 +304,7 @@
         };
         let Some(chosen) = choice.choose() else {
             self.flows.swap_remove(&seg.key);
-            self.searches.swap_remove(&seg.key);
+            self.placings.swap_remove(&seg.key);
             return reset_or_drop(seg, ResetReason::NoMember);
         };
         self.loads.sent(chosen.agent);
@@ -317,7 +333,7 @@
                 };
             }
             self.flows.swap_remove(&seg.key);
-            self.exclude(now, seg, flow.agent);
+            self.note_denial(now, seg, flow.agent);
         }
         if let Some(search) = self.searches.get_mut(&seg.key) {
             search.seen_at = now;
@@ -360,7 +376,7 @@
         search.asked_at = Some(now);
         let left: Vec<Ipv4Addr> = view
             .holders()
-            .filter(|h| !search.excluded.contains(h))
+            .filter(|h| !search.denied.contains(h))
             .collect();
         if left.is_empty() {
             return Step::Drop(DropReason::Unsettled);
@@ -373,7 +389,7 @@
         let Some(search) = self.searches.get(&flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
-        let denied = |h: Ipv4Addr| search.excluded.contains(&h) || view.is_gone(h, now);
+        let denied = |h: Ipv4Addr| search.denied.contains(&h) || view.is_gone(h, now);
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
         }
@@ -398,18 +414,19 @@
         self.newest_heard = self.newest_heard.max(Revision(frame.revision));
     }
 
-    fn search(&mut self, now: Millis, seg: &Segment) -> &mut Search {
+    fn placing(&mut self, now: Millis, flow: FlowKey) -> &mut Placing {
+        let placing = self.placings.entry(flow).or_default();
+        placing.seen_at = now;
+        placing
+    }
+
+    fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg));
         search.seen_at = now;
         search.seq = seg.ack;
-        search
-    }
-
-    fn exclude(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
-        let search = self.search(now, seg);
-        if !search.excluded.contains(&agent) {
-            search.excluded.push(agent);
+        if !search.denied.contains(&agent) {
+            search.denied.push(agent);
         }
     }
 
@@ -429,35 +446,30 @@
 
     /// Forgets a few old flows and searches.
     fn sweep(&mut self, view: &View, now: Millis) {
-        for _ in 0..SWEEP_FLOWS {
-            self.sweep_at = self.sweep_at.wrapping_add(1);
-            if !self.flows.is_empty() {
-                let at = self.sweep_at % self.flows.len();
-                let flow = &self.flows[at];
+        self.swept_flows
+            .forget(&mut self.flows, SWEEP_FLOWS, |flow| {
                 let kept = if flow.finished {
                     FINISHED_KEPT
                 } else {
                     view.idle_limit
                 };
-                if now.since(flow.seen_at) > kept {
-                    self.flows.swap_remove_index(at);
-                }
-            }
-            if !self.searches.is_empty() {
-                let at = self.sweep_at % self.searches.len();
-                if now.since(self.searches[at].seen_at) > SEARCH_KEPT {
-                    self.searches.swap_remove_index(at);
-                }
-            }
-        }
+                now.since(flow.seen_at) > kept
+            });
+        self.swept_searches
+            .forget(&mut self.searches, SWEEP_FLOWS, |search| {
+                now.since(search.seen_at) > SEARCH_KEPT
+            });
+        self.swept_placings
+            .forget(&mut self.placings, SWEEP_FLOWS, |placing| {
+                now.since(placing.seen_at) > SEARCH_KEPT
+            });
     }
 }
 
 impl Search {
     fn new(now: Millis, seg: &Segment) -> Search {
         Search {
-            excluded: Vec::new(),
-            busy: Vec::new(),
+            denied: Vec::new(),
             asked_at: None,
             seen_at: now,
             seq: seg.ack,
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -23,4 +23,5 @@
 mod quota;
 pub mod source;
 mod suspects;
+mod sweep;
 pub mod view;
--- /dev/null
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -0,0 +1,321 @@
+//! Decisions of one agent, which has the last word on new flows.
+
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Bounce;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::ServerState;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+fn agent(last: u8) -> Agent {
+    Agent::new(ip(last), FEEDS, 7)
+}
+
+fn carry(port: u16) -> Frame {
+    frame(FrameKind::Carry(Inquiry::Owner), flow(port))
+}
+
+fn open(agent: &mut Agent, view: &View, now: u64, port: u16) -> Inbound {
+    let seg = opening(flow(port), 0);
+    let from = balancer_ip(1);
+    agent.inbound(
+        Some(view),
+        Millis(now),
+        from,
+        &carry(port),
+        Inquiry::Owner,
+        &seg,
+    )
+}
+
+fn is_passed(inbound: Inbound) -> bool {
+    matches!(inbound, Inbound::Pass { .. })
+}
+
+/// The server answers an opening.
+fn answer(agent: &mut Agent, view: &View, now: u64, port: u16) {
+    let mut seg = segment(flow(port));
+    seg.syn = true;
+    seg.len = 0;
+    agent.outbound(Some(view), Millis(now), &seg);
+}
+
+/// The server answers a request.
+fn respond(agent: &mut Agent, view: &View, now: u64, port: u16) {
+    agent.outbound(Some(view), Millis(now), &segment(flow(port)));
+}
+
+#[test]
+fn an_opening_is_refused_by_the_agents_own_view() {
+    let mut catalog = catalog(&[1, 2]);
+    let mut draining = server(1, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(1), written(101, Record::Server(id(1), draining)));
+    catalog.apply(Millis(1), written(102, Record::Evacuation(WEST)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let refused = |last| open(&mut agent(last), &view, 2, 1);
+    assert_eq!(refused(1), Inbound::Refuse(Refusal::Draining));
+    assert_eq!(refused(2), Inbound::Refuse(Refusal::Evacuated));
+}
+
+#[test]
+fn an_opening_for_another_service_is_refused() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let mut foreign = carry(1);
+    foreign.service = UPLOADS;
+    let seg = opening(flow(1), 0);
+    let from = balancer_ip(1);
+    let step = agent.inbound(Some(&view), Millis(0), from, &foreign, Inquiry::Owner, &seg);
+    assert_eq!(step, Inbound::Refuse(Refusal::OtherService));
+}
+
+#[test]
+fn an_older_route_of_the_balancer_does_not_count() {
+    let mut catalog = catalog(&[1]);
+    let mut next = configuration(2);
+    next.routes[0].shares[0].service = UPLOADS;
+    catalog.apply(Millis(1), written(101, Record::Configuration(next)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let step = open(&mut agent(1), &view, 2, 1);
+    assert_eq!(step, Inbound::Refuse(Refusal::OtherService));
+}
+
+#[test]
+fn a_newer_route_of_the_balancer_counts() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let mut key = flow(1);
+    key.service.set_port(9);
+    let mut newer = frame(FrameKind::Carry(Inquiry::Owner), key);
+    newer.version = Version(2);
+    let seg = opening(key, 0);
+    let from = balancer_ip(1);
+    let step = agent.inbound(Some(&view), Millis(0), from, &newer, Inquiry::Owner, &seg);
+    assert!(is_passed(step));
+}
+
+#[test]
+fn packets_of_open_flows_always_pass() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Evacuation(EAST)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut agent = agent(1);
+    agent.leave();
+    let from = balancer_ip(1);
+    let step = agent.inbound(
+        Some(&view),
+        Millis(2),
+        from,
+        &carry(1),
+        Inquiry::Owner,
+        &segment(flow(1)),
+    );
+    assert!(is_passed(step));
+}
+
+#[test]
+fn a_cold_server_never_gets_more_in_a_second_than_it_bears() {
+    let mut catalog = catalog(&[]);
+    let mut cold = server(1, FEEDS);
+    cold.cold_for = COLD_START;
+    catalog.apply(Millis(0), written(101, Record::Server(id(1), cold)));
+    let view = catalog.view(Millis(0)).unwrap();
+    let mut agent = agent(1);
+    let mut passed = Vec::new();
+    for now in 0..2000 {
+        let port = now as u16 + 1;
+        if is_passed(open(&mut agent, &view, now, port)) {
+            passed.push(now);
+            answer(&mut agent, &view, now, port);
+            respond(&mut agent, &view, now, port);
+        }
+    }
+    for at in &passed {
+        let window = passed.iter().filter(|t| (*at..at + 1000).contains(t));
+        assert!(window.count() <= 10);
+    }
+    assert_eq!(passed.len(), 20);
+    assert!(is_passed(open(&mut agent, &view, 2500, 5000)));
+}
+
+#[test]
+fn a_server_that_is_not_listed_yet_is_taken_for_cold() {
+    let view = view(&[2]);
+    let mut agent = agent(1);
+    let mut passed = 0;
+    for port in 1..100 {
+        if is_passed(open(&mut agent, &view, 0, port)) {
+            passed += 1;
+            answer(&mut agent, &view, 0, port);
+            respond(&mut agent, &view, 0, port);
+        }
+    }
+    assert_eq!(passed, 10);
+}
+
+#[test]
+fn a_server_whose_data_centre_was_taken_back_is_cold() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(0), written(101, Record::Evacuation(EAST)));
+    let back = ramp_coordination::passthrough::published::RecordKey::Evacuation(EAST);
+    let removed = ramp_coordination::passthrough::published::Change::Removed(back);
+    catalog.apply(Millis(9000), changes(102, vec![removed]));
+    let view = catalog.view(Millis(9000)).unwrap();
+    let mut agent = agent(1);
+    let mut passed = 0;
+    for port in 1..100 {
+        if is_passed(open(&mut agent, &view, 9500, port)) {
+            passed += 1;
+            answer(&mut agent, &view, 9500, port);
+            respond(&mut agent, &view, 9500, port);
+        }
+    }
+    assert_eq!(passed, 10);
+}
+
+#[test]
+fn a_silent_server_gets_only_a_few_openings() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let mut passed = 0;
+    for now in 200..1200 {
+        let seg = opening(flow(now as u16), 0);
+        let step = agent.inbound(
+            Some(&view),
+            Millis(now),
+            balancer_ip(1),
+            &carry(now as u16),
+            Inquiry::OwnerThoughBusy,
+            &seg,
+        );
+        if now >= 400 {
+            passed += usize::from(is_passed(step));
+        }
+    }
+    assert!(passed <= 8, "{passed}");
+}
+
+#[test]
+fn a_server_that_answers_after_a_long_silence_is_cold() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    assert!(is_passed(open(&mut agent, &view, 0, 1)));
+    answer(&mut agent, &view, 900, 1);
+    let mut passed = 0;
+    for port in 2..100 {
+        if is_passed(open(&mut agent, &view, 1000, port)) {
+            passed += 1;
+            answer(&mut agent, &view, 1000, port);
+            respond(&mut agent, &view, 1000, port);
+        }
+    }
+    assert!(passed <= 10, "{passed}");
+}
+
+#[test]
+fn a_full_server_sends_openings_back_unless_it_must_take_them() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    for port in 1..=4 {
+        assert!(is_passed(open(&mut agent, &view, 0, port)));
+        answer(&mut agent, &view, 0, port);
+    }
+    let step = open(&mut agent, &view, 1, 9);
+    assert_eq!(step, Inbound::Refuse(Refusal::Busy));
+    let must = agent.inbound(
+        Some(&view),
+        Millis(1),
+        balancer_ip(1),
+        &carry(9),
+        Inquiry::OwnerThoughBusy,
+        &opening(flow(9), 0),
+    );
+    assert!(is_passed(must));
+    respond(&mut agent, &view, 2, 1);
+    respond(&mut agent, &view, 2, 2);
+    assert!(is_passed(open(&mut agent, &view, 3, 10)));
+}
+
+#[test]
+fn a_request_that_is_sent_again_counts_once() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let from = balancer_ip(1);
+    let request = segment(flow(1));
+    let carry = |agent: &mut Agent, seg| {
+        agent.inbound(Some(&view), Millis(1), from, &carry(1), Inquiry::None, seg)
+    };
+    let mut empty = request;
+    empty.len = 0;
+    carry(&mut agent, &empty);
+    carry(&mut agent, &request);
+    carry(&mut agent, &request);
+    assert_eq!(agent.in_progress(), 1);
+    respond(&mut agent, &view, 2, 1);
+    carry(&mut agent, &request);
+    assert_eq!(agent.in_progress(), 0, "its answer is on its way");
+}
+
+#[test]
+fn a_bounced_packet_names_the_balancer_that_sent_it() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let inquiries = [
+        (1, Inquiry::Owner),
+        (2, Inquiry::OwnerOfCopy),
+        (3, Inquiry::None),
+    ];
+    let marks = inquiries.map(|(last, inquiry)| {
+        let step = agent.inbound(
+            Some(&view),
+            Millis(0),
+            balancer_ip(last),
+            &carry(1),
+            inquiry,
+            &segment(flow(1)),
+        );
+        match step {
+            Inbound::Pass { mark, .. } => mark.0,
+            Inbound::Refuse(refusal) => panic!("{refusal:?}"),
+        }
+    });
+    let mut bounce = |mark| agent.bounced(Some(&view), Millis(1), mark, &segment(flow(1)));
+    assert_eq!(bounce(marks[0]), Bounce::Return(balancer_ip(1)));
+    assert_eq!(bounce(marks[1]), Bounce::Deny(balancer_ip(2)));
+    assert_eq!(bounce(marks[2]), Bounce::Return(balancer_ip(3)));
+
+    let mut restarted = Agent::new(ip(1), FEEDS, 8);
+    let step = restarted.bounced(Some(&view), Millis(1), marks[0], &segment(flow(1)));
+    assert_eq!(step, Bounce::Unknown, "an earlier process made this mark");
+}
+
+#[test]
+fn the_owner_says_so_once_the_server_has_answered() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    open(&mut agent, &view, 0, 1);
+    let mut seg = segment(flow(1));
+    seg.syn = true;
+    let told = agent.outbound(Some(&view), Millis(1), &seg);
+    assert_eq!(told, Some(balancer_ip(1)));
+    assert_eq!(agent.outbound(Some(&view), Millis(2), &seg), None);
+    // Another balancer asks about a flow that the agent knows.
+    let step = agent.inbound(
+        Some(&view),
+        Millis(3),
+        balancer_ip(2),
+        &carry(1),
+        Inquiry::OwnerOfCopy,
+        &segment(flow(1)),
+    );
+    assert!(matches!(step, Inbound::Pass { owned: true, .. }));
+}
--- /dev/null
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -0,0 +1,352 @@
+//! Decisions of one balancer.
+
+use std::net::Ipv4Addr;
+
+use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::DropReason;
+use ramp_coordination::passthrough::balancer::ResetReason;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::published::Change;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::RecordKey;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::published::ServerState;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_state::key::FlowKey;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+fn carried(step: &Step) -> (Ipv4Addr, Inquiry) {
+    match step {
+        Step::Carry { agent, inquiry, .. } => (*agent, *inquiry),
+        _ => panic!("not carried: {step:?}"),
+    }
+}
+
+fn asked(step: Step) -> Vec<Ipv4Addr> {
+    match step {
+        Step::Ask(agents) => agents,
+        _ => panic!("nobody was asked: {step:?}"),
+    }
+}
+
+fn reset_reason(step: &Step) -> Option<ResetReason> {
+    match step {
+        Step::Reset(reset) => Some(reset.reason),
+        _ => None,
+    }
+}
+
+/// Opens a flow and lets its agent confirm it; gives the owner.
+fn open(balancer: &mut Balancer, view: &View, key: FlowKey) -> Ipv4Addr {
+    let (agent, _) = carried(&balancer.arrival(view, Millis(0), &opening(key, 0)));
+    balancer.owned(Millis(1), agent, &frame(FrameKind::Owned, key));
+    agent
+}
+
+fn returned(
+    balancer: &mut Balancer,
+    view: &View,
+    now: u64,
+    from: Ipv4Addr,
+    refusal: Refusal,
+    seg: &ramp_protocol::packet::Segment,
+) -> Step {
+    let told = frame(FrameKind::Returned(refusal), seg.key);
+    balancer.returned(view, Millis(now), from, refusal, &told, seg)
+}
+
+fn denied(balancer: &mut Balancer, view: &View, now: u64, from: Ipv4Addr, key: FlowKey) -> Step {
+    balancer.denied(view, Millis(now), from, &frame(FrameKind::Denied, key))
+}
+
+#[test]
+fn an_open_flow_stays_with_its_owner_when_servers_come() {
+    let mut balancer = Balancer::new();
+    let before = view(&[1, 2, 3]);
+    let after = view(&[1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    for port in 1..200 {
+        let owner = open(&mut balancer, &before, flow(port));
+        let step = balancer.arrival(&after, Millis(10), &segment(flow(port)));
+        assert_eq!(carried(&step), (owner, Inquiry::None));
+    }
+}
+
+#[test]
+fn a_new_balancer_guesses_the_owner_of_most_flows() {
+    let view = view(&[1, 2, 3, 4, 5, 6, 7]);
+    let mut first = Balancer::new();
+    let mut second = Balancer::new();
+    for port in 1..200 {
+        let owner = open(&mut first, &view, flow(port));
+        let step = second.arrival(&view, Millis(10), &segment(flow(port)));
+        assert_eq!(carried(&step), (owner, Inquiry::Owner));
+    }
+}
+
+#[test]
+fn a_bounced_packet_goes_to_all_others_once() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let others = asked(returned(
+        &mut balancer,
+        &view,
+        1,
+        first,
+        Refusal::Bounced,
+        &seg,
+    ));
+    assert_eq!(others.len(), 2);
+    assert!(!others.contains(&first));
+    let again = balancer.arrival(&view, Millis(50), &seg);
+    assert_eq!(again, Step::Drop(DropReason::Asked));
+    assert_eq!(
+        asked(balancer.arrival(&view, Millis(250), &seg)).len(),
+        2,
+        "copies that were lost are sent again"
+    );
+}
+
+#[test]
+fn the_caller_is_reset_at_once_when_the_last_holder_denies() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let others = asked(returned(
+        &mut balancer,
+        &view,
+        1,
+        first,
+        Refusal::Bounced,
+        &seg,
+    ));
+    let step = denied(&mut balancer, &view, 2, others[0], flow(7));
+    assert_eq!(step, Step::Drop(DropReason::Asked));
+    let step = denied(&mut balancer, &view, 3, others[1], flow(7));
+    assert_eq!(reset_reason(&step), Some(ResetReason::Unowned));
+    let Step::Reset(reset) = step else {
+        unreachable!()
+    };
+    assert_eq!(reset.seq, seg.ack, "the caller expects this number");
+}
+
+#[test]
+fn no_reset_while_one_holder_is_silent() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let others = asked(returned(
+        &mut balancer,
+        &view,
+        1,
+        first,
+        Refusal::Bounced,
+        &seg,
+    ));
+    denied(&mut balancer, &view, 2, others[0], flow(7));
+    for now in (0..20).map(|turn| 200 + turn * 200) {
+        let step = balancer.arrival(&view, Millis(now), &seg);
+        assert_eq!(asked(step), vec![others[1]]);
+    }
+}
+
+#[test]
+fn no_reset_by_a_view_that_an_agent_shows_to_be_old() {
+    let view = view(&[1]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let mut told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    told.revision = 101;
+    let step = balancer.returned(&view, Millis(1), first, Refusal::Bounced, &told, &seg);
+    assert_eq!(step, Step::Drop(DropReason::Unsettled));
+    assert_eq!(balancer.newest_heard(), Revision(101));
+
+    // The newer view shows a server that may have the flow.
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(2), written(101, record(2, FEEDS)));
+    let newer = catalog.view(Millis(2)).unwrap();
+    assert!(balancer.concluded(&newer, Millis(2)).is_empty());
+    assert_eq!(
+        asked(balancer.arrival(&newer, Millis(200), &seg)),
+        vec![ip(2)]
+    );
+}
+
+#[test]
+fn a_newer_view_without_the_last_holder_ends_the_search() {
+    let mut catalog = catalog(&[1, 2]);
+    let old = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (first, _) = carried(&balancer.arrival(&old, Millis(0), &seg));
+    let others = asked(returned(
+        &mut balancer,
+        &old,
+        1,
+        first,
+        Refusal::Bounced,
+        &seg,
+    ));
+    let gone = if others == [ip(1)] { 1 } else { 2 };
+    catalog.apply(
+        Millis(10),
+        changes(101, vec![Change::Removed(RecordKey::Server(id(gone)))]),
+    );
+    let soon = catalog.view(Millis(10)).unwrap();
+    assert!(
+        balancer.concluded(&soon, Millis(10)).is_empty(),
+        "a lapsed server may come back"
+    );
+    let later = catalog.view(Millis(3000)).unwrap();
+    assert_eq!(balancer.concluded(&later, Millis(3000)).len(), 1);
+}
+
+#[test]
+fn an_opening_packet_goes_to_no_server_that_should_not_have_it() {
+    let mut catalog = catalog(&[1, 2, 3, 4, 5, 6]);
+    let mut draining = server(2, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(1), written(101, Record::Server(id(2), draining)));
+    catalog.apply(Millis(1), written(102, Record::Evacuation(EAST)));
+    catalog.apply(Millis(1), written(103, record(8, UPLOADS)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut balancer = Balancer::new();
+    for port in 1..300 {
+        let step = balancer.arrival(&view, Millis(2), &opening(flow(port), 0));
+        let (agent, _) = carried(&step);
+        assert!([ip(4), ip(6)].contains(&agent), "{agent}");
+    }
+}
+
+#[test]
+fn an_opening_packet_that_nobody_may_take_is_reset_at_once() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Evacuation(EAST)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut balancer = Balancer::new();
+    let step = balancer.arrival(&view, Millis(2), &opening(flow(1), 0));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoMember));
+    let mut unknown = flow(2);
+    unknown.service.set_port(1);
+    let step = balancer.arrival(&view, Millis(2), &opening(unknown, 0));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoRoute));
+}
+
+#[test]
+fn a_refused_opening_is_tried_at_each_member_once() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    let seg = opening(flow(9), 0);
+    let mut step = balancer.arrival(&view, Millis(0), &seg);
+    let mut tried = Vec::new();
+    while let Step::Carry { agent, .. } = step {
+        assert!(!tried.contains(&agent));
+        tried.push(agent);
+        step = returned(&mut balancer, &view, 1, agent, Refusal::Cold, &seg);
+    }
+    assert_eq!(tried.len(), 4);
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoMember));
+}
+
+#[test]
+fn a_copy_of_an_unconfirmed_opening_goes_to_another_server() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &opening(flow(9), 0)));
+    let (second, _) = carried(&balancer.arrival(&view, Millis(200), &opening(flow(9), 1)));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_copy_of_a_confirmed_opening_goes_to_the_same_server() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &view, flow(9));
+    let step = balancer.arrival(&view, Millis(200), &opening(flow(9), 1));
+    assert_eq!(carried(&step).0, owner);
+}
+
+#[test]
+fn a_dropped_route_ends_its_flows_and_others_stay() {
+    let mut catalog = catalog(&[1, 2, 3]);
+    let before = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &before, flow(9));
+    let mut next = configuration(2);
+    next.routes.swap_remove(1);
+    catalog.apply(Millis(5), written(101, Record::Configuration(next)));
+    let after = catalog.view(Millis(5)).unwrap();
+    let step = balancer.arrival(&after, Millis(6), &segment(flow(9)));
+    assert_eq!(carried(&step).0, owner);
+    let mut dropped = flow(10);
+    dropped.service = uploads_address();
+    let step = balancer.arrival(&after, Millis(6), &segment(dropped));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoRoute));
+}
+
+#[test]
+fn a_flow_stays_open_when_its_route_goes_to_another_service() {
+    let mut catalog = catalog(&[1, 2, 3]);
+    catalog.apply(Millis(0), written(101, record(8, UPLOADS)));
+    let before = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &before, flow(9));
+    let mut next = configuration(2);
+    next.routes[0].shares[0].service = UPLOADS;
+    catalog.apply(Millis(5), written(102, Record::Configuration(next)));
+    let after = catalog.view(Millis(5)).unwrap();
+    let step = balancer.arrival(&after, Millis(6), &segment(flow(9)));
+    assert_eq!(carried(&step).0, owner);
+
+    // A balancer that never saw it asks the servers of all services.
+    let mut fresh = Balancer::new();
+    let (guess, _) = carried(&fresh.arrival(&after, Millis(6), &segment(flow(9))));
+    assert_eq!(guess, ip(8));
+    let step = returned(
+        &mut fresh,
+        &after,
+        7,
+        guess,
+        Refusal::Bounced,
+        &segment(flow(9)),
+    );
+    assert!(asked(step).contains(&owner));
+}
+
+#[test]
+fn forged_and_ending_packets_are_never_answered() {
+    let view = view(&[1]);
+    let mut balancer = Balancer::new();
+    let mut forged = segment(flow(1));
+    forged.syn = true;
+    let step = balancer.arrival(&view, Millis(0), &forged);
+    assert_eq!(step, Step::Drop(DropReason::Forged));
+    let mut reset = segment(flow(1));
+    reset.rst = true;
+    reset.key.service.set_port(1);
+    let step = balancer.arrival(&view, Millis(0), &reset);
+    assert_eq!(step, Step::Drop(DropReason::AlreadyEnded));
+}
+
+#[test]
+fn what_is_remembered_stays_bounded() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    for turn in 0..200_000u32 {
+        // 2,000 new flows a second, each silent after its first packet.
+        let mut key = flow(turn as u16);
+        key.caller.set_ip(Ipv4Addr::from(turn >> 16));
+        balancer.arrival(&view, Millis(u64::from(turn) / 2), &opening(key, 0));
+    }
+    let kept_s = 15;
+    assert!(balancer.flow_count() < 2_000 * kept_s * 2);
+}
--- /dev/null
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -0,0 +1,143 @@
+//! What one process knows of the platform.
+
+use std::time::Duration;
+
+use ramp_coordination::passthrough::published::Change;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::RecordKey;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+#[test]
+fn the_version_never_falls() {
+    let mut catalog = catalog(&[1]);
+    let newer = Record::Configuration(configuration(5));
+    catalog.apply(Millis(1), written(101, newer));
+    let older = Record::Configuration(configuration(4));
+    catalog.apply(Millis(2), written(102, older));
+    catalog.replace(Millis(3), listing(&[1]));
+    assert_eq!(catalog.view(Millis(3)).unwrap().version, Version(5));
+}
+
+#[test]
+fn a_listing_from_the_past_changes_nothing() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(200, record(2, FEEDS)));
+    catalog.replace(Millis(2), listing(&[1]));
+    assert_eq!(catalog.view(Millis(2)).unwrap().members().len(), 2);
+    assert_eq!(catalog.cursor(), Revision(200));
+}
+
+#[test]
+fn a_removed_configuration_stays_in_force() {
+    let mut catalog = catalog(&[1]);
+    let removed = Change::Removed(RecordKey::Configuration);
+    catalog.apply(Millis(1), changes(101, vec![removed]));
+    assert!(catalog.view(Millis(1)).is_some());
+}
+
+#[test]
+fn the_youngest_server_has_the_address() {
+    let mut catalog = catalog(&[1]);
+    let mut young = server(1, UPLOADS);
+    young.born_ms = 500;
+    catalog.apply(Millis(1), written(101, Record::Server(id(77), young)));
+    let view = catalog.view(Millis(1)).unwrap();
+    assert_eq!(view.members().len(), 1);
+    assert_eq!(view.member(ip(1)).unwrap().service, UPLOADS);
+}
+
+#[test]
+fn a_lapsed_server_may_return_before_it_counts_as_gone() {
+    let mut catalog = catalog(&[1, 2]);
+    let lapsed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(1000), changes(101, vec![lapsed]));
+    let view = catalog.view(Millis(1000)).unwrap();
+    assert!(!view.is_gone(ip(2), Millis(3000)));
+    assert!(view.holders().any(|h| h == ip(2)));
+    assert!(view.is_gone(ip(2), Millis(3500)));
+    assert!(!view.is_gone(ip(1), Millis(3500)));
+}
+
+#[test]
+fn nobody_is_gone_while_the_platform_is_away_and_shortly_after() {
+    let mut catalog = catalog(&[1, 2]);
+    catalog.platform_failed();
+    let away = catalog.view(Millis(1000)).unwrap();
+    assert!(!away.is_gone(ip(9), Millis(60_000)));
+    catalog.replace(Millis(10_000), listing(&[1]));
+    let back = catalog.view(Millis(10_000)).unwrap();
+    assert!(!back.is_gone(ip(2), Millis(12_000)));
+    assert!(!back.is_gone(ip(9), Millis(12_000)));
+    assert!(back.is_gone(ip(2), Millis(12_600)));
+}
+
+#[test]
+fn a_start_while_the_platform_fails_waits_for_lapsed_servers() {
+    let mut late = ramp_coordination::passthrough::catalog::Catalog::new();
+    late.platform_failed();
+    late.replace(Millis(500), listing(&[1]));
+    let view = late.view(Millis(500)).unwrap();
+    assert!(!view.is_settled(Millis(2_000)));
+    assert!(view.is_settled(Millis(3_000)));
+    assert!(catalog(&[1]).view(Millis(0)).unwrap().is_settled(Millis(0)));
+}
+
+#[test]
+fn an_unchanged_record_does_not_make_a_server_cold_again() {
+    let mut cold = server(1, FEEDS);
+    cold.cold_for = Duration::from_secs(2);
+    let mut catalog = catalog(&[]);
+    let listed = Record::Server(id(1), cold);
+    catalog.apply(Millis(0), written(101, listed.clone()));
+    let mut again = listing(&[]);
+    again.cursor = Revision(102);
+    again.records.push(listed);
+    catalog.replace(Millis(1500), again);
+    let view = catalog.view(Millis(1500)).unwrap();
+    assert!(view.member(ip(1)).unwrap().is_cold(Millis(1900)));
+    assert!(!view.member(ip(1)).unwrap().is_cold(Millis(2100)));
+}
+
+#[test]
+fn a_follower_learns_the_same() {
+    let mut first = catalog(&[1, 2, 3]);
+    let mut cold = server(2, FEEDS);
+    cold.cold_for = Duration::from_secs(2);
+    first.apply(Millis(1000), written(101, Record::Server(id(2), cold)));
+    first.apply(Millis(1000), written(102, Record::Evacuation(EAST)));
+    let mut second = ramp_coordination::passthrough::catalog::Catalog::new();
+    second.replace(Millis(7), first.listing(Millis(2000)));
+    let told = second.view(Millis(7)).unwrap();
+    let own = first.view(Millis(2000)).unwrap();
+    assert_eq!(second.cursor(), first.cursor());
+    assert_eq!(told.newest, own.newest);
+    assert!(told.member(ip(1)).unwrap().evacuated);
+    assert_eq!(
+        told.member(ip(2)).unwrap().cold_until,
+        Millis(1007),
+        "one of two seconds is left"
+    );
+}
+
+#[test]
+fn weights_part_the_new_flows() {
+    let mut next = configuration(2);
+    next.routes[0].shares[0].weight = 90;
+    next.routes[0]
+        .shares
+        .push(ramp_coordination::passthrough::published::Share {
+            service: UPLOADS,
+            weight: 10,
+        });
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Configuration(next)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let route = view.route(feeds_address()).unwrap();
+    let uploads = (1..10_000).filter(|port| route.service_of(&flow(*port)) == Some(UPLOADS));
+    let uploads = uploads.count();
+    assert!((800..1200).contains(&uploads), "{uploads}");
+}
--- /dev/null
+++ b/crates/coordination/tests/passthrough/choice.rs
@@ -0,0 +1,86 @@
+//! Where new flows go when servers are busy: a burst after everything was
+//! lost, when all callers open at once.
+
+use std::net::Ipv4Addr;
+
+use indexmap::IndexMap;
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Refusal;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+const SERVERS: [u8; 7] = [1, 2, 3, 4, 5, 6, 7];
+
+/// Opens `count` flows at once and gives how many each server took.
+fn burst(count: u16) -> IndexMap<Ipv4Addr, usize> {
+    let view = view(&SERVERS);
+    let mut balancer = Balancer::new();
+    let mut agents: IndexMap<Ipv4Addr, Agent> = SERVERS
+        .iter()
+        .map(|last| (ip(*last), Agent::new(ip(*last), FEEDS, 1)))
+        .collect();
+    let mut taken = IndexMap::new();
+    for port in 1..=count {
+        let seg = opening(flow(port), 0);
+        let mut step = balancer.arrival(&view, Millis(0), &seg);
+        while let Step::Carry { agent, inquiry, .. } = step {
+            let beside = &mut agents[&agent];
+            let carry = frame(FrameKind::Carry(inquiry), flow(port));
+            let from = balancer_ip(1);
+            match beside.inbound(Some(&view), Millis(0), from, &carry, inquiry, &seg) {
+                Inbound::Pass { .. } => {
+                    *taken.entry(agent).or_insert(0) += 1;
+                    let owned = told(FrameKind::Owned, port, beside);
+                    balancer.owned(Millis(0), agent, &owned);
+                    break;
+                }
+                Inbound::Refuse(refusal) => {
+                    assert_eq!(refusal, Refusal::Busy);
+                    let back = told(FrameKind::Returned(refusal), port, beside);
+                    step = balancer.returned(&view, Millis(0), agent, refusal, &back, &seg);
+                }
+            }
+        }
+    }
+    taken
+}
+
+fn told(kind: FrameKind, port: u16, agent: &Agent) -> Frame {
+    Frame {
+        in_progress: agent.in_progress(),
+        ..frame(kind, flow(port))
+    }
+}
+
+#[test]
+fn a_burst_fills_every_server_before_it_queues_at_one() {
+    let taken = burst(28);
+    assert_eq!(taken.values().sum::<usize>(), 28);
+    assert_eq!(taken.values().max(), Some(&4), "{taken:?}");
+}
+
+#[test]
+fn a_burst_beyond_all_slots_is_spread_evenly() {
+    let taken = burst(140);
+    assert_eq!(taken.values().sum::<usize>(), 140);
+    let most = *taken.values().max().unwrap() as f64;
+    assert!(most / 20.0 <= 1.07, "{taken:?}");
+}
+
+#[test]
+fn without_load_each_flow_goes_to_its_home() {
+    let view = view(&SERVERS);
+    let homes = |balancer: &mut Balancer| -> Vec<Step> {
+        let flows = 1..200;
+        flows
+            .map(|port| balancer.arrival(&view, Millis(0), &opening(flow(port), 0)))
+            .collect()
+    };
+    assert_eq!(homes(&mut Balancer::new()), homes(&mut Balancer::new()));
+}
--- /dev/null
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -0,0 +1,10 @@
+//! Packets that pass through: the rules of the data path and the
+//! configuration's way, without sockets.
+
+mod agent;
+mod balancer;
+mod catalog;
+mod choice;
+mod feeds;
+mod fixture;
+mod simulation;
