Log decisions on flows and changes of belief; serve metrics

Cause: a failed request could not be traced from logs, and the way to metrics cost 0.2 s of each start: the exporter calibrates a clock (an agent was ready 232 ms after its start in place of 22 ms).

Change: lines with fields on standard output by a bounded queue to one writer, with a limit for each kind and a count of what was left out; requests are named where something went wrong. Metrics by the registry and histograms of well-kept crates, without the exporter, on the platform and off it.

--- a/bramleyramp/src/cmd/agent.rs
+++ b/bramleyramp/src/cmd/agent.rs
@@ -17,7 +17,7 @@
 
 Usage:
     bramleyramp agent --settings FILE [--log LEVEL]
-    bramleyramp agent --on-platform [--log LEVEL]
+    bramleyramp agent --on-platform [--metrics-port PORT] [--log LEVEL]
 
 Exit code: 0 after an orderly end, 2 with faults in the settings.
 
@@ -25,6 +25,8 @@
     --settings FILE  Settings of the process (INI); see docs/CONFIGURATION.md.
     --on-platform    Take settings and configuration from the users' platform
                      and pass packets through; see docs/PLATFORM.md.
+    --metrics-port PORT
+                     Serve metrics on this port of the machine.
     --log LEVEL      error, warn, info (default), debug or trace.
     -h, --help       Show this text.
 ";
--- a/bramleyramp/src/daemon.rs
+++ b/bramleyramp/src/daemon.rs
@@ -2,6 +2,7 @@
 //! users' platform, and logs.
 
 use std::fs;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -13,6 +14,7 @@
 use ramp_state::settings::Settings;
 use ramp_transport::daemon::DaemonError;
 use ramp_transport::logging;
+use ramp_transport::logging::Stream;
 use ramp_transport::passthrough::place::Place;
 
 use crate::error::CliError;
@@ -30,6 +32,8 @@
 struct Args {
     origin: Origin,
     log: LevelFilter,
+    /// Port of the metrics on the users' platform, whose settings have none.
+    metrics_port: Option<u16>,
 }
 
 /// What runs a daemon, by where its settings come from.
@@ -53,13 +57,17 @@
             (bodies.own)(settings)
         }
         Origin::Platform => {
-            let place = settings::load().map_err(|err| CliError::Input(err.to_string()))?;
+            let mut place = settings::load().map_err(|err| CliError::Input(err.to_string()))?;
+            place.metrics = args
+                .metrics_port
+                .map(|port| SocketAddrV4::new(place.ip, port));
             start_logs(&place.name, args.log)?;
             log::info!("started");
             let store = Store::new(place.platform);
             (bodies.on_platform)(place, store)
         }
     };
+    logging::flush();
     ended.map_err(|err| CliError::Other(err.to_string()))?;
     Ok(ExitCode::SUCCESS)
 }
@@ -72,7 +80,7 @@
 }
 
 fn start_logs(instance: &str, level: LevelFilter) -> CliResult<()> {
-    logging::start(instance, level).map_err(|err| CliError::Other(err.to_string()))
+    logging::start(instance, level, Stream::Output).map_err(|err| CliError::Other(err.to_string()))
 }
 
 fn parse(mut args: lexopt::Parser, usage: &str) -> CliResult<Option<Args>> {
@@ -80,11 +88,13 @@
 
     let mut origin = None;
     let mut log = LevelFilter::Info;
+    let mut metrics_port = None;
     while let Some(arg) = args.next()? {
         match arg {
             Long("settings") => {
                 origin = Some(Origin::File(PathBuf::from(args.value()?)));
             }
+            Long("metrics-port") => metrics_port = Some(args.value()?.parse()?),
             Long("on-platform") => origin = Some(Origin::Platform),
             Long("log") => log = args.value()?.parse()?,
             Long("help") | Short('h') => return Ok(None),
@@ -94,5 +104,9 @@
     let Some(origin) = origin else {
         return Err(CliError::Usage(usage.to_string()));
     };
-    Ok(Some(Args { origin, log }))
+    Ok(Some(Args {
+        origin,
+        log,
+        metrics_port,
+    }))
 }
--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ramp_protocol::format::RequestId;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::hop::Refusal;
@@ -37,7 +38,7 @@
 const FLOW_KEPT: Duration = Duration::from_secs(30);
 
 /// Silence after which a request no longer counts as in progress.
-const REQUEST_LIMIT: Duration = Duration::from_secs(3);
+const REQUEST_LIMIT: Duration = Duration::from_secs(2);
 
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
@@ -67,6 +68,26 @@
     Unknown,
 }
 
+/// What came of a packet that the server sent to a caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outbound {
+    /// Balancer that waits to hear that the server has the flow.
+    pub tell: Option<Ipv4Addr>,
+    /// Since the request came whose answer begins here.
+    pub answered_after: Option<Duration>,
+    /// Whether the server reset the flow.
+    pub reset: bool,
+}
+
+/// A request that the server has not answered for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unanswered {
+    /// Its flow.
+    pub flow: FlowKey,
+    /// Its id, where a packet has shown it.
+    pub request: Option<RequestId>,
+}
+
 /// A flow at the server.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
@@ -74,8 +95,10 @@
     asked_by: Option<Ipv4Addr>,
     /// Whether the server has sent something on it.
     open: bool,
-    /// Whether a request is in progress, or about to come.
-    busy: bool,
+    /// Since when a request is in progress, or about to come.
+    busy_since: Option<Millis>,
+    /// The request in progress, where a packet has shown its id.
+    request: Option<RequestId>,
     /// Sequence number behind the newest data of the caller.
     next_seq: u32,
     seen_at: Millis,
@@ -96,6 +119,7 @@
     tried_at: Millis,
     cold_until: Millis,
     swept: Sweep,
+    unanswered: Vec<Unanswered>,
 }
 
 impl Flow {
@@ -132,6 +156,7 @@
             tried_at: Millis(0),
             cold_until: Millis(0),
             swept: Sweep::default(),
+            unanswered: Vec::new(),
         }
     }
 
@@ -171,7 +196,8 @@
         let flow = self.flows.entry(seg.key).or_insert(Flow {
             asked_by: None,
             open: false,
-            busy: false,
+            busy_since: None,
+            request: None,
             next_seq: seg.seq,
             seen_at: now,
         });
@@ -180,41 +206,65 @@
         if asked && !owned {
             flow.asked_by = Some(from);
         }
-        if flow.begins_request(seg) && !flow.busy {
-            flow.busy = true;
+        if flow.begins_request(seg) && flow.busy_since.is_none() {
+            flow.busy_since = Some(now);
             self.busy = self.busy.saturating_add(1);
         }
         let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
         Inbound::Pass { mark, owned }
     }
 
-    /// A packet that the server sent to a caller. Gives the balancer that
-    /// waits to hear that the server has the flow.
-    pub fn outbound(
-        &mut self,
-        view: Option<&View>,
-        now: Millis,
-        seg: &Segment,
-    ) -> Option<Ipv4Addr> {
+    /// Takes note of the id that a packet of a flow has shown.
+    pub fn note_request(&mut self, flow: &FlowKey, request: RequestId) {
+        if let Some(flow) = self.flows.get_mut(flow) {
+            flow.request = Some(request);
+        }
+    }
+
+    /// Id of the last request of a flow, where a packet has shown it.
+    pub fn request_of(&self, flow: &FlowKey) -> Option<RequestId> {
+        self.flows.get(flow)?.request
+    }
+
+    /// Requests that were found unanswered since the last call.
+    pub fn take_unanswered(&mut self) -> Vec<Unanswered> {
+        std::mem::take(&mut self.unanswered)
+    }
+
+    /// A packet that the server sent to a caller.
+    pub fn outbound(&mut self, view: Option<&View>, now: Millis, seg: &Segment) -> Outbound {
         self.answered(view, now);
         if seg.rst {
             self.forget(&seg.key);
-            return None;
+            return Outbound {
+                reset: true,
+                ..Outbound::default()
+            };
         }
         let flow = self.flows.entry(seg.key).or_insert(Flow {
             asked_by: None,
             open: true,
-            busy: false,
+            busy_since: None,
+            request: None,
             next_seq: seg.ack,
             seen_at: now,
         });
         flow.seen_at = now;
         flow.open = true;
-        if (seg.len > 0 || seg.fin) && flow.busy {
-            flow.busy = false;
-            self.busy = self.busy.saturating_sub(1);
+        let tell = flow.asked_by.take();
+        if seg.len == 0 && !seg.fin {
+            return Outbound {
+                tell,
+                ..Outbound::default()
+            };
+        }
+        let since = flow.busy_since.take();
+        self.busy = self.busy.saturating_sub(u16::from(since.is_some()));
+        Outbound {
+            tell,
+            answered_after: since.map(|at| now.since(at)),
+            reset: false,
         }
-        flow.asked_by.take()
     }
 
     /// A packet that the server does not take.
@@ -324,19 +374,26 @@
 
     fn forget(&mut self, key: &FlowKey) {
         if let Some(flow) = self.flows.swap_remove(key) {
-            self.busy = self.busy.saturating_sub(u16::from(flow.busy));
+            self.busy = self
+                .busy
+                .saturating_sub(u16::from(flow.busy_since.is_some()));
         }
     }
 
     fn sweep(&mut self, now: Millis) {
-        let busy = &mut self.busy;
-        self.swept.forget(&mut self.flows, SWEEP_FLOWS, |flow| {
-            let silence = now.since(flow.seen_at);
-            if flow.busy && silence > REQUEST_LIMIT {
-                flow.busy = false;
-                *busy = busy.saturating_sub(1);
-            }
-            silence > FLOW_KEPT
-        });
+        let (busy, unanswered) = (&mut self.busy, &mut self.unanswered);
+        self.swept
+            .forget(&mut self.flows, SWEEP_FLOWS, |key, flow| {
+                let silence = now.since(flow.seen_at);
+                if flow.busy_since.is_some() && silence > REQUEST_LIMIT {
+                    flow.busy_since = None;
+                    unanswered.push(Unanswered {
+                        flow: *key,
+                        request: flow.request,
+                    });
+                    *busy = busy.saturating_sub(1);
+                }
+                silence > FLOW_KEPT
+            });
     }
 }
--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -100,6 +100,20 @@
     Forged,
 }
 
+/// What an agent's word that its server has a flow has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// A new flow is open, so long after it was placed.
+    Confirmed {
+        /// Since it was placed.
+        after: Duration,
+    },
+    /// The owner of a flow that was asked for.
+    Found,
+    /// Nothing new.
+    Known,
+}
+
 /// A flow that came through here.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
@@ -231,11 +245,11 @@
     }
 
     /// An agent's server has the flow.
-    pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+    pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> Learned {
         self.hear(now, from, frame);
         self.placings.swap_remove(&frame.flow);
-        self.searches.swap_remove(&frame.flow);
-        self.flows.insert(
+        let searched = self.searches.swap_remove(&frame.flow).is_some();
+        let before = self.flows.insert(
             frame.flow,
             Flow {
                 agent: from,
@@ -246,6 +260,13 @@
                 finished: false,
             },
         );
+        match before {
+            _ if searched => Learned::Found,
+            Some(flow) if !flow.confirmed && flow.agent == from => Learned::Confirmed {
+                after: now.since(flow.sent_at),
+            },
+            _ => Learned::Known,
+        }
     }
 
     /// Callers whose flows a new view shows to be owned by nobody.
@@ -447,7 +468,7 @@
     /// Forgets a few old flows and searches.
     fn sweep(&mut self, view: &View, now: Millis) {
         self.swept_flows
-            .forget(&mut self.flows, SWEEP_FLOWS, |flow| {
+            .forget(&mut self.flows, SWEEP_FLOWS, |_, flow| {
                 let kept = if flow.finished {
                     FINISHED_KEPT
                 } else {
@@ -456,11 +477,11 @@
                 now.since(flow.seen_at) > kept
             });
         self.swept_searches
-            .forget(&mut self.searches, SWEEP_FLOWS, |search| {
+            .forget(&mut self.searches, SWEEP_FLOWS, |_, search| {
                 now.since(search.seen_at) > SEARCH_KEPT
             });
         self.swept_placings
-            .forget(&mut self.placings, SWEEP_FLOWS, |placing| {
+            .forget(&mut self.placings, SWEEP_FLOWS, |_, placing| {
                 now.since(placing.seen_at) > SEARCH_KEPT
             });
     }
--- a/crates/coordination/src/passthrough/sweep.rs
+++ b/crates/coordination/src/passthrough/sweep.rs
@@ -16,16 +16,16 @@
         &mut self,
         table: &mut IndexMap<FlowKey, T>,
         entries: usize,
-        mut is_old: impl FnMut(&mut T) -> bool,
+        mut is_old: impl FnMut(&FlowKey, &mut T) -> bool,
     ) {
         for _ in 0..entries.min(table.len()) {
             if self.at >= table.len() {
                 self.at = 0;
             }
-            let Some((_, entry)) = table.get_index_mut(self.at) else {
+            let Some((key, entry)) = table.get_index_mut(self.at) else {
                 return;
             };
-            if is_old(entry) {
+            if is_old(key, entry) {
                 // The last entry takes its place and is looked at next.
                 table.swap_remove_index(self.at);
             } else {
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -129,6 +129,11 @@
         self.routes.get(&address)
     }
 
+    /// Routes of the configuration.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+
     /// Whether the route of an address sends anything to `service`.
     pub fn sends_to(&self, address: SocketAddrV4, service: ServiceId) -> bool {
         let named = |route: &Route| route.shares.iter().any(|s| s.service == service);
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -306,8 +306,8 @@
     let mut seg = segment(flow(1));
     seg.syn = true;
     let told = agent.outbound(Some(&view), Millis(1), &seg);
-    assert_eq!(told, Some(balancer_ip(1)));
-    assert_eq!(agent.outbound(Some(&view), Millis(2), &seg), None);
+    assert_eq!(told.tell, Some(balancer_ip(1)));
+    assert_eq!(agent.outbound(Some(&view), Millis(2), &seg).tell, None);
     // Another balancer asks about a flow that the agent knows.
     let step = agent.inbound(
         Some(&view),
--- a/crates/coordination/tests/passthrough/simulation.rs
+++ b/crates/coordination/tests/passthrough/simulation.rs
@@ -272,7 +272,10 @@
         let now = Millis(self.now);
         let balancer = &mut self.balancers[to];
         let step = match frame.kind {
-            FrameKind::Owned => return balancer.owned(now, from, frame),
+            FrameKind::Owned => {
+                balancer.owned(now, from, frame);
+                return;
+            }
             FrameKind::Denied => balancer.denied(&self.views[&to], now, from, frame),
             FrameKind::Returned(refusal) => {
                 balancer.returned(&self.views[&to], now, from, refusal, frame, seg)
@@ -399,7 +402,8 @@
         let mut answer = *seg;
         answer.syn = seg.opens;
         answer.opens = false;
-        if let Some(to) = server.agent.outbound(Some(view), now, &answer) {
+        let outbound = server.agent.outbound(Some(view), now, &answer);
+        if let Some(to) = outbound.tell {
             self.tell(at, usize::from(to.octets()[3]), FrameKind::Owned, seg);
         }
         self.caller_is_answered(at, seg);
--- a/crates/transport/src/daemon.rs
+++ b/crates/transport/src/daemon.rs
@@ -10,9 +10,9 @@
 use std::rc::Rc;
 use std::thread;
 
+use ::metrics::SetRecorderError;
 use flume::Receiver;
 use flume::Sender;
-use metrics_exporter_prometheus::BuildError;
 use quick_error::quick_error;
 use ramp_protocol::seal::FleetKey;
 use ramp_state::key::Incarnation;
@@ -37,7 +37,9 @@
 use crate::control::core::Core;
 use crate::control::role::Role;
 use crate::control::socket::ControlSocket;
-use crate::metrics_http;
+use crate::logging;
+use crate::metrics;
+use crate::metrics::Metrics;
 use crate::requests::RequestConfig;
 use crate::requests::RequestContext;
 use crate::requests::serve_peers;
@@ -52,7 +54,7 @@
             display("{address} can't be bound: {err}")
         }
         /// Metrics can't be counted.
-        Metrics(err: BuildError) {
+        Metrics(err: SetRecorderError<Metrics>) {
             display("metrics can't be counted: {err}")
             from()
         }
@@ -182,9 +184,9 @@
 ) -> Result<(), DaemonError> {
     let me = InstanceId::of(&settings.name);
     let key = FleetKey::new(settings.key);
-    let metrics = metrics_http::install()?;
+    let counted = metrics::install()?;
     let metrics_listener = listen(settings.metrics).await?;
-    spawn_local(metrics_http::serve(metrics_listener, metrics));
+    spawn_local(metrics::http::serve(metrics_listener, counted));
     let control = Control {
         clock,
         socket: ControlSocket::bind(settings.control, key, me, incarnation)
@@ -228,6 +230,7 @@
         .spawn(move || {
             if let Err(err) = body() {
                 log::error!("traffic thread failed: {err}");
+                logging::flush();
                 std::process::exit(1);
             }
         })?;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod control;
 pub mod daemon;
 pub mod logging;
-pub mod metrics_http;
+pub mod metrics;
 pub mod operator;
 pub mod passthrough;
 pub mod platform;
--- a/crates/transport/src/metrics_http.rs
+++ b/crates/transport/src/metrics/http.rs
@@ -9,36 +9,26 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics_exporter_prometheus::BuildError;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
+use super::Metrics;
+
 /// Content type of the text form.
 const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
 
-/// Makes the process count its metrics.
-///
-/// # Errors
-///
-/// Metrics were set up before.
-pub fn install() -> Result<PrometheusHandle, BuildError> {
-    PrometheusBuilder::new().install_recorder()
-}
-
 /// Answers every request with the metrics. Must run inside a `LocalSet`.
 ///
 /// # Errors
 ///
 /// The listener failed.
-pub async fn serve(listener: TcpListener, handle: PrometheusHandle) -> io::Result<()> {
+pub async fn serve(listener: TcpListener, metrics: Metrics) -> io::Result<()> {
     loop {
         let (stream, _) = listener.accept().await?;
-        let handle = handle.clone();
+        let metrics = metrics.clone();
         spawn_local(async move {
             let service = service_fn(move |_: hyper::Request<Incoming>| {
-                let text = handle.render();
+                let text = metrics.render();
                 async move { Ok::<_, Infallible>(answer(text)) }
             });
             // A reader that goes away early loses only its own answer.
--- /dev/null
+++ b/crates/transport/src/metrics/mod.rs
@@ -0,0 +1,70 @@
+//! Metrics of the process: counted through the `metrics` facade, served as
+//! text.
+//!
+//! Starting costs almost nothing, which matters after a loss of power: no
+//! clock is calibrated and nothing runs in the background.
+
+pub mod http;
+mod storage;
+mod text;
+
+use std::sync::Arc;
+
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::Key;
+use metrics::KeyName;
+use metrics::Metadata;
+use metrics::Recorder;
+use metrics::SetRecorderError;
+use metrics::SharedString;
+use metrics::Unit;
+use metrics_util::registry::Registry;
+
+use storage::Storage;
+
+/// All metrics of the process.
+#[derive(Clone)]
+pub struct Metrics(Arc<Registry<Key, Storage>>);
+
+/// Makes the process count its metrics.
+///
+/// # Errors
+///
+/// Metrics were set up before.
+pub fn install() -> Result<Metrics, SetRecorderError<Metrics>> {
+    let metrics = Metrics(Arc::new(Registry::new(Storage)));
+    metrics::set_global_recorder(metrics.clone())?;
+    Ok(metrics)
+}
+
+impl Metrics {
+    /// All metrics in the text form of Prometheus.
+    pub fn render(&self) -> String {
+        text::render(&self.0)
+    }
+}
+
+impl Recorder for Metrics {
+    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
+        self.0
+            .get_or_create_counter(key, |c| Counter::from_arc(Arc::clone(c)))
+    }
+
+    fn register_gauge(&self, key: &Key, _: &Metadata<'_>) -> Gauge {
+        self.0
+            .get_or_create_gauge(key, |g| Gauge::from_arc(Arc::clone(g)))
+    }
+
+    fn register_histogram(&self, key: &Key, _: &Metadata<'_>) -> Histogram {
+        self.0
+            .get_or_create_histogram(key, |h| Histogram::from_arc(Arc::clone(h)))
+    }
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -0,0 +1,137 @@
+//! Account of an agent's traffic thread.
+
+use std::fmt::Display;
+use std::io;
+use std::net::Ipv4Addr;
+
+use metrics::Counter;
+use metrics::Histogram;
+use metrics::counter;
+use metrics::histogram;
+use ramp_coordination::passthrough::agent::Outbound;
+use ramp_coordination::passthrough::agent::Unanswered;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::format::RequestId;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Refusal;
+use ramp_state::key::FlowKey;
+
+use super::refusal_name;
+
+/// Counters of one agent, and its log lines.
+pub struct Account {
+    passed: Counter,
+    unreadable: Counter,
+    bounced: Counter,
+    delivered: Counter,
+    send_failed: Counter,
+    answer_s: Histogram,
+}
+
+impl Account {
+    /// Account with nothing in it.
+    pub fn new() -> Account {
+        Account {
+            passed: counter!("passthrough_agent_passed_total"),
+            unreadable: counter!("passthrough_agent_unreadable_total"),
+            bounced: counter!("passthrough_agent_bounced_total"),
+            delivered: counter!("passthrough_agent_delivered_total"),
+            send_failed: counter!("passthrough_agent_send_failed_total"),
+            answer_s: histogram!("passthrough_agent_answer_seconds"),
+        }
+    }
+
+    /// A datagram is no packet or frame.
+    pub fn unreadable(&self) {
+        self.unreadable.increment(1);
+    }
+
+    /// A packet went to the server.
+    pub fn passed(&self) {
+        self.passed.increment(1);
+    }
+
+    /// A request got no answer for long.
+    pub fn unanswered(&self, unanswered: &Unanswered) {
+        log::warn!(
+            caller:% = unanswered.flow.caller,
+            address:% = unanswered.flow.service,
+            request = name(unanswered.request.as_ref());
+            "request not answered by the server"
+        );
+    }
+
+    /// A packet was not taken.
+    pub fn refused(
+        &self,
+        view: Option<&View>,
+        balancer: Ipv4Addr,
+        refusal: Refusal,
+        frame: &Frame,
+        in_progress: u16,
+    ) {
+        let reason = refusal_name(refusal);
+        counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
+        log::info!(
+            caller:% = frame.flow.caller,
+            balancer:% = balancer,
+            reason,
+            in_progress,
+            version = view.map_or(0, |v| v.version.0),
+            revision = view.map_or(0, |v| v.newest.0),
+            balancer_version = frame.version.0;
+            "new flow refused"
+        );
+    }
+
+    /// The server does not take a packet.
+    pub fn bounced(&self, flow: &FlowKey, request: Option<RequestId>) {
+        self.bounced.increment(1);
+        log::info!(
+            caller:% = flow.caller,
+            request = name(request.as_ref());
+            "packet bounced by the server"
+        );
+    }
+
+    /// A packet of the server went to a caller. `failure`: the HTTP status of
+    /// a failed answer that begins in it.
+    pub fn delivered(
+        &self,
+        flow: &FlowKey,
+        request: Option<RequestId>,
+        outbound: &Outbound,
+        failure: Option<u16>,
+    ) {
+        self.delivered.increment(1);
+        if let Some(after) = outbound.answered_after {
+            self.answer_s.record(after.as_secs_f64());
+        }
+        if let Some(status) = failure {
+            log::info!(
+                caller:% = flow.caller,
+                request = name(request.as_ref()),
+                status;
+                "failed answer of the server"
+            );
+        }
+        if outbound.reset {
+            log::info!(
+                caller:% = flow.caller,
+                request = name(request.as_ref());
+                "flow reset by the server"
+            );
+        }
+    }
+
+    /// The operating system did not take a datagram.
+    pub fn send_failed(&self, to: impl Display, err: &io::Error) {
+        self.send_failed.increment(1);
+        log::warn!(to:%, error:% = err; "datagram not sent");
+    }
+}
+
+/// Text of an id; empty where no packet has shown one.
+fn name(request: Option<&RequestId>) -> &str {
+    request.map_or("", RequestId::as_str)
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -0,0 +1,144 @@
+//! Account of a balancer's traffic thread.
+
+use std::net::Ipv4Addr;
+
+use metrics::Counter;
+use metrics::Histogram;
+use metrics::counter;
+use metrics::histogram;
+use ramp_coordination::passthrough::balancer::Learned;
+use ramp_coordination::passthrough::balancer::Reset;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+
+use super::drop_name;
+use super::refusal_name;
+use super::reset_name;
+
+/// Counters of one balancer, and its log lines.
+pub struct Account {
+    packets: Counter,
+    unreadable: Counter,
+    placed: Counter,
+    asked: Counter,
+    send_failed: Counter,
+    opening_s: Histogram,
+}
+
+impl Account {
+    /// Account with nothing in it.
+    pub fn new() -> Account {
+        Account {
+            packets: counter!("passthrough_balancer_packets_total"),
+            unreadable: counter!("passthrough_balancer_unreadable_total"),
+            placed: counter!("passthrough_balancer_placed_total"),
+            asked: counter!("passthrough_balancer_asked_total"),
+            send_failed: counter!("passthrough_balancer_send_failed_total"),
+            opening_s: histogram!("passthrough_balancer_opening_seconds"),
+        }
+    }
+
+    /// A packet came from the routers.
+    pub fn packet(&self) {
+        self.packets.increment(1);
+    }
+
+    /// A datagram is no packet or frame.
+    pub fn unreadable(&self) {
+        self.unreadable.increment(1);
+    }
+
+    /// What was decided for a packet.
+    pub fn step(&self, view: &View, seg: &Segment, step: &Step) {
+        match step {
+            Step::Carry { agent, inquiry, .. } if seg.opens => {
+                self.placed.increment(1);
+                log::info!(
+                    caller:% = seg.key.caller,
+                    address:% = seg.key.service,
+                    copy = seg.ack,
+                    agent:% = agent,
+                    though_busy = *inquiry == Inquiry::OwnerThoughBusy,
+                    version = view.version.0,
+                    revision = view.newest.0;
+                    "new flow placed"
+                );
+            }
+            Step::Carry { .. } => {}
+            Step::Ask(agents) => {
+                self.asked.increment(1);
+                log::info!(
+                    caller:% = seg.key.caller,
+                    address:% = seg.key.service,
+                    holders = agents.len(),
+                    revision = view.newest.0;
+                    "owner of a flow asked for"
+                );
+            }
+            // Told where it is sent.
+            Step::Reset(_) => {}
+            Step::Drop(reason) => {
+                let reason = drop_name(*reason);
+                counter!("passthrough_balancer_dropped_total", "reason" => reason).increment(1);
+                log::info!(
+                    caller:% = seg.key.caller,
+                    reason,
+                    revision = view.newest.0;
+                    "packet dropped"
+                );
+            }
+        }
+    }
+
+    /// An agent sent a packet back.
+    pub fn returned(&self, from: Ipv4Addr, refusal: Refusal, frame: &Frame) {
+        let reason = refusal_name(refusal);
+        counter!("passthrough_balancer_returned_total", "reason" => reason).increment(1);
+        log::info!(
+            caller:% = frame.flow.caller,
+            agent:% = from,
+            reason,
+            in_progress = frame.in_progress,
+            version = frame.version.0,
+            revision = frame.revision;
+            "packet sent back by an agent"
+        );
+    }
+
+    /// An agent said that its server has a flow.
+    pub fn owned(&self, flow: &FlowKey, from: Ipv4Addr, learned: Learned) {
+        match learned {
+            Learned::Confirmed { after } => self.opening_s.record(after.as_secs_f64()),
+            Learned::Found => {
+                log::info!(caller:% = flow.caller, agent:% = from; "owner of a flow found");
+            }
+            Learned::Known => {}
+        }
+    }
+
+    /// A caller is reset.
+    pub fn reset(&self, view: Option<&View>, reset: &Reset) {
+        let reason = reset_name(reset.reason);
+        counter!("passthrough_balancer_resets_total", "reason" => reason).increment(1);
+        log::info!(
+            caller:% = reset.flow.caller,
+            address:% = reset.flow.service,
+            reason,
+            version = view.map_or(0, |v| v.version.0),
+            revision = view.map_or(0, |v| v.newest.0),
+            holders = view.map_or(0, |v| v.holders().count());
+            "caller reset"
+        );
+    }
+
+    /// The operating system did not take a datagram.
+    pub fn send_failed(&self, to: impl std::fmt::Display, err: &std::io::Error) {
+        self.send_failed.increment(1);
+        log::warn!(to:%, error:% = err; "datagram not sent");
+    }
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/account/mod.rs
@@ -0,0 +1,44 @@
+//! What the traffic threads tell of their decisions: a log line for each that
+//! touches a flow out of the ordinary way, and counters for all.
+
+pub mod agent;
+pub mod balancer;
+pub mod beliefs;
+
+use ramp_coordination::passthrough::balancer::DropReason;
+use ramp_coordination::passthrough::balancer::ResetReason;
+use ramp_protocol::hop::Refusal;
+
+/// Name of a refusal in logs and metrics.
+pub fn refusal_name(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::Bounced => "bounced",
+        Refusal::Draining => "draining",
+        Refusal::Evacuated => "evacuated",
+        Refusal::Cold => "cold",
+        Refusal::OtherService => "other_service",
+        Refusal::Leaving => "leaving",
+        Refusal::Silent => "silent",
+        Refusal::Busy => "busy",
+    }
+}
+
+/// Name of a reset's reason in logs and metrics.
+pub fn reset_name(reason: ResetReason) -> &'static str {
+    match reason {
+        ResetReason::NoRoute => "no_route",
+        ResetReason::NoMember => "no_member",
+        ResetReason::Unowned => "unowned",
+    }
+}
+
+/// Name of a drop's reason in logs and metrics.
+pub fn drop_name(reason: DropReason) -> &'static str {
+    match reason {
+        DropReason::Asked => "asked",
+        DropReason::Unsettled => "unsettled",
+        DropReason::AlreadyEnded => "already_ended",
+        DropReason::OwnerFound => "owner_found",
+        DropReason::Forged => "forged",
+    }
+}
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -17,14 +17,18 @@
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
+use ramp_protocol::format::Passing;
 use ramp_protocol::hop::FRAME_LEN_BYTES;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
 
+use super::account::agent::Account;
+use super::account::beliefs;
 use super::news::Event;
 use super::news::Update;
 use super::place::Beside;
@@ -65,6 +69,7 @@
     agent: Agent,
     heard: Revision,
     leaving_since: Option<Millis>,
+    account: Account,
     out: Vec<u8>,
     format: PhantomData<F>,
 }
@@ -83,6 +88,7 @@
             agent,
             heard: Revision(0),
             leaving_since: None,
+            account: Account::new(),
             out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
         };
@@ -100,7 +106,10 @@
     fn take_updates(&mut self) -> bool {
         loop {
             match self.traffic.updates.try_recv() {
-                Ok(Update::View(view)) => self.view = Some(view),
+                Ok(Update::View(view)) => {
+                    beliefs::tell_changes(self.view.as_deref(), &view);
+                    self.view = Some(view);
+                }
                 Ok(Update::Leave) => {
                     self.agent.leave();
                     self.leaving_since = Some(self.traffic.clock.now());
@@ -128,6 +137,9 @@
         if data {
             self.read_balancers(buf)?;
         }
+        for unanswered in self.agent.take_unanswered() {
+            self.account.unanswered(&unanswered);
+        }
         Ok(())
     }
 
@@ -153,31 +165,40 @@
 
     fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
         let Ok(frame) = Frame::read(buf) else {
-            return;
+            return self.account.unreadable();
         };
         let FrameKind::Carry(inquiry) = frame.kind else {
-            return;
+            return self.account.unreadable();
         };
         let packet = &mut buf[FRAME_LEN_BYTES..];
         let Some(passing) = F::read(packet) else {
-            return;
+            return self.account.unreadable();
         };
         self.hear(Revision(frame.revision));
         let view = self.view.as_deref();
         let now = self.traffic.clock.now();
         let segment = &passing.segment;
-        match self
+        let inbound = self
             .agent
-            .inbound(view, now, from, &frame, inquiry, segment)
-        {
+            .inbound(view, now, from, &frame, inquiry, segment);
+        let in_progress = self.agent.in_progress();
+        match inbound {
             Inbound::Pass { mark, owned } => {
                 F::mark(packet, mark.0);
                 self.to_server(packet);
+                self.account.passed();
+                if segment.len > 0
+                    && let Some(request) = F::request_id(packet)
+                {
+                    self.agent.note_request(&segment.key, request);
+                }
                 if owned {
                     self.tell(from, FrameKind::Owned, segment.key, &[]);
                 }
             }
             Inbound::Refuse(refusal) => {
+                self.account
+                    .refused(view, from, refusal, &frame, in_progress);
                 let kind = match inquiry {
                     Inquiry::OwnerOfCopy => FrameKind::Denied,
                     _ => FrameKind::Returned(refusal),
@@ -189,43 +210,53 @@
 
     fn handle_server(&mut self, packet: &[u8]) {
         let Some(passing) = F::read_from_server(packet) else {
-            return;
+            return self.account.unreadable();
         };
+        if passing.bounced {
+            return self.handle_bounce(&passing, packet);
+        }
         let now = self.traffic.clock.now();
         let view = self.view.as_deref();
         let key = passing.segment.key;
-        if passing.bounced {
-            match self
-                .agent
-                .bounced(view, now, passing.mark, &passing.segment)
-            {
-                Bounce::Return(to) => {
-                    let kind = FrameKind::Returned(ramp_protocol::hop::Refusal::Bounced);
-                    self.tell(to, kind, key, packet);
-                }
-                Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
-                Bounce::Unknown => {}
-            }
-            return;
-        }
-        let asked_by = self.agent.outbound(view, now, &passing.segment);
+        let request = self.agent.request_of(&key);
+        let outbound = self.agent.outbound(view, now, &passing.segment);
         self.to_caller(key, packet);
-        if let Some(to) = asked_by {
+        let failure = F::failed_status(packet);
+        self.account.delivered(&key, request, &outbound, failure);
+        if let Some(to) = outbound.tell {
             self.tell(to, FrameKind::Owned, key, &[]);
         }
     }
 
+    fn handle_bounce(&mut self, passing: &Passing, packet: &[u8]) {
+        let now = self.traffic.clock.now();
+        let view = self.view.as_deref();
+        let key = passing.segment.key;
+        let request = F::request_id(packet).or_else(|| self.agent.request_of(&key));
+        self.account.bounced(&key, request);
+        match self
+            .agent
+            .bounced(view, now, passing.mark, &passing.segment)
+        {
+            Bounce::Return(to) => {
+                self.tell(to, FrameKind::Returned(Refusal::Bounced), key, packet);
+            }
+            Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
+            Bounce::Unknown => {}
+        }
+    }
+
     fn to_server(&self, packet: &[u8]) {
         let server = self.traffic.beside.server;
         if let Err(err) = self.traffic.outbound.send_to(packet, server) {
-            log::debug!("a packet to the server was not sent: {err}");
+            self.account.send_failed(server, &err);
         }
     }
 
     fn to_caller(&self, flow: FlowKey, packet: &[u8]) {
         let to = SocketAddrV4::new(*flow.caller.ip(), self.traffic.place.data_port);
         if let Err(err) = self.traffic.data.send_to(packet, to) {
-            log::debug!("a packet to the caller {to} was not sent: {err}");
+            self.account.send_failed(to, &err);
         }
     }
 
@@ -243,7 +274,7 @@
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(to, self.traffic.place.peer_port);
         if let Err(err) = self.traffic.data.send_to(&self.out, to) {
-            log::debug!("a frame to {to} was not sent: {err}");
+            self.account.send_failed(to, &err);
         }
     }
 
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -22,10 +22,13 @@
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use super::account::balancer::Account;
+use super::account::beliefs;
 use super::news::Event;
 use super::news::Update;
 use super::place::Place;
@@ -65,6 +68,7 @@
     heard: Revision,
     leaving_since: Option<Millis>,
     last_packet: Millis,
+    account: Account,
     out: Vec<u8>,
     format: PhantomData<F>,
 }
@@ -83,6 +87,7 @@
             heard: Revision(0),
             leaving_since: None,
             last_packet: Millis(0),
+            account: Account::new(),
             out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
         };
@@ -110,10 +115,12 @@
 
     fn take_view(&mut self, view: Arc<View>) {
         let now = self.traffic.clock.now();
-        for reset in self.balancer.concluded(&view, now) {
+        beliefs::tell_changes(self.view.as_deref(), &view);
+        let concluded = self.balancer.concluded(&view, now);
+        self.view = Some(view);
+        for reset in concluded {
             self.reset(reset);
         }
-        self.view = Some(view);
     }
 
     fn is_finished(&self) -> bool {
@@ -165,12 +172,14 @@
         let Some(view) = self.view.clone() else {
             return;
         };
+        self.account.packet();
         let Some(passing) = F::read(packet) else {
+            self.account.unreadable();
             return;
         };
         let now = self.traffic.clock.now();
         let step = self.balancer.arrival(&view, now, &passing.segment);
-        self.carry_out(&view, passing.segment.key, step, packet);
+        self.carry_out(&view, &passing.segment, step, packet);
     }
 
     fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
@@ -178,12 +187,16 @@
             return;
         };
         let Ok(frame) = Frame::read(buf) else {
+            self.account.unreadable();
             return;
         };
         let now = self.traffic.clock.now();
         let packet = &mut buf[FRAME_LEN_BYTES..];
         match frame.kind {
-            FrameKind::Owned => self.balancer.owned(now, from, &frame),
+            FrameKind::Owned => {
+                let learned = self.balancer.owned(now, from, &frame);
+                self.account.owned(&frame.flow, from, learned);
+            }
             FrameKind::Denied => {
                 let step = self.balancer.denied(&view, now, from, &frame);
                 if let Step::Reset(reset) = step {
@@ -191,33 +204,37 @@
                 }
             }
             FrameKind::Returned(refusal) => {
-                self.handle_returned(&view, now, from, refusal, &frame, packet);
+                self.handle_returned(&view, from, refusal, &frame, packet);
             }
             // Only a balancer sends these.
-            FrameKind::Carry(_) => {}
+            FrameKind::Carry(_) => self.account.unreadable(),
         }
     }
 
     fn handle_returned(
         &mut self,
         view: &View,
-        now: Millis,
         from: Ipv4Addr,
         refusal: Refusal,
         frame: &Frame,
         packet: &mut [u8],
     ) {
         let Some(passing) = F::read(packet) else {
+            self.account.unreadable();
             return;
         };
+        self.account.returned(from, refusal, frame);
+        let now = self.traffic.clock.now();
         let segment = passing.segment;
         let step = self
             .balancer
             .returned(view, now, from, refusal, frame, &segment);
-        self.carry_out(view, segment.key, step, packet);
+        self.carry_out(view, &segment, step, packet);
     }
 
-    fn carry_out(&mut self, view: &View, flow: FlowKey, step: Step, packet: &mut [u8]) {
+    fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
+        self.account.step(view, seg, &step);
+        let flow = seg.key;
         match step {
             Step::Carry {
                 agent,
@@ -256,16 +273,16 @@
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(agent, self.traffic.place.data_port);
         if let Err(err) = self.traffic.peers.send_to(&self.out, to) {
-            log::debug!("a packet to {agent} was not sent: {err}");
+            self.account.send_failed(to, &err);
         }
     }
 
     fn reset(&mut self, reset: Reset) {
         F::reset(&reset.flow, reset.seq, &mut self.out);
         let to = SocketAddrV4::new(*reset.flow.caller.ip(), self.traffic.place.data_port);
-        log::info!("reset {} {:?}", reset.flow.caller, reset.reason);
+        self.account.reset(self.view.as_deref(), &reset);
         if let Err(err) = self.traffic.data.send_to(&self.out, to) {
-            log::debug!("a reset to {to} was not sent: {err}");
+            self.account.send_failed(to, &err);
         }
     }
 
--- a/crates/transport/src/passthrough/daemon.rs
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -33,6 +33,8 @@
 use crate::clock::Clock;
 use crate::daemon::DaemonError;
 use crate::daemon::start_thread;
+use crate::metrics;
+use crate::metrics::Metrics;
 use crate::signal::wait_for_end;
 
 /// Runs a balancer until it was asked to end and the routers have left it.
@@ -41,6 +43,8 @@
 ///
 /// [`DaemonError`] when an address can't be bound or a socket fails.
 pub fn run_balancer<F: PacketFormat>(place: Place, source: impl Source) -> Result<(), DaemonError> {
+    // Before the traffic thread makes its counters.
+    let counted = metrics::install()?;
     let clock = Clock::start();
     let (updates_tx, updates) = flume::unbounded();
     let (events, events_rx) = flume::unbounded();
@@ -53,7 +57,9 @@
         events,
     };
     start_thread("traffic", move || traffic.run::<F>())?;
-    block_on(run_control(place, clock, source, updates_tx, events_rx))
+    block_on(run_control(
+        place, clock, source, counted, updates_tx, events_rx,
+    ))
 }
 
 /// Runs an agent until it was asked to end and has no request in progress.
@@ -65,6 +71,8 @@
     let Some(beside) = place.beside.clone() else {
         return Err(DaemonError::NotAgent);
     };
+    // Before the traffic thread makes its counters.
+    let counted = metrics::install()?;
     let clock = Clock::start();
     let (updates_tx, updates) = flume::unbounded();
     let (events, events_rx) = flume::unbounded();
@@ -79,13 +87,16 @@
         events,
     };
     start_thread("traffic", move || traffic.run::<F>())?;
-    block_on(run_control(place, clock, source, updates_tx, events_rx))
+    block_on(run_control(
+        place, clock, source, counted, updates_tx, events_rx,
+    ))
 }
 
 async fn run_control(
     place: Place,
     clock: Clock,
     source: impl Source,
+    counted: Metrics,
     updates: Sender<Update>,
     events: Receiver<Event>,
 ) -> Result<(), DaemonError> {
@@ -94,6 +105,10 @@
     spawn_local(ready::serve(listener, Rc::clone(&readiness)));
     spawn_local(watch_end(updates.clone(), Rc::clone(&readiness)));
     spawn_local(watch_reload());
+    if let Some(address) = place.metrics {
+        let listener = listen(address).await?;
+        spawn_local(metrics::http::serve(listener, counted));
+    }
     let feed = Rc::new(Feed::new(clock));
     if let Some(address) = place.feed {
         let listener = listen(address).await?;
--- a/crates/transport/src/passthrough/mod.rs
+++ b/crates/transport/src/passthrough/mod.rs
@@ -5,6 +5,7 @@
 //! packets. The layout of packets and the platform's client come in as type
 //! parameters.
 
+pub mod account;
 pub mod agent;
 pub mod balancer;
 pub mod control;
--- a/crates/transport/src/passthrough/place.rs
+++ b/crates/transport/src/passthrough/place.rs
@@ -23,6 +23,8 @@
     pub feed: Option<SocketAddrV4>,
     /// Processes that read the platform for the others; some may be gone.
     pub readers: Vec<SocketAddrV4>,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddrV4>,
     /// The platform.
     pub platform: SocketAddrV4,
     /// Time from the request to end until the process is killed.
--- a/ramplab/src/demo/children.rs
+++ b/ramplab/src/demo/children.rs
@@ -99,10 +99,11 @@
     /// When it can't be started.
     pub fn start(&mut self, dir: &WorkDir, name: &str, command: &mut Command) -> io::Result<()> {
         let log = dir.file(format!("{name}.log"));
+        let file = File::create(&log)?;
         let child = command
             .stdin(Stdio::null())
-            .stdout(File::create(dir.file(format!("{name}.out")))?)
-            .stderr(File::create(&log)?)
+            .stdout(file.try_clone()?)
+            .stderr(file)
             .spawn()?;
         self.processes.push(Process {
             name: name.to_string(),
--- a/ramplab/src/main.rs
+++ b/ramplab/src/main.rs
@@ -6,6 +6,10 @@
 
 use std::process::ExitCode;
 
+use log::LevelFilter;
+use ramp_transport::logging;
+use ramp_transport::logging::Stream;
+
 use crate::error::CliResult;
 
 const USAGE: &str = "\
@@ -30,7 +34,7 @@
     match args.next()? {
         Some(lexopt::Arg::Value(name)) => {
             let name = name.to_string_lossy();
-            ramp_transport::logging::start(&name, log::LevelFilter::Warn)
+            logging::start(&name, LevelFilter::Warn, Stream::Error)
                 .map_err(|err| err.to_string())?;
             cmd::run(&name, args)
         }
