Place unconfirmed flows again early; be ready only when an agent answers

Cause 1: an opening that reached a silent agent waited for the caller's copy after 200 ms, past its aim.

Change: after 70 ms another member gets the opening; an agent that stays silent is passed over for longer each time; a balancer that no agent answers says that it is not ready and asks for signs of life.

An owner whose record had lapsed counted as having denied its flow, and still did when it was listed again; with the others' denials its living flow was reset. Ruled out: the early second placing (the flow was 25 s old).

--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -32,7 +32,7 @@
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 /// Time an agent has to confirm a new flow before another is tried.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(120);
+pub const CONFIRM_LIMIT: Duration = Duration::from_millis(70);
 
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 4;
@@ -269,6 +269,19 @@
         }
     }
 
+    /// A new flow was placed [`CONFIRM_LIMIT`] ago; gives what to do with its
+    /// opening packet if no agent has confirmed it yet.
+    pub fn overdue(&mut self, view: &View, now: Millis, seg: &Segment) -> Option<Step> {
+        let flow = self.flows.get(&seg.key)?;
+        let late = !flow.confirmed && now.since(flow.sent_at) >= CONFIRM_LIMIT;
+        late.then(|| self.opening(view, now, seg))
+    }
+
+    /// An agent has given a sign of life.
+    pub fn present(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+    }
+
     /// Callers whose flows a new view shows to be owned by nobody.
     pub fn concluded(&mut self, view: &View, now: Millis) -> Vec<Reset> {
         let asked = self.searches.iter().filter(|(_, s)| s.asked_at.is_some());
@@ -353,8 +366,9 @@
                     service: flow.service,
                 };
             }
+            // Gone by this view only: should it be listed again, it is asked.
             self.flows.swap_remove(&seg.key);
-            self.note_denial(now, seg, flow.agent);
+            return self.ask(view, now, seg);
         }
         if let Some(search) = self.searches.get_mut(&seg.key) {
             search.seen_at = now;
@@ -386,11 +400,14 @@
 
     /// Asks all holders that have not denied the flow.
     fn ask(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        let search = self.searches.entry(seg.key);
+        search.or_insert_with(|| Search::new(now, seg));
         if let step @ Step::Reset(_) = self.conclude(view, now, seg.key) {
             return step;
         }
-        let search = self.searches.entry(seg.key);
-        let search = search.or_insert_with(|| Search::new(now, seg));
+        let Some(search) = self.searches.get_mut(&seg.key) else {
+            return Step::Drop(DropReason::OwnerFound);
+        };
         if search.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN) {
             return Step::Drop(DropReason::Asked);
         }
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -21,6 +21,7 @@
 pub mod mark;
 pub mod published;
 mod quota;
+pub mod reach;
 pub mod source;
 mod suspects;
 mod sweep;
--- a/crates/coordination/src/passthrough/suspects.rs
+++ b/crates/coordination/src/passthrough/suspects.rs
@@ -1,4 +1,7 @@
 //! Agents that have not answered lately.
+//!
+//! One that stays silent is passed over for longer each time, so that a cut
+//! costs few flows; a single word from it clears it.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -6,16 +9,34 @@
 use indexmap::IndexMap;
 use ramp_state::time::Millis;
 
-/// How long an agent that did not answer is passed over.
-const SUSPECT_FOR: Duration = Duration::from_millis(1000);
+/// How long an agent that did not answer once is passed over.
+const FIRST: Duration = Duration::from_millis(500);
+
+/// How long it is passed over at most.
+const LONGEST: Duration = Duration::from_secs(4);
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    until: Millis,
+    next: Duration,
+}
 
 /// Agents that are passed over for a while.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Suspects(IndexMap<Ipv4Addr, Millis>);
+pub(super) struct Suspects(IndexMap<Ipv4Addr, Suspect>);
 
 impl Suspects {
     pub(super) fn add(&mut self, agent: Ipv4Addr, now: Millis) {
-        self.0.insert(agent, now + SUSPECT_FOR);
+        let suspect = self.0.entry(agent).or_insert(Suspect {
+            until: now,
+            next: FIRST,
+        });
+        // Several flows find out at about the same time.
+        if now < suspect.until {
+            return;
+        }
+        suspect.until = now + suspect.next;
+        suspect.next = (suspect.next * 2).min(LONGEST);
     }
 
     pub(super) fn clear(&mut self, agent: Ipv4Addr) {
@@ -23,6 +44,6 @@
     }
 
     pub(super) fn holds(&self, agent: Ipv4Addr, now: Millis) -> bool {
-        self.0.get(&agent).is_some_and(|until| now < *until)
+        self.0.get(&agent).is_some_and(|s| now < s.until)
     }
 }
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -210,6 +210,30 @@
     assert_eq!(balancer.concluded(&later, Millis(3000)).len(), 1);
 }
 
+#[test]
+fn an_owner_that_was_missed_and_is_back_has_not_denied_its_flow() {
+    // Seen on a day with a data centre that nothing left for 6 s.
+    let mut catalog = catalog(&[1, 2]);
+    let before = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &before, flow(7));
+    let last = owner.octets()[3];
+    let other = ip(3 - last);
+    let lapsed = Change::Removed(RecordKey::Server(id(last)));
+    catalog.apply(Millis(10), changes(101, vec![lapsed]));
+    let gone = catalog.view(Millis(3000)).unwrap();
+    let seg = segment(flow(7));
+    assert!(asked(balancer.arrival(&gone, Millis(3000), &seg)).contains(&other));
+    catalog.apply(Millis(4000), written(102, record(last, FEEDS)));
+    let back = catalog.view(Millis(4000)).unwrap();
+    let step = denied(&mut balancer, &back, 4001, other, flow(7));
+    assert_eq!(step, Step::Drop(DropReason::Asked));
+    assert_eq!(
+        asked(balancer.arrival(&back, Millis(4200), &seg)),
+        vec![owner]
+    );
+}
+
 #[test]
 fn an_opening_packet_goes_to_no_server_that_should_not_have_it() {
     let mut catalog = catalog(&[1, 2, 3, 4, 5, 6]);
@@ -266,6 +290,37 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn an_opening_that_nobody_confirms_is_placed_again_before_its_copy_comes() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    let seg = opening(flow(9), 0);
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    assert_eq!(balancer.overdue(&view, Millis(60), &seg), None);
+    let step = balancer.overdue(&view, Millis(70), &seg).unwrap();
+    assert_ne!(carried(&step).0, first);
+    // New flows pass the silent agent over, until it is heard.
+    for port in 100..200 {
+        let step = balancer.arrival(&view, Millis(80), &opening(flow(port), 0));
+        assert_ne!(carried(&step).0, first);
+    }
+    balancer.owned(Millis(90), first, &frame(FrameKind::Owned, flow(1)));
+    let again = (200..300).any(|port| {
+        let step = balancer.arrival(&view, Millis(95), &opening(flow(port), 0));
+        carried(&step).0 == first
+    });
+    assert!(again);
+}
+
+#[test]
+fn a_confirmed_opening_is_not_placed_again() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    open(&mut balancer, &view, flow(9));
+    let seg = opening(flow(9), 0);
+    assert_eq!(balancer.overdue(&view, Millis(500), &seg), None);
+}
+
 #[test]
 fn a_copy_of_a_confirmed_opening_goes_to_the_same_server() {
     let view = view(&[1, 2, 3, 4]);
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -7,4 +7,5 @@
 mod choice;
 mod feeds;
 mod fixture;
+mod reach;
 mod simulation;
--- a/crates/coordination/tests/passthrough/simulation.rs
+++ b/crates/coordination/tests/passthrough/simulation.rs
@@ -280,7 +280,7 @@
             FrameKind::Returned(refusal) => {
                 balancer.returned(&self.views[&to], now, from, refusal, frame, seg)
             }
-            FrameKind::Carry(_) => return,
+            FrameKind::Carry(_) | FrameKind::Probe | FrameKind::Present => return,
         };
         self.carry_out(to, seg, step);
     }
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -53,6 +53,10 @@
     Denied,
     /// Agent to balancer: its server has the flow; no packet.
     Owned,
+    /// Balancer to agent: asks for a sign of life; no packet, any flow.
+    Probe,
+    /// Agent to balancer: the sign of life.
+    Present,
 }
 
 /// What the balancer wants to hear about a packet that it carries.
@@ -130,6 +134,8 @@
 const KIND_RETURNED: u8 = 2;
 const KIND_DENIED: u8 = 3;
 const KIND_OWNED: u8 = 4;
+const KIND_PROBE: u8 = 5;
+const KIND_PRESENT: u8 = 6;
 
 const INQUIRIES: [Inquiry; 4] = [
     Inquiry::None,
@@ -211,6 +217,8 @@
             FrameKind::Returned(refusal) => (KIND_RETURNED, index_of(&REFUSALS, refusal)),
             FrameKind::Denied => (KIND_DENIED, 0),
             FrameKind::Owned => (KIND_OWNED, 0),
+            FrameKind::Probe => (KIND_PROBE, 0),
+            FrameKind::Present => (KIND_PRESENT, 0),
         }
     }
 
@@ -221,6 +229,8 @@
             KIND_RETURNED => FrameKind::Returned(*REFUSALS.get(detail)?),
             KIND_DENIED => FrameKind::Denied,
             KIND_OWNED => FrameKind::Owned,
+            KIND_PROBE => FrameKind::Probe,
+            KIND_PRESENT => FrameKind::Present,
             _ => return None,
         })
     }
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -167,8 +167,10 @@
         let Ok(frame) = Frame::read(buf) else {
             return self.account.unreadable();
         };
-        let FrameKind::Carry(inquiry) = frame.kind else {
-            return self.account.unreadable();
+        let inquiry = match frame.kind {
+            FrameKind::Carry(inquiry) => inquiry,
+            FrameKind::Probe => return self.tell(from, FrameKind::Present, frame.flow, &[]),
+            _ => return self.account.unreadable(),
         };
         let packet = &mut buf[FRAME_LEN_BYTES..];
         let Some(passing) = F::read(packet) else {
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of a balancer whose packets pass through.
 
+use std::collections::VecDeque;
 use std::io;
 use std::marker::PhantomData;
 use std::net::Ipv4Addr;
@@ -12,9 +13,11 @@
 use flume::Sender;
 use flume::TryRecvError;
 use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
 use ramp_coordination::passthrough::balancer::Reset;
 use ramp_coordination::passthrough::balancer::Step;
 use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::reach::Reach;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::hop::FRAME_LEN_BYTES;
@@ -45,6 +48,15 @@
 /// Time kept back from the grace time for the end itself.
 const END_MARGIN: Duration = Duration::from_millis(1000);
 
+/// Shortest wait for packets while an opening is nearly overdue.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
+/// Stands for no flow in frames that are about none.
+const NO_FLOW: FlowKey = FlowKey {
+    caller: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+    service: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+};
+
 /// What the traffic thread is started with.
 pub struct Traffic {
     /// Where the process runs.
@@ -61,11 +73,21 @@
     pub events: Sender<Event>,
 }
 
+/// An opening packet that waits to be confirmed.
+struct Opening {
+    due: Millis,
+    packet: Vec<u8>,
+}
+
 struct Worker<F> {
     traffic: Traffic,
     view: Option<Arc<View>>,
     balancer: Balancer,
     heard: Revision,
+    reach: Reach,
+    reaches: bool,
+    /// Opening packets that may have to be placed again, the oldest first.
+    openings: VecDeque<Opening>,
     leaving_since: Option<Millis>,
     last_packet: Millis,
     account: Account,
@@ -85,6 +107,9 @@
             view: None,
             balancer: Balancer::new(),
             heard: Revision(0),
+            reach: Reach::default(),
+            reaches: true,
+            openings: VecDeque::new(),
             leaving_since: None,
             last_packet: Millis(0),
             account: Account::new(),
@@ -136,17 +161,65 @@
 
     fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let both = [&self.traffic.data, &self.traffic.peers];
-        let [data, peers] = sockets::wait(both, udp::IDLE_TURN)?;
+        let [data, peers] = sockets::wait(both, self.time_to_next())?;
         if peers {
             self.read_peers(buf)?;
         }
         if data {
             self.read_data(buf)?;
         }
+        self.place_overdue();
+        self.watch_reach();
         self.tell_heard();
         Ok(())
     }
 
+    /// Time until something must be done without a packet.
+    fn time_to_next(&self) -> Duration {
+        let Some(opening) = self.openings.front() else {
+            return udp::IDLE_TURN;
+        };
+        let left = opening.due.since(self.traffic.clock.now());
+        left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
+    }
+
+    /// Places flows again that no agent has confirmed in time.
+    fn place_overdue(&mut self) {
+        let now = self.traffic.clock.now();
+        while self.openings.front().is_some_and(|o| now >= o.due) {
+            let Some(opening) = self.openings.pop_front() else {
+                return;
+            };
+            let (Some(view), Some(passing)) = (self.view.clone(), F::read(&opening.packet)) else {
+                continue;
+            };
+            let seg = passing.segment;
+            if let Some(step) = self.balancer.overdue(&view, now, &seg) {
+                self.carry_out(&view, &seg, step, &opening.packet);
+            }
+        }
+    }
+
+    /// Tells control whether any agent answers, and asks some if none does.
+    fn watch_reach(&mut self) {
+        let now = self.traffic.clock.now();
+        let reaches = !self.reach.is_cut_off(now);
+        if reaches != self.reaches {
+            self.reaches = reaches;
+            // Control outlives this thread; if it is gone, the next turn ends.
+            let _ = self.traffic.events.send(Event::Reaches(reaches));
+        }
+        if !self.reach.must_probe(now) {
+            return;
+        }
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        for agent in view.holders() {
+            self.send(&view, NO_FLOW, agent, FrameKind::Probe, ServiceId(0), &[]);
+        }
+    }
+
     fn read_data(&mut self, buf: &mut [u8]) -> io::Result<()> {
         for _ in 0..sockets::BATCH_DATAGRAMS {
             let Some((len, _)) = sockets::receive(&self.traffic.data, buf)? else {
@@ -191,6 +264,7 @@
             return;
         };
         let now = self.traffic.clock.now();
+        self.reach.heard();
         let packet = &mut buf[FRAME_LEN_BYTES..];
         match frame.kind {
             FrameKind::Owned => {
@@ -206,8 +280,9 @@
             FrameKind::Returned(refusal) => {
                 self.handle_returned(&view, from, refusal, &frame, packet);
             }
+            FrameKind::Present => self.balancer.present(now, from, &frame),
             // Only a balancer sends these.
-            FrameKind::Carry(_) => self.account.unreadable(),
+            FrameKind::Carry(_) | FrameKind::Probe => self.account.unreadable(),
         }
     }
 
@@ -240,11 +315,23 @@
                 agent,
                 inquiry,
                 service,
-            } => self.send(view, flow, agent, inquiry, service, packet),
+            } => {
+                if seg.opens {
+                    self.openings.push_back(Opening {
+                        due: self.traffic.clock.now() + CONFIRM_LIMIT,
+                        packet: packet.to_vec(),
+                    });
+                }
+                if inquiry != Inquiry::None {
+                    self.reach.asked(self.traffic.clock.now());
+                }
+                let kind = FrameKind::Carry(inquiry);
+                self.send(view, flow, agent, kind, service, packet);
+            }
             Step::Ask(agents) => {
-                let service = ServiceId(0);
+                let kind = FrameKind::Carry(Inquiry::OwnerOfCopy);
                 for agent in agents {
-                    self.send(view, flow, agent, Inquiry::OwnerOfCopy, service, packet);
+                    self.send(view, flow, agent, kind, ServiceId(0), packet);
                 }
             }
             Step::Reset(reset) => self.reset(reset),
@@ -257,12 +344,12 @@
         view: &View,
         flow: FlowKey,
         agent: Ipv4Addr,
-        inquiry: Inquiry,
+        kind: FrameKind,
         service: ServiceId,
         packet: &[u8],
     ) {
         let frame = Frame {
-            kind: FrameKind::Carry(inquiry),
+            kind,
             flow,
             service,
             version: view.version,
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -157,7 +157,7 @@
         tokio::pin!(watch);
         let end = tokio::select! {
             result = &mut watch => return Some(result),
-            end = until_behind(&self.events, &self.feed) => end,
+            end = until_behind(&self.events, &self.feed, &self.readiness) => end,
         };
         match end {
             Behind::Peer => {
@@ -188,7 +188,7 @@
             let news = tokio::select! {
                 news = next => news,
                 () = &mut until => return Turn::Learned,
-                end = until_behind(&events, &self.feed), if !behind => {
+                end = until_behind(&events, &self.feed, &self.readiness), if !behind => {
                     let Behind::Peer = end else {
                         return Turn::Finished;
                     };
@@ -285,6 +285,7 @@
                 () = &mut pause => return false,
                 event = self.events.recv_async() => match event {
                     Ok(Event::Heard(_)) => {}
+                    Ok(Event::Reaches(reaches)) => self.readiness.set_reach(reaches),
                     Ok(Event::Finished) | Err(_) => return true,
                 },
             }
@@ -300,7 +301,7 @@
     Finished,
 }
 
-async fn until_behind(events: &Receiver<Event>, feed: &Feed) -> Behind {
+async fn until_behind(events: &Receiver<Event>, feed: &Feed, readiness: &Readiness) -> Behind {
     loop {
         match events.recv_async().await {
             Ok(Event::Heard(heard)) => {
@@ -308,6 +309,7 @@
                     return Behind::Peer;
                 }
             }
+            Ok(Event::Reaches(reaches)) => readiness.set_reach(reaches),
             Ok(Event::Finished) | Err(_) => return Behind::Finished,
         }
     }
--- a/crates/transport/src/passthrough/news.rs
+++ b/crates/transport/src/passthrough/news.rs
@@ -19,6 +19,8 @@
 pub enum Event {
     /// A peer has read the platform up to here.
     Heard(Revision),
+    /// Whether the process reaches those that it works with has changed.
+    Reaches(bool),
     /// Everything that can be finished is finished.
     Finished,
 }
--- a/crates/transport/src/passthrough/ready.rs
+++ b/crates/transport/src/passthrough/ready.rs
@@ -16,10 +16,12 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
-/// Whether the process is ready: from its first view until it leaves.
+/// Whether the process is ready: from its first view until it leaves, as long
+/// as it is not cut off.
 #[derive(Debug, Default)]
 pub struct Readiness {
     begun: Cell<bool>,
+    cut_off: Cell<bool>,
     leaving: Cell<bool>,
 }
 
@@ -31,13 +33,23 @@
         }
     }
 
+    /// The process reaches those that it works with, or no longer does.
+    pub fn set_reach(&self, reaches: bool) {
+        self.cut_off.set(!reaches);
+        if reaches {
+            log::info!("agents answer again");
+        } else {
+            log::warn!("cut off from all agents: not ready");
+        }
+    }
+
     /// The process leaves and is never ready again.
     pub fn leave(&self) {
         self.leaving.set(true);
     }
 
     fn is_ready(&self) -> bool {
-        self.begun.get() && !self.leaving.get()
+        self.begun.get() && !self.cut_off.get() && !self.leaving.get()
     }
 }
 
