Try real processes on a stand-in of the users' platform

Change: a balancer and agents as processes on loopback, with the stand-in of the store; backend servers and callers are the test's. For a flow that was cut, refused, never answered or answered with a failure the cause is found from the logs alone. A standard output that is closed or never read stops nothing.

--- /dev/null
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -0,0 +1,491 @@
+//! A balancer and agents as processes, on loopback addresses of their own;
+//! backend servers and callers are sockets of the test.
+
+use std::collections::HashSet;
+use std::fs;
+use std::fs::File;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use ramp_platform::packet::HEADER_LEN_BYTES;
+use ramp_platform::packet::PlatformPacket;
+use ramp_protocol::format::PacketFormat;
+use serde_json::Value;
+
+use crate::stand_in::StandIn;
+use crate::stand_in::configuration_entry;
+use crate::stand_in::server_entry;
+
+/// No test waits longer than this for anything.
+const TEST_LIMIT: Duration = Duration::from_secs(15);
+
+/// Pause before a caller sends again.
+const SEND_AGAIN: Duration = Duration::from_millis(200);
+
+/// Time for which a caller sends again.
+const CALLER_LIMIT: Duration = Duration::from_millis(2500);
+
+const SERVICE_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+const FLAGS: usize = 12;
+const ACK: u8 = 1;
+const BOUNCED: u8 = 4;
+const SYN: u8 = 8;
+
+/// Fleets of one test process each get addresses of their own.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// What a caller got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Status(u16),
+    Reset,
+    Nothing,
+}
+
+/// How the backend servers behave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerMood {
+    Well,
+    /// They have lost all flows.
+    Forgetful,
+    /// They answer no request.
+    Mute,
+    /// They answer each request with 503.
+    Failing,
+}
+
+/// Where the logs of the processes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    File,
+    NeverRead,
+    Closed,
+}
+
+#[derive(Clone, Copy)]
+struct Ports {
+    data: u16,
+    peers: u16,
+    outbound: u16,
+    server: u16,
+    ready: u16,
+    control: u16,
+    metrics: u16,
+}
+
+struct Process {
+    name: String,
+    child: Child,
+    /// Kept open and never read.
+    _pipe: Option<std::process::ChildStdout>,
+}
+
+/// Everything that runs in one test.
+pub struct Fleet {
+    pub store: StandIn,
+    number: u8,
+    ports: Ports,
+    output: Output,
+    dir: PathBuf,
+    processes: Vec<Process>,
+    mood: Arc<Mutex<ServerMood>>,
+    caller: Arc<UdpSocket>,
+}
+
+/// An open flow of a caller.
+pub struct Flow {
+    caller: Arc<UdpSocket>,
+    balancer: SocketAddrV4,
+    port: u16,
+    seq: u32,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Fleet {
+    pub fn start(agents: u8) -> Fleet {
+        Fleet::start_with(agents, Output::File)
+    }
+
+    pub fn start_with(agents: u8, output: Output) -> Fleet {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let number = (std::process::id().wrapping_mul(31).wrapping_add(number) % 200) as u8 + 20;
+        let ports = pick_ports();
+        let dir = std::env::temp_dir().join(format!("ramp-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let caller = UdpSocket::bind((ip(number, 250), ports.data)).unwrap();
+        let mut fleet = Fleet {
+            store: StandIn::start(),
+            number,
+            ports,
+            output,
+            dir,
+            processes: Vec::new(),
+            mood: Arc::new(Mutex::new(ServerMood::Well)),
+            caller: Arc::new(caller),
+        };
+        fleet
+            .store
+            .put("op/config", &configuration_entry(3, "voucher"));
+        for agent in 1..=agents {
+            fleet.start_server(agent);
+            let address = format!("{}:{}", fleet.agent_ip(agent), ports.server);
+            let entry = server_entry("voucher", &address, "ready");
+            fleet.store.put(&format!("servers/i-{agent}"), &entry);
+            fleet.start_agent(agent);
+        }
+        fleet.start_balancer();
+        fleet
+    }
+
+    pub fn start_balancer(&mut self) {
+        let at = ip(self.number, 1);
+        let ports = self.ports;
+        let extra = format!(
+            "Listen.Control={at}:{}\nSeeds={at}:{}\n",
+            ports.control, ports.control
+        );
+        self.start_process("balancer", "balancer", at, &extra);
+    }
+
+    pub fn start_agent(&mut self, agent: u8) {
+        let at = self.agent_ip(agent);
+        let ports = self.ports;
+        let extra = format!(
+            "Listen.outbound={at}:{}\napp={at}:{}\nService=voucher\nSeeds={}:{}\n",
+            ports.outbound,
+            ports.server,
+            ip(self.number, 1),
+            ports.control
+        );
+        self.start_process("agent", &format!("agent-{agent}"), at, &extra);
+    }
+
+    fn start_process(&mut self, role: &str, name: &str, at: Ipv4Addr, extra: &str) {
+        let ports = self.ports;
+        let settings = format!(
+            "NodeName={name}\nListen.DataAddr={at}:{}\nListen.Ready={at}:{}\n\
+             InternalPorts={},{}\nBounds.GraceS=4\nplatform.Address={}\n{extra}",
+            ports.data, ports.ready, ports.peers, ports.peers, self.store.address
+        );
+        let file = self.dir.join(format!("{name}.conf"));
+        fs::write(&file, settings).unwrap();
+        let log = self.dir.join(format!("{name}.log"));
+        let out = File::options().create(true).append(true).open(&log);
+        let stdout = match self.output {
+            Output::File => Stdio::from(out.unwrap()),
+            Output::NeverRead | Output::Closed => Stdio::piped(),
+        };
+        let metrics = ports.metrics.to_string();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bramleyramp"))
+            .args([role, "--on-platform", "--metrics-port", &metrics])
+            .env("BRAMLEYRAMP_NODE_FILE", &file)
+            .stdout(stdout)
+            .spawn()
+            .unwrap();
+        let mut pipe = child.stdout.take();
+        if self.output == Output::Closed {
+            pipe = None;
+        }
+        self.processes.push(Process {
+            name: name.to_string(),
+            child,
+            _pipe: pipe,
+        });
+        let ready = SocketAddrV4::new(at, ports.ready);
+        until("a process is ready", || get(ready, "/ready").0 == 200);
+    }
+
+    /// A backend server that knows its own flows and bounces all others.
+    fn start_server(&self, agent: u8) {
+        let at = self.agent_ip(agent);
+        let socket = UdpSocket::bind((at, self.ports.server)).unwrap();
+        let outbound = SocketAddrV4::new(at, self.ports.outbound);
+        let mood = Arc::clone(&self.mood);
+        thread::spawn(move || {
+            let mut flows = HashSet::new();
+            let mut buf = [0; 2048];
+            while let Ok((len, _)) = socket.recv_from(&mut buf) {
+                let mood = *mood.lock().unwrap();
+                if mood == ServerMood::Forgetful {
+                    flows.clear();
+                }
+                if let Some(answer) = serve(&buf[..len], mood, &mut flows) {
+                    socket.send_to(&answer, outbound).unwrap();
+                }
+            }
+        });
+    }
+
+    pub fn open(&self, port: u16) -> Flow {
+        assert_eq!(self.try_open(port), Answer::Status(0), "flow {port} opens");
+        Flow {
+            caller: Arc::clone(&self.caller),
+            balancer: self.balancer(),
+            port,
+            seq: 100,
+        }
+    }
+
+    /// Status 0 stands for an opened flow.
+    pub fn try_open(&self, port: u16) -> Answer {
+        let opening = packet(self.caller_ip(), port, SYN, 1, b"");
+        exchange(&self.caller, self.balancer(), port, &opening)
+    }
+
+    /// Sends data on a flow that nobody has, and doesn't wait.
+    pub fn send_unknown(&self, port: u16) {
+        let data = packet(self.caller_ip(), port, ACK, 1, b"x");
+        self.caller.send_to(&data, self.balancer()).unwrap();
+    }
+
+    pub fn set_servers(&self, mood: ServerMood) {
+        *self.mood.lock().unwrap() = mood;
+    }
+
+    pub fn kill(&mut self, name: &str) {
+        let mut process = self.take(name);
+        process.child.kill().unwrap();
+        process.child.wait().unwrap();
+    }
+
+    pub fn terminate(&self, name: &str) {
+        let process = self.processes.iter().find(|p| p.name == name).unwrap();
+        let pid = process.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn wait_for_end(&mut self, name: &str) -> ExitStatus {
+        let mut process = self.take(name);
+        let mut ended = None;
+        until("the process ends", || {
+            ended = process.child.try_wait().unwrap();
+            ended.is_some()
+        });
+        ended.unwrap()
+    }
+
+    pub fn is_ready(&self, name: &str) -> bool {
+        get(
+            SocketAddrV4::new(self.ip_of(name), self.ports.ready),
+            "/ready",
+        )
+        .0 == 200
+    }
+
+    pub fn metrics(&self, name: &str) -> String {
+        get(
+            SocketAddrV4::new(self.ip_of(name), self.ports.metrics),
+            "/metrics",
+        )
+        .1
+    }
+
+    /// Waits for a log line of a process whose name begins so; the line must
+    /// contain all of `parts`.
+    pub fn until_log(&self, name: &str, parts: &[&str]) -> String {
+        let mut found = None;
+        until(&format!("{name} logs {parts:?}"), || {
+            let logs = fs::read_dir(&self.dir).unwrap().flatten();
+            let logs = logs.map(|entry| entry.path()).filter(|path| {
+                let file = path.file_name().unwrap().to_string_lossy().into_owned();
+                file.starts_with(name) && file.ends_with(".log")
+            });
+            found = logs
+                .flat_map(|path| lines(&path))
+                .find(|line| parts.iter().all(|part| line.contains(part)));
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    fn take(&mut self, name: &str) -> Process {
+        let at = self.processes.iter().position(|p| p.name == name).unwrap();
+        self.processes.remove(at)
+    }
+
+    fn ip_of(&self, name: &str) -> Ipv4Addr {
+        match name.strip_prefix("agent-") {
+            Some(agent) => self.agent_ip(agent.parse().unwrap()),
+            None => ip(self.number, 1),
+        }
+    }
+
+    fn agent_ip(&self, agent: u8) -> Ipv4Addr {
+        ip(self.number, 10 + agent)
+    }
+
+    fn caller_ip(&self) -> Ipv4Addr {
+        ip(self.number, 250)
+    }
+
+    fn balancer(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(ip(self.number, 1), self.ports.data)
+    }
+}
+
+impl Flow {
+    pub fn request(&mut self, id: &str) -> Answer {
+        let SocketAddr::V4(own) = self.caller.local_addr().unwrap() else {
+            unreachable!("bound to IPv4")
+        };
+        let text = format!("GET / HTTP/1.1\r\nBramleyramp-Request-Id: {id}\r\n\r\n");
+        let data = packet(*own.ip(), self.port, ACK, self.seq, text.as_bytes());
+        self.seq += text.len() as u32;
+        exchange(&self.caller, self.balancer, self.port, &data)
+    }
+}
+
+/// Sends until something comes back for `port`.
+fn exchange(caller: &UdpSocket, to: SocketAddrV4, port: u16, data: &[u8]) -> Answer {
+    let end = Instant::now() + CALLER_LIMIT;
+    caller.set_read_timeout(Some(SEND_AGAIN)).unwrap();
+    let mut buf = [0; 2048];
+    while Instant::now() < end {
+        caller.send_to(data, to).unwrap();
+        while let Ok((len, _)) = caller.recv_from(&mut buf) {
+            let passing = PlatformPacket::read_from_server(&buf[..len]).unwrap();
+            if passing.segment.key.caller.port() != port {
+                continue;
+            }
+            if passing.segment.rst {
+                return Answer::Reset;
+            }
+            let text = String::from_utf8_lossy(&buf[HEADER_LEN_BYTES..len]).into_owned();
+            let status = text.split(' ').nth(1).unwrap_or("0");
+            return Answer::Status(status.parse().unwrap());
+        }
+    }
+    Answer::Nothing
+}
+
+fn serve(packet: &[u8], mood: ServerMood, flows: &mut HashSet<u16>) -> Option<Vec<u8>> {
+    let seg = PlatformPacket::read(packet)?.segment;
+    let port = seg.key.caller.port();
+    if seg.opens {
+        flows.insert(port);
+        return Some(answer(packet, SYN | ACK, b""));
+    }
+    if !flows.contains(&port) {
+        let mut bounced = packet.to_vec();
+        bounced[FLAGS] |= BOUNCED;
+        return Some(bounced);
+    }
+    match mood {
+        ServerMood::Mute => None,
+        ServerMood::Failing => Some(answer(packet, ACK, b"HTTP/1.1 503 busy\r\n\r\n")),
+        ServerMood::Well | ServerMood::Forgetful => {
+            Some(answer(packet, ACK, b"HTTP/1.1 200 fine\r\n\r\n"))
+        }
+    }
+}
+
+/// The packet that answers `packet`, with the two ends changed over.
+fn answer(packet: &[u8], flags: u8, data: &[u8]) -> Vec<u8> {
+    let mut buf = packet[..HEADER_LEN_BYTES].to_vec();
+    buf[8..12].fill(0);
+    buf[FLAGS] = flags;
+    buf[18..20].copy_from_slice(&(data.len() as u16).to_le_bytes());
+    buf[20..22].copy_from_slice(&packet[22..24]);
+    buf[22..24].copy_from_slice(&packet[20..22]);
+    buf[24..28].copy_from_slice(&packet[28..32]);
+    buf[28..32].copy_from_slice(&packet[24..28]);
+    buf.extend_from_slice(data);
+    buf
+}
+
+fn packet(caller: Ipv4Addr, port: u16, flags: u8, seq: u32, data: &[u8]) -> Vec<u8> {
+    let mut buf = vec![0; HEADER_LEN_BYTES];
+    buf[..4].copy_from_slice(&seq.to_le_bytes());
+    buf[FLAGS] = flags;
+    buf[18..20].copy_from_slice(&(data.len() as u16).to_le_bytes());
+    buf[20..22].copy_from_slice(&SERVICE_ADDRESS.port().to_le_bytes());
+    buf[22..24].copy_from_slice(&port.to_le_bytes());
+    buf[24..28].copy_from_slice(&u32::from(*SERVICE_ADDRESS.ip()).to_le_bytes());
+    buf[28..32].copy_from_slice(&u32::from(caller).to_le_bytes());
+    buf.extend_from_slice(data);
+    buf
+}
+
+/// A field of a log line, as text.
+pub fn field(line: &str, name: &str) -> String {
+    let line: Value = serde_json::from_str(line).unwrap();
+    match &line[name] {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn lines(path: &std::path::Path) -> Vec<String> {
+    let text = fs::read_to_string(path).unwrap_or_default();
+    text.lines().map(str::to_string).collect()
+}
+
+fn ip(fleet: u8, machine: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 77, fleet, machine)
+}
+
+/// Ports that the kernel picks; each is held until all are picked.
+fn pick_ports() -> Ports {
+    let held: Vec<UdpSocket> = (0..7)
+        .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let port = |at: usize| held[at].local_addr().unwrap().port();
+    Ports {
+        data: port(0),
+        peers: port(1),
+        outbound: port(2),
+        server: port(3),
+        ready: port(4),
+        control: port(5),
+        metrics: port(6),
+    }
+}
+
+fn get(at: SocketAddrV4, path: &str) -> (u16, String) {
+    let Ok(mut stream) = TcpStream::connect(at) else {
+        return (0, String::new());
+    };
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let mut text = String::new();
+    if stream.write_all(request.as_bytes()).is_err() || stream.read_to_string(&mut text).is_err() {
+        return (0, String::new());
+    }
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+    (status.unwrap_or(0), text)
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + TEST_LIMIT;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -0,0 +1,149 @@
+//! Real processes on loopback, with a stand-in for the users' platform: its
+//! store, its routers, callers and backend servers.
+
+mod fixture;
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::time::Duration;
+
+use fixture::Answer;
+use fixture::Fleet;
+use fixture::ServerMood;
+use stand_in::Mood;
+use stand_in::configuration_entry;
+
+#[test]
+fn a_request_goes_from_end_to_end() {
+    let fleet = Fleet::start(2);
+    let mut flow = fleet.open(1001);
+    assert_eq!(flow.request("r-1"), Answer::Status(200));
+    assert_eq!(flow.request("r-2"), Answer::Status(200));
+}
+
+#[test]
+fn a_balancer_that_was_killed_loses_no_flow() {
+    let mut fleet = Fleet::start(3);
+    let mut flows: Vec<_> = (0..8).map(|n| fleet.open(1100 + n)).collect();
+    fleet.kill("balancer");
+    fleet.start_balancer();
+    for flow in &mut flows {
+        assert_eq!(flow.request("r-3"), Answer::Status(200));
+    }
+}
+
+#[test]
+fn an_agent_that_was_killed_finds_its_flows_again() {
+    let mut fleet = Fleet::start(1);
+    let mut flow = fleet.open(1201);
+    fleet.kill("agent-1");
+    fleet.start_agent(1);
+    assert_eq!(flow.request("r-4"), Answer::Status(200));
+}
+
+#[test]
+fn a_new_configuration_is_followed_and_a_dropped_route_resets() {
+    let fleet = Fleet::start(1);
+    let mut flow = fleet.open(1301);
+    fleet
+        .store
+        .put("op/config", &configuration_entry(9, "other"));
+    fleet.until_log("balancer", &["configuration in force", "\"version\":9"]);
+    assert_eq!(flow.request("r-5"), Answer::Status(200), "open flows stay");
+    assert_eq!(fleet.try_open(1302), Answer::Reset, "nobody serves it now");
+}
+
+#[test]
+fn a_store_that_goes_silent_stops_nothing() {
+    let fleet = Fleet::start(2);
+    let mut flow = fleet.open(1401);
+    fleet.store.set_mood(Mood::Silent);
+    std::thread::sleep(Duration::from_millis(2500));
+    assert_eq!(flow.request("r-6"), Answer::Status(200));
+    let mut new = fleet.open(1402);
+    assert_eq!(new.request("r-7"), Answer::Status(200));
+}
+
+#[test]
+fn a_balancer_asked_to_end_is_not_ready_and_goes_on_until_nobody_sends() {
+    let mut fleet = Fleet::start(1);
+    let mut flow = fleet.open(1501);
+    assert!(fleet.is_ready("balancer"));
+    fleet.terminate("balancer");
+    fleet.until_log("balancer", &["asked to end"]);
+    assert!(!fleet.is_ready("balancer"));
+    assert_eq!(flow.request("r-8"), Answer::Status(200));
+    assert!(fleet.wait_for_end("balancer").success());
+    fleet.until_log("balancer", &["stopped"]);
+}
+
+#[test]
+fn the_cause_of_a_flow_that_was_cut_is_found_from_the_id_alone() {
+    let fleet = Fleet::start(2);
+    let mut flow = fleet.open(1601);
+    fleet.set_servers(ServerMood::Forgetful);
+    assert_eq!(flow.request("cut-1"), Answer::Reset);
+    let bounced = fleet.until_log("agent", &["packet bounced by the server", "cut-1"]);
+    let caller = fixture::field(&bounced, "caller");
+    let reset = fleet.until_log("balancer", &["caller reset", &caller]);
+    assert_eq!(fixture::field(&reset, "reason"), "unowned");
+}
+
+#[test]
+fn the_cause_of_a_flow_that_was_refused_is_found_from_the_caller() {
+    let fleet = Fleet::start(1);
+    fleet.store.put("op/evacuate/a", "{}");
+    fleet.until_log("balancer", &["backend server listed", "evacuated"]);
+    assert_eq!(fleet.try_open(1701), Answer::Reset);
+    let reset = fleet.until_log("balancer", &["caller reset", ":1701"]);
+    assert_eq!(fixture::field(&reset, "reason"), "no_member");
+}
+
+#[test]
+fn the_cause_of_a_request_that_was_never_answered_is_found_from_the_id_alone() {
+    let fleet = Fleet::start(1);
+    let mut flow = fleet.open(1801);
+    fleet.set_servers(ServerMood::Mute);
+    assert_eq!(flow.request("mute-1"), Answer::Nothing);
+    fleet.until_log("agent", &["request not answered by the server", "mute-1"]);
+}
+
+#[test]
+fn the_cause_of_a_failed_answer_is_found_from_the_id_alone() {
+    let fleet = Fleet::start(1);
+    let mut flow = fleet.open(1901);
+    fleet.set_servers(ServerMood::Failing);
+    assert_eq!(flow.request("bad-1"), Answer::Status(503));
+    let line = fleet.until_log("agent", &["failed answer of the server", "bad-1"]);
+    assert_eq!(fixture::field(&line, "status"), "503");
+}
+
+#[test]
+fn a_standard_output_that_nobody_reads_or_that_is_closed_stops_nothing() {
+    for deaf in [fixture::Output::NeverRead, fixture::Output::Closed] {
+        let fleet = Fleet::start_with(1, deaf);
+        for n in 0..1500 {
+            fleet.send_unknown(2000 + n);
+        }
+        let mut flow = fleet.open(5001);
+        assert_eq!(flow.request("r-9"), Answer::Status(200), "{deaf:?}");
+    }
+}
+
+#[test]
+fn metrics_tell_what_was_decided() {
+    let fleet = Fleet::start(1);
+    let mut flow = fleet.open(2101);
+    flow.request("r-10");
+    let text = fleet.metrics("balancer");
+    assert!(
+        text.contains("passthrough_balancer_placed_total 1"),
+        "{text}"
+    );
+    assert!(text.contains("passthrough_balancer_opening_seconds{quantile=\"0.5\"}"));
+    let text = fleet.metrics("agent-1");
+    assert!(
+        text.contains("passthrough_agent_answer_seconds_count"),
+        "{text}"
+    );
+}
--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -226,8 +226,10 @@
         self.flows.get(flow)?.request
     }
 
-    /// Requests that were found unanswered since the last call.
-    pub fn take_unanswered(&mut self) -> Vec<Unanswered> {
+    /// Requests that were found unanswered since the last call. To be called
+    /// now and then, also when no packets come.
+    pub fn take_unanswered(&mut self, now: Millis) -> Vec<Unanswered> {
+        self.sweep(now);
         std::mem::take(&mut self.unanswered)
     }
 
--- a/crates/transport/src/logging/limit.rs
+++ b/crates/transport/src/logging/limit.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 /// Lines of one kind in a window.
-const LINES_A_WINDOW: u32 = 50;
+const LINES_A_WINDOW: u32 = 200;
 
 /// Length of a window.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/transport/src/passthrough/account/agent.rs
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -28,9 +28,8 @@
     answer_s: Histogram,
 }
 
-impl Account {
-    /// Account with nothing in it.
-    pub fn new() -> Account {
+impl Default for Account {
+    fn default() -> Account {
         Account {
             passed: counter!("passthrough_agent_passed_total"),
             unreadable: counter!("passthrough_agent_unreadable_total"),
@@ -40,7 +39,9 @@
             answer_s: histogram!("passthrough_agent_answer_seconds"),
         }
     }
+}
 
+impl Account {
     /// A datagram is no packet or frame.
     pub fn unreadable(&self) {
         self.unreadable.increment(1);
--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -30,9 +30,8 @@
     opening_s: Histogram,
 }
 
-impl Account {
-    /// Account with nothing in it.
-    pub fn new() -> Account {
+impl Default for Account {
+    fn default() -> Account {
         Account {
             packets: counter!("passthrough_balancer_packets_total"),
             unreadable: counter!("passthrough_balancer_unreadable_total"),
@@ -42,7 +41,9 @@
             opening_s: histogram!("passthrough_balancer_opening_seconds"),
         }
     }
+}
 
+impl Account {
     /// A packet came from the routers.
     pub fn packet(&self) {
         self.packets.increment(1);
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -88,7 +88,7 @@
             agent,
             heard: Revision(0),
             leaving_since: None,
-            account: Account::new(),
+            account: Account::default(),
             out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
         };
@@ -137,7 +137,8 @@
         if data {
             self.read_balancers(buf)?;
         }
-        for unanswered in self.agent.take_unanswered() {
+        let now = self.traffic.clock.now();
+        for unanswered in self.agent.take_unanswered(now) {
             self.account.unanswered(&unanswered);
         }
         Ok(())
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -112,7 +112,7 @@
             openings: VecDeque::new(),
             leaving_since: None,
             last_packet: Millis(0),
-            account: Account::new(),
+            account: Account::default(),
             out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
         };
