Log a bounce only where one server was asked; name only real requests as unanswered

Cause: one lost flow gave a line at each of ten servers, and openings whose request never came were told as requests without an answer.

Change: copies are counted, not logged; a request counts as unanswered only once its data has come.

Ruled out: a lower limit for the lines, which would lose other flows' lines.

--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -97,6 +97,8 @@
     open: bool,
     /// Since when a request is in progress, or about to come.
     busy_since: Option<Millis>,
+    /// Whether the request has come; before, it is only expected.
+    running: bool,
     /// The request in progress, where a packet has shown its id.
     request: Option<RequestId>,
     /// Sequence number behind the newest data of the caller.
@@ -135,6 +137,7 @@
         let new = seg.len > 0 && end.wrapping_sub(self.next_seq) as i32 > 0;
         if new {
             self.next_seq = end;
+            self.running = true;
         }
         new
     }
@@ -197,6 +200,7 @@
             asked_by: None,
             open: false,
             busy_since: None,
+            running: false,
             request: None,
             next_seq: seg.seq,
             seen_at: now,
@@ -247,6 +251,7 @@
             asked_by: None,
             open: true,
             busy_since: None,
+            running: false,
             request: None,
             next_seq: seg.ack,
             seen_at: now,
@@ -261,6 +266,7 @@
             };
         }
         let since = flow.busy_since.take();
+        flow.running = false;
         self.busy = self.busy.saturating_sub(u16::from(since.is_some()));
         Outbound {
             tell,
@@ -387,13 +393,17 @@
         self.swept
             .forget(&mut self.flows, SWEEP_FLOWS, |key, flow| {
                 let silence = now.since(flow.seen_at);
-                if flow.busy_since.is_some() && silence > REQUEST_LIMIT {
-                    flow.busy_since = None;
+                if silence <= REQUEST_LIMIT {
+                    return false;
+                }
+                if flow.busy_since.take().is_some() {
+                    *busy = busy.saturating_sub(1);
+                }
+                if std::mem::take(&mut flow.running) {
                     unanswered.push(Unanswered {
                         flow: *key,
                         request: flow.request,
                     });
-                    *busy = busy.saturating_sub(1);
                 }
                 silence > FLOW_KEPT
             });
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -319,3 +319,22 @@
     );
     assert!(matches!(step, Inbound::Pass { owned: true, .. }));
 }
+
+#[test]
+fn only_a_request_that_came_counts_as_unanswered() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    // One flow opens and its request never comes, another's is not answered.
+    open(&mut agent, &view, 0, 1);
+    open(&mut agent, &view, 0, 2);
+    answer(&mut agent, &view, 1, 1);
+    answer(&mut agent, &view, 1, 2);
+    let from = balancer_ip(1);
+    let seg = segment(flow(2));
+    agent.inbound(Some(&view), Millis(2), from, &carry(2), Inquiry::None, &seg);
+    assert!(agent.take_unanswered(Millis(1900)).is_empty());
+    let unanswered = agent.take_unanswered(Millis(3000));
+    assert_eq!(unanswered.len(), 1);
+    assert_eq!(unanswered[0].flow, flow(2));
+    assert_eq!(agent.in_progress(), 0, "neither holds a slot for ever");
+}
--- a/crates/transport/src/passthrough/account/agent.rs
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -85,9 +85,13 @@
         );
     }
 
-    /// The server does not take a packet.
-    pub fn bounced(&self, flow: &FlowKey, request: Option<RequestId>) {
+    /// The server does not take a packet. A copy that went to several servers
+    /// is expected to be bounced by most.
+    pub fn bounced(&self, flow: &FlowKey, request: Option<RequestId>, copy: bool) {
         self.bounced.increment(1);
+        if copy {
+            return;
+        }
         log::info!(
             caller:% = flow.caller,
             request = name(request.as_ref());
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -236,11 +236,12 @@
         let view = self.view.as_deref();
         let key = passing.segment.key;
         let request = F::request_id(packet).or_else(|| self.agent.request_of(&key));
-        self.account.bounced(&key, request);
-        match self
+        let bounce = self
             .agent
-            .bounced(view, now, passing.mark, &passing.segment)
-        {
+            .bounced(view, now, passing.mark, &passing.segment);
+        let copy = matches!(bounce, Bounce::Deny(_));
+        self.account.bounced(&key, request, copy);
+        match bounce {
             Bounce::Return(to) => {
                 self.tell(to, FrameKind::Returned(Refusal::Bounced), key, packet);
             }
