Ask agents for flows by lists of names

Change: an agent that started with its server knows all its flows, says so with each frame, and answers for lists of names; only agents that were restarted beside a living server still get copies. Denials are counted before they are compared.

Ruled out: fewer holders asked (any may have the flow).

--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -13,6 +13,7 @@
 use ramp_protocol::format::RequestId;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
 use ramp_protocol::hop::Refusal;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
@@ -40,6 +41,11 @@
 /// Silence after which a request no longer counts as in progress.
 const REQUEST_LIMIT: Duration = Duration::from_secs(2);
 
+/// How much earlier than its agent a server may have started while it still
+/// can't have flows that the agent has not seen: a machine that comes back
+/// starts both.
+const STARTED_TOGETHER: Duration = Duration::from_millis(500);
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
@@ -111,6 +117,9 @@
 pub struct Agent {
     me: Ipv4Addr,
     service: ServiceId,
+    /// Start of this process, Unix milliseconds and on the driver's clock.
+    started_ms: u64,
+    started_at: Millis,
     leaving: bool,
     flows: IndexMap<FlowKey, Flow>,
     busy: u16,
@@ -144,12 +153,15 @@
 }
 
 impl Agent {
-    /// Agent of the server at `me`. `nonce` tells marks of this process from
-    /// those of an earlier one.
-    pub fn new(me: Ipv4Addr, service: ServiceId, nonce: u8) -> Agent {
+    /// Agent of the server at `me`, started now. `nonce` tells marks of this
+    /// process from those of an earlier one, `started_ms` is its start in Unix
+    /// milliseconds.
+    pub fn new(me: Ipv4Addr, service: ServiceId, nonce: u8, started_ms: u64, now: Millis) -> Agent {
         Agent {
             me,
             service,
+            started_ms,
+            started_at: now,
             leaving: false,
             flows: IndexMap::new(),
             busy: 0,
@@ -178,6 +190,31 @@
         self.flows.len()
     }
 
+    /// Whether every flow of the server is known here. The only way to the
+    /// server is this process, so that is so when it started no later than the
+    /// server, or has seen every flow that is not idle for too long.
+    pub fn is_complete(&self, view: Option<&View>, now: Millis) -> bool {
+        let Some(view) = view else {
+            return false;
+        };
+        if now.since(self.started_at) > view.idle_limit {
+            return true;
+        }
+        let born_ms = view.member(self.me).map_or(0, |m| m.born_ms);
+        born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
+    }
+
+    /// What is known of a flow, without asking the server.
+    pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
+        if self.flows.get(flow).is_some_and(|f| f.open) {
+            return Knowledge::Has;
+        }
+        if self.flows.contains_key(flow) || !self.is_complete(view, now) {
+            return Knowledge::Unsure;
+        }
+        Knowledge::HasNot
+    }
+
     /// A packet that the balancer `from` sent.
     pub fn inbound(
         &mut self,
@@ -374,7 +411,11 @@
         if now.since(since) < RESTART_SILENCE {
             return;
         }
-        self.flows.clear();
+        // Bounces will tell which flows are lost; none is being served.
+        for flow in self.flows.values_mut() {
+            flow.busy_since = None;
+            flow.running = false;
+        }
         self.busy = 0;
         let cold_start = view.and_then(|v| v.cold_start(self.service));
         self.cold_until = now + cold_start.unwrap_or_default();
--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -55,14 +55,30 @@
         /// Service that it is meant for.
         service: ServiceId,
     },
-    /// Send a copy of the packet to each of these agents, asking for the owner.
-    Ask(Vec<Ipv4Addr>),
+    /// Ask these agents for the owner, and keep the packet for it.
+    Ask(Question),
     /// Reset the caller's flow.
     Reset(Reset),
     /// Do nothing.
     Drop(DropReason),
 }
 
+/// Whom to ask for the owner of a flow.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Question {
+    /// Agents whose servers must be asked: each gets a copy of the packet.
+    pub copies: Vec<Ipv4Addr>,
+    /// Agents that know by themselves: the name of the flow is enough.
+    pub named: Vec<Ipv4Addr>,
+}
+
+impl Question {
+    /// Agents that are asked.
+    pub fn agent_count(&self) -> usize {
+        self.copies.len() + self.named.len()
+    }
+}
+
 /// A reset to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reset {
@@ -277,6 +293,15 @@
         late.then(|| self.opening(view, now, seg))
     }
 
+    /// An agent does not know whether its server has a flow.
+    pub fn unsure(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+        if let Some(search) = self.searches.get_mut(&frame.flow) {
+            // The caller's next packet is sent to its server at once.
+            search.asked_at = None;
+        }
+    }
+
     /// An agent has given a sign of life.
     pub fn present(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
@@ -412,14 +437,18 @@
             return Step::Drop(DropReason::Asked);
         }
         search.asked_at = Some(now);
-        let left: Vec<Ipv4Addr> = view
-            .holders()
-            .filter(|h| !search.denied.contains(h))
-            .collect();
-        if left.is_empty() {
+        let mut question = Question::default();
+        for holder in view.holders().filter(|h| !search.denied.contains(h)) {
+            if self.loads.is_complete(holder) {
+                question.named.push(holder);
+            } else {
+                question.copies.push(holder);
+            }
+        }
+        if question.agent_count() == 0 {
             return Step::Drop(DropReason::Unsettled);
         }
-        Step::Ask(left)
+        Step::Ask(question)
     }
 
     /// Resets the caller once nobody can have the flow.
@@ -427,6 +456,10 @@
         let Some(search) = self.searches.get(&flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
+        // Listed members are never gone, so each must have denied it.
+        if search.denied.len() < view.members().len() {
+            return Step::Drop(DropReason::Asked);
+        }
         let denied = |h: Ipv4Addr| search.denied.contains(&h) || view.is_gone(h, now);
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
@@ -448,7 +481,7 @@
     /// What every message of an agent tells.
     fn hear(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.suspects.clear(from);
-        self.loads.told(from, frame.in_progress, now);
+        self.loads.told(from, frame, now);
         self.newest_heard = self.newest_heard.max(Revision(frame.revision));
     }
 
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
@@ -31,6 +32,8 @@
     in_progress: u16,
     /// New flows sent there since.
     sent: u16,
+    /// Whether the agent knows every flow of its server.
+    complete: bool,
     told_at: Millis,
 }
 
@@ -58,10 +61,11 @@
 }
 
 impl Loads {
-    pub(super) fn told(&mut self, agent: Ipv4Addr, in_progress: u16, now: Millis) {
+    pub(super) fn told(&mut self, agent: Ipv4Addr, frame: &Frame, now: Millis) {
         let load = Load {
-            in_progress,
+            in_progress: frame.in_progress,
             sent: 0,
+            complete: frame.complete,
             told_at: now,
         };
         self.0.insert(agent, load);
@@ -73,6 +77,11 @@
         }
     }
 
+    /// Whether an agent has said that it knows every flow of its server.
+    pub(super) fn is_complete(&self, agent: Ipv4Addr) -> bool {
+        self.0.get(&agent).is_some_and(|load| load.complete)
+    }
+
     fn of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
         let fresh = |load: &&Load| now.since(load.told_at) < LOAD_KEPT;
         let load = self.0.get(&agent).filter(fresh);
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -9,6 +9,7 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
 use ramp_protocol::hop::Refusal;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
@@ -16,7 +17,7 @@
 use crate::fixture::*;
 
 fn agent(last: u8) -> Agent {
-    Agent::new(ip(last), FEEDS, 7)
+    Agent::new(ip(last), FEEDS, 7, 1000, Millis(0))
 }
 
 fn carry(port: u16) -> Frame {
@@ -293,7 +294,7 @@
     assert_eq!(bounce(marks[1]), Bounce::Deny(balancer_ip(2)));
     assert_eq!(bounce(marks[2]), Bounce::Return(balancer_ip(3)));
 
-    let mut restarted = Agent::new(ip(1), FEEDS, 8);
+    let mut restarted = Agent::new(ip(1), FEEDS, 8, 1000, Millis(0));
     let step = restarted.bounced(Some(&view), Millis(1), marks[0], &segment(flow(1)));
     assert_eq!(step, Bounce::Unknown, "an earlier process made this mark");
 }
@@ -338,3 +339,34 @@
     assert_eq!(unanswered[0].flow, flow(2));
     assert_eq!(agent.in_progress(), 0, "neither holds a slot for ever");
 }
+
+#[test]
+fn an_agent_vouches_only_for_a_server_that_started_with_it() {
+    let view = view(&[1]);
+    let know = |agent: &Agent, now| agent.knowledge(Some(&view), Millis(now), &flow(9));
+    // The server started in millisecond 1.
+    let together = Agent::new(ip(1), FEEDS, 1, 400, Millis(0));
+    assert_eq!(know(&together, 10), Knowledge::HasNot);
+    let restarted = Agent::new(ip(1), FEEDS, 1, 2_000, Millis(0));
+    assert_eq!(know(&restarted, 10), Knowledge::Unsure);
+    // By now every flow has shown itself or is idle for too long.
+    assert_eq!(know(&restarted, 15_001), Knowledge::HasNot);
+    assert_eq!(
+        together.knowledge(None, Millis(10), &flow(9)),
+        Knowledge::Unsure,
+        "without a view it does not know when its server started"
+    );
+}
+
+#[test]
+fn an_agent_knows_the_flows_that_its_server_has_answered() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    open(&mut agent, &view, 0, 9);
+    let know = |agent: &Agent| agent.knowledge(Some(&view), Millis(5), &flow(9));
+    assert_eq!(know(&agent), Knowledge::Unsure, "its opening is on its way");
+    answer(&mut agent, &view, 1, 9);
+    assert_eq!(know(&agent), Knowledge::Has);
+    agent.bounced(Some(&view), Millis(2), 0, &segment(flow(9)));
+    assert_eq!(know(&agent), Knowledge::HasNot, "its server has lost it");
+}
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -29,7 +29,7 @@
 
 fn asked(step: Step) -> Vec<Ipv4Addr> {
     match step {
-        Step::Ask(agents) => agents,
+        Step::Ask(question) => [question.copies, question.named].concat(),
         _ => panic!("nobody was asked: {step:?}"),
     }
 }
@@ -405,3 +405,29 @@
     let kept_s = 15;
     assert!(balancer.flow_count() < 2_000 * kept_s * 2);
 }
+
+#[test]
+fn agents_that_know_all_their_flows_are_asked_by_name() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    balancer.present(Millis(0), ip(2), &told);
+    let seg = (10..)
+        .map(|port| segment(flow(port)))
+        .find(|seg| carried(&balancer.arrival(&view, Millis(0), seg)).0 == ip(1));
+    let seg = seg.unwrap();
+    let step = returned(&mut balancer, &view, 1, ip(1), Refusal::Bounced, &seg);
+    let Step::Ask(question) = step else {
+        panic!("nobody was asked: {step:?}")
+    };
+    assert_eq!(question.named, [ip(2)]);
+    assert_eq!(question.copies, [ip(3)]);
+    // One that turns out not to know gets a copy with the next packet.
+    balancer.unsure(Millis(2), ip(2), &frame(FrameKind::Answer, seg.key));
+    let step = balancer.arrival(&view, Millis(3), &seg);
+    let Step::Ask(question) = step else {
+        panic!("nobody was asked: {step:?}")
+    };
+    assert_eq!(question.copies, [ip(2), ip(3)]);
+}
--- a/crates/coordination/tests/passthrough/choice.rs
+++ b/crates/coordination/tests/passthrough/choice.rs
@@ -23,7 +23,7 @@
     let mut balancer = Balancer::new();
     let mut agents: IndexMap<Ipv4Addr, Agent> = SERVERS
         .iter()
-        .map(|last| (ip(*last), Agent::new(ip(*last), FEEDS, 1)))
+        .map(|last| (ip(*last), Agent::new(ip(*last), FEEDS, 1, 1000, Millis(0))))
         .collect();
     let mut taken = IndexMap::new();
     for port in 1..=count {
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -172,5 +172,6 @@
         revision: 100,
         in_progress: 0,
         open_flows: 0,
+        complete: false,
     }
 }
--- a/crates/coordination/tests/passthrough/simulation.rs
+++ b/crates/coordination/tests/passthrough/simulation.rs
@@ -24,6 +24,7 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
@@ -42,6 +43,10 @@
 const STRAY_LIMIT_MS: u64 = 2_000;
 const LOSS_PERCENT: u64 = 2;
 const SEEDS: u64 = 100;
+/// Start of every server and of its first agent, Unix milliseconds.
+const BORN_MS: u64 = 1;
+/// Start of an agent that was restarted while its server lived.
+const RESTARTED_MS: u64 = 5_000;
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -61,6 +66,13 @@
         inquiry: Inquiry,
         seg: Segment,
     },
+    /// An agent is asked for a flow by its name.
+    Ask {
+        at: Ipv4Addr,
+        from: usize,
+        frame: Frame,
+        seg: Segment,
+    },
     FromAgent {
         to: usize,
         from: Ipv4Addr,
@@ -118,6 +130,8 @@
     servers: IndexMap<Ipv4Addr, Server>,
     callers: IndexMap<u16, Caller>,
     rotation: Vec<usize>,
+    /// Packets that wait at a balancer for their flow's owner.
+    held: IndexMap<(usize, FlowKey), Segment>,
     resets: usize,
     answered: usize,
 }
@@ -142,6 +156,7 @@
             servers: IndexMap::new(),
             callers: IndexMap::new(),
             rotation: vec![0, 1],
+            held: IndexMap::new(),
             resets: 0,
             answered: 0,
         };
@@ -193,7 +208,7 @@
     fn add(&mut self, last: u8) {
         let server = Server {
             flows: HashSet::new(),
-            agent: Agent::new(ip(last), FEEDS, last),
+            agent: Agent::new(ip(last), FEEDS, last, BORN_MS, Millis(self.now)),
             drain_at: None,
         };
         self.servers.insert(ip(last), server);
@@ -229,6 +244,12 @@
                     inquiry,
                     seg,
                 } => self.agent_gets(at, from, &frame, inquiry, &seg),
+                Event::Ask {
+                    at,
+                    from,
+                    frame,
+                    seg,
+                } => self.agent_is_asked(at, from, &frame, &seg),
                 Event::FromAgent {
                     to,
                     from,
@@ -274,22 +295,32 @@
         let step = match frame.kind {
             FrameKind::Owned => {
                 balancer.owned(now, from, frame);
+                if let Some(seg) = self.held.swap_remove(&(to, frame.flow)) {
+                    let step = Step::Carry {
+                        agent: from,
+                        inquiry: Inquiry::None,
+                        service: FEEDS,
+                    };
+                    self.carry_out(to, &seg, step);
+                }
                 return;
             }
+            FrameKind::Answer => return balancer.unsure(now, from, frame),
             FrameKind::Denied => balancer.denied(&self.views[&to], now, from, frame),
             FrameKind::Returned(refusal) => {
                 balancer.returned(&self.views[&to], now, from, refusal, frame, seg)
             }
-            FrameKind::Carry(_) | FrameKind::Probe | FrameKind::Present => return,
+            FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe | FrameKind::Present => return,
         };
         self.carry_out(to, seg, step);
     }
 
     fn carry_out(&mut self, from: usize, seg: &Segment, step: Step) {
         let version = self.views[&from].version;
+        let revision = self.views[&from].newest.0;
         let carry = |inquiry| Frame {
             version,
-            revision: self.views[&from].newest.0,
+            revision,
             ..frame(FrameKind::Carry(inquiry), seg.key)
         };
         match step {
@@ -303,10 +334,23 @@
                     seg: *seg,
                 });
             }
-            Step::Ask(agents) => {
+            Step::Ask(question) => {
+                if !question.named.is_empty() {
+                    self.held.insert((from, seg.key), *seg);
+                }
+                for at in question.named {
+                    let frame = carry(Inquiry::None);
+                    let seg = *seg;
+                    self.send(Event::Ask {
+                        at,
+                        from,
+                        frame,
+                        seg,
+                    });
+                }
                 let inquiry = Inquiry::OwnerOfCopy;
                 let frame = carry(inquiry);
-                for at in agents {
+                for at in question.copies {
                     self.send(Event::ToAgent {
                         at,
                         from,
@@ -373,6 +417,22 @@
         }
     }
 
+    fn agent_is_asked(&mut self, at: Ipv4Addr, from: usize, frame: &Frame, seg: &Segment) {
+        let Some(server) = self.servers.get(&at) else {
+            return;
+        };
+        let view = &self.views[&process_of(at)];
+        let knowledge = server
+            .agent
+            .knowledge(Some(view), Millis(self.now), &frame.flow);
+        let kind = match knowledge {
+            Knowledge::Has => FrameKind::Owned,
+            Knowledge::HasNot => FrameKind::Denied,
+            Knowledge::Unsure => FrameKind::Answer,
+        };
+        self.tell(at, from, kind, seg);
+    }
+
     fn server_gets(&mut self, at: Ipv4Addr, mark: u32, seg: &Segment) {
         let now = Millis(self.now);
         self.note_stray(at, seg);
@@ -457,6 +517,9 @@
         let frame = Frame {
             revision: self.views[&process_of(from)].newest.0,
             in_progress: self.servers[&from].agent.in_progress(),
+            complete: self.servers[&from]
+                .agent
+                .is_complete(Some(&self.views[&process_of(from)]), Millis(self.now)),
             version: Version(1),
             ..frame(kind, seg.key)
         };
@@ -517,7 +580,8 @@
             }
             Act::RestartAgent(last) => {
                 if let Some(server) = self.servers.get_mut(&ip(last)) {
-                    server.agent = Agent::new(ip(last), FEEDS, last + 100);
+                    let now = Millis(self.now);
+                    server.agent = Agent::new(ip(last), FEEDS, last + 100, RESTARTED_MS, now);
                     self.start_process(process_of(ip(last)));
                 }
             }
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -53,6 +53,11 @@
     Denied,
     /// Agent to balancer: its server has the flow; no packet.
     Owned,
+    /// Balancer to agent: asks which of the flows listed behind the header its
+    /// server has.
+    Ask,
+    /// Agent to balancer: what it knows of the flows listed.
+    Answer,
     /// Balancer to agent: asks for a sign of life; no packet, any flow.
     Probe,
     /// Agent to balancer: the sign of life.
@@ -110,6 +115,78 @@
     pub in_progress: u16,
     /// Open flows at the agent's server; zero from a balancer.
     pub open_flows: u16,
+    /// Whether the agent knows every flow of its server; false from a balancer.
+    pub complete: bool,
+}
+
+/// What an agent knows of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// Its server has it.
+    Has,
+    /// Its server does not have it.
+    HasNot,
+    /// Only the server can tell.
+    Unsure,
+}
+
+/// One flow of a list, with what is known of it; in a question nothing is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The flow.
+    pub flow: FlowKey,
+    /// What the agent knows.
+    pub knowledge: Knowledge,
+}
+
+/// Most flows in one list.
+pub const LIST_LIMIT_FLOWS: usize = 64;
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct RawListed {
+    caller_ip: U32,
+    service_ip: U32,
+    caller_port: U16,
+    service_port: U16,
+    knowledge: u8,
+}
+
+const KNOWLEDGE: [Knowledge; 3] = [Knowledge::Unsure, Knowledge::Has, Knowledge::HasNot];
+
+/// Writes a list of flows into `buf`, which is emptied first.
+pub fn write_list(list: &[Listed], buf: &mut Vec<u8>) {
+    buf.clear();
+    for listed in list {
+        let flow = &listed.flow;
+        let raw = RawListed {
+            caller_ip: U32::new((*flow.caller.ip()).into()),
+            service_ip: U32::new((*flow.service.ip()).into()),
+            caller_port: U16::new(flow.caller.port()),
+            service_port: U16::new(flow.service.port()),
+            knowledge: index_of(&KNOWLEDGE, listed.knowledge),
+        };
+        buf.extend_from_slice(raw.as_bytes());
+    }
+}
+
+/// Reads a list of flows; what is cut off at its end is left out.
+pub fn read_list(buf: &[u8]) -> impl Iterator<Item = Listed> {
+    let whole = buf.chunks_exact(size_of::<RawListed>());
+    whole.take(LIST_LIMIT_FLOWS).filter_map(|chunk| {
+        let raw = RawListed::ref_from_bytes(chunk).ok()?;
+        Some(Listed {
+            flow: FlowKey {
+                caller: end(raw.caller_ip, raw.caller_port),
+                service: end(raw.service_ip, raw.service_port),
+            },
+            knowledge: *KNOWLEDGE.get(usize::from(raw.knowledge))?,
+        })
+    })
+}
+
+fn end(ip: U32, port: U16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(ip.get()), port.get())
 }
 
 #[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -118,7 +195,7 @@
     magic: u8,
     kind: u8,
     detail: u8,
-    reserved: u8,
+    complete: u8,
     caller_ip: U32,
     service_ip: U32,
     caller_port: U16,
@@ -136,6 +213,8 @@
 const KIND_OWNED: u8 = 4;
 const KIND_PROBE: u8 = 5;
 const KIND_PRESENT: u8 = 6;
+const KIND_ASK: u8 = 7;
+const KIND_ANSWER: u8 = 8;
 
 const INQUIRIES: [Inquiry; 4] = [
     Inquiry::None,
@@ -163,7 +242,7 @@
             magic: MAGIC,
             kind,
             detail,
-            reserved: 0,
+            complete: u8::from(self.complete),
             caller_ip: U32::new((*self.flow.caller.ip()).into()),
             service_ip: U32::new((*self.flow.service.ip()).into()),
             caller_port: U16::new(self.flow.caller.port()),
@@ -194,7 +273,6 @@
         let Some(kind) = FrameKind::from_code(raw.kind, raw.detail) else {
             return Err(FrameError::UnknownKind(raw.kind));
         };
-        let end = |ip: U32, port: U16| SocketAddrV4::new(Ipv4Addr::from(ip.get()), port.get());
         Ok(Frame {
             kind,
             flow: FlowKey {
@@ -206,6 +284,7 @@
             revision: raw.revision.get(),
             in_progress: raw.in_progress.get(),
             open_flows: raw.open_flows.get(),
+            complete: raw.complete != 0,
         })
     }
 }
@@ -217,6 +296,8 @@
             FrameKind::Returned(refusal) => (KIND_RETURNED, index_of(&REFUSALS, refusal)),
             FrameKind::Denied => (KIND_DENIED, 0),
             FrameKind::Owned => (KIND_OWNED, 0),
+            FrameKind::Ask => (KIND_ASK, 0),
+            FrameKind::Answer => (KIND_ANSWER, 0),
             FrameKind::Probe => (KIND_PROBE, 0),
             FrameKind::Present => (KIND_PRESENT, 0),
         }
@@ -229,6 +310,8 @@
             KIND_RETURNED => FrameKind::Returned(*REFUSALS.get(detail)?),
             KIND_DENIED => FrameKind::Denied,
             KIND_OWNED => FrameKind::Owned,
+            KIND_ASK => FrameKind::Ask,
+            KIND_ANSWER => FrameKind::Answer,
             KIND_PROBE => FrameKind::Probe,
             KIND_PRESENT => FrameKind::Present,
             _ => return None,
--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -71,12 +71,13 @@
                 );
             }
             Step::Carry { .. } => {}
-            Step::Ask(agents) => {
+            Step::Ask(question) => {
                 self.asked.increment(1);
                 log::info!(
                     caller:% = seg.key.caller,
                     address:% = seg.key.service,
-                    holders = agents.len(),
+                    servers_asked = question.copies.len(),
+                    agents_asked = question.named.len(),
                     revision = view.newest.0;
                     "owner of a flow asked for"
                 );
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -22,7 +22,10 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Listed;
 use ramp_protocol::hop::Refusal;
+use ramp_protocol::hop::read_list;
+use ramp_protocol::hop::write_list;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
@@ -53,6 +56,8 @@
     pub clock: Clock,
     /// Tells this process's marks from those of an earlier one.
     pub nonce: u8,
+    /// Start of the process, Unix milliseconds.
+    pub started_ms: u64,
     /// Socket that balancers send to.
     pub data: UdpSocket,
     /// Socket that the server sends to.
@@ -81,7 +86,13 @@
     ///
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
-        let agent = Agent::new(self.place.ip, self.beside.service, self.nonce);
+        let agent = Agent::new(
+            self.place.ip,
+            self.beside.service,
+            self.nonce,
+            self.started_ms,
+            self.clock.now(),
+        );
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
@@ -170,6 +181,7 @@
         };
         let inquiry = match frame.kind {
             FrameKind::Carry(inquiry) => inquiry,
+            FrameKind::Ask => return self.answer(from, &frame, &buf[FRAME_LEN_BYTES..]),
             FrameKind::Probe => return self.tell(from, FrameKind::Present, frame.flow, &[]),
             _ => return self.account.unreadable(),
         };
@@ -211,6 +223,22 @@
         }
     }
 
+    /// Answers for a list of flows.
+    fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
+        self.hear(Revision(frame.revision));
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let answers: Vec<Listed> = read_list(list)
+            .map(|asked| Listed {
+                flow: asked.flow,
+                knowledge: self.agent.knowledge(view, now, &asked.flow),
+            })
+            .collect();
+        let mut body = Vec::new();
+        write_list(&answers, &mut body);
+        self.tell(from, FrameKind::Answer, frame.flow, &body);
+    }
+
     fn handle_server(&mut self, packet: &[u8]) {
         let Some(passing) = F::read_from_server(packet) else {
             return self.account.unreadable();
@@ -273,6 +301,7 @@
             version: view.map_or(Version(0), |v| v.version),
             revision: view.map_or(0, |v| v.newest.0),
             in_progress: self.agent.in_progress(),
+            complete: self.agent.is_complete(view, self.traffic.clock.now()),
             open_flows: u16::try_from(self.agent.open_flows()).unwrap_or(u16::MAX),
         };
         frame.write(packet, &mut self.out);
--- /dev/null
+++ b/crates/transport/src/passthrough/asking.rs
@@ -0,0 +1,52 @@
+//! Questions for owners of flows, gathered over one turn of a balancer's
+//! traffic thread, and the packets that wait for an answer.
+//!
+//! After a loss of power every caller sends on a flow that nobody has. One
+//! list for each agent in place of a datagram for each flow keeps that cheap.
+
+use std::net::Ipv4Addr;
+
+use indexmap::IndexMap;
+use ramp_protocol::hop::Knowledge;
+use ramp_protocol::hop::Listed;
+use ramp_state::key::FlowKey;
+
+/// Packets that wait at most; beyond that the oldest is dropped, and its caller
+/// sends again.
+const WAITING_PACKETS: usize = 256;
+
+/// Questions of this turn, and packets that wait.
+#[derive(Debug, Default)]
+pub struct Asking {
+    lists: IndexMap<Ipv4Addr, Vec<Listed>>,
+    waiting: IndexMap<FlowKey, Vec<u8>>,
+}
+
+impl Asking {
+    /// Asks `agents` for a flow; its packet waits for the owner.
+    pub fn name(&mut self, flow: FlowKey, agents: &[Ipv4Addr], packet: &[u8]) {
+        if agents.is_empty() {
+            return;
+        }
+        for agent in agents {
+            self.lists.entry(*agent).or_default().push(Listed {
+                flow,
+                knowledge: Knowledge::Unsure,
+            });
+        }
+        self.waiting.insert(flow, packet.to_vec());
+        if self.waiting.len() > WAITING_PACKETS {
+            self.waiting.shift_remove_index(0);
+        }
+    }
+
+    /// The lists gathered since the last call.
+    pub fn take_lists(&mut self) -> IndexMap<Ipv4Addr, Vec<Listed>> {
+        std::mem::take(&mut self.lists)
+    }
+
+    /// The packet of a flow whose question has ended.
+    pub fn take(&mut self, flow: &FlowKey) -> Option<Vec<u8>> {
+        self.waiting.swap_remove(flow)
+    }
+}
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -24,7 +24,11 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
+use ramp_protocol::hop::LIST_LIMIT_FLOWS;
 use ramp_protocol::hop::Refusal;
+use ramp_protocol::hop::read_list;
+use ramp_protocol::hop::write_list;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
@@ -32,6 +36,7 @@
 
 use super::account::balancer::Account;
 use super::account::beliefs;
+use super::asking::Asking;
 use super::news::Event;
 use super::news::Update;
 use super::place::Place;
@@ -86,6 +91,7 @@
     heard: Revision,
     reach: Reach,
     reaches: bool,
+    asking: Asking,
     /// Opening packets that may have to be placed again, the oldest first.
     openings: VecDeque<Opening>,
     leaving_since: Option<Millis>,
@@ -109,6 +115,7 @@
             heard: Revision(0),
             reach: Reach::default(),
             reaches: true,
+            asking: Asking::default(),
             openings: VecDeque::new(),
             leaving_since: None,
             last_packet: Millis(0),
@@ -169,6 +176,7 @@
             self.read_data(buf)?;
         }
         self.place_overdue();
+        self.send_questions();
         self.watch_reach();
         self.tell_heard();
         Ok(())
@@ -267,22 +275,62 @@
         self.reach.heard();
         let packet = &mut buf[FRAME_LEN_BYTES..];
         match frame.kind {
-            FrameKind::Owned => {
-                let learned = self.balancer.owned(now, from, &frame);
-                self.account.owned(&frame.flow, from, learned);
-            }
-            FrameKind::Denied => {
-                let step = self.balancer.denied(&view, now, from, &frame);
-                if let Step::Reset(reset) = step {
-                    self.reset(reset);
-                }
-            }
+            FrameKind::Owned => self.handle_owned(&view, from, &frame),
+            FrameKind::Denied => self.handle_denied(&view, from, &frame),
+            FrameKind::Answer => self.handle_answer(&view, from, &frame, packet),
             FrameKind::Returned(refusal) => {
                 self.handle_returned(&view, from, refusal, &frame, packet);
             }
             FrameKind::Present => self.balancer.present(now, from, &frame),
             // Only a balancer sends these.
-            FrameKind::Carry(_) | FrameKind::Probe => self.account.unreadable(),
+            FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe => self.account.unreadable(),
+        }
+    }
+
+    fn handle_owned(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
+        let now = self.traffic.clock.now();
+        let learned = self.balancer.owned(now, from, frame);
+        self.account.owned(&frame.flow, from, learned);
+        if let Some(packet) = self.asking.take(&frame.flow) {
+            let kind = FrameKind::Carry(Inquiry::None);
+            self.send(view, frame.flow, from, kind, frame.service, &packet);
+        }
+    }
+
+    fn handle_denied(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
+        let now = self.traffic.clock.now();
+        if let Step::Reset(reset) = self.balancer.denied(view, now, from, frame) {
+            self.reset(reset);
+        }
+    }
+
+    /// What an agent knows of each flow that it was asked for.
+    fn handle_answer(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
+        let now = self.traffic.clock.now();
+        for listed in read_list(list) {
+            let of_one = Frame {
+                flow: listed.flow,
+                ..*frame
+            };
+            match listed.knowledge {
+                Knowledge::Has => self.handle_owned(view, from, &of_one),
+                Knowledge::HasNot => self.handle_denied(view, from, &of_one),
+                Knowledge::Unsure => self.balancer.unsure(now, from, &of_one),
+            }
+        }
+    }
+
+    /// Sends the lists of flows that were gathered in this turn.
+    fn send_questions(&mut self) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let mut body = Vec::new();
+        for (agent, list) in self.asking.take_lists() {
+            for part in list.chunks(LIST_LIMIT_FLOWS) {
+                write_list(part, &mut body);
+                self.send(&view, NO_FLOW, agent, FrameKind::Ask, ServiceId(0), &body);
+            }
         }
     }
 
@@ -328,11 +376,12 @@
                 let kind = FrameKind::Carry(inquiry);
                 self.send(view, flow, agent, kind, service, packet);
             }
-            Step::Ask(agents) => {
+            Step::Ask(question) => {
                 let kind = FrameKind::Carry(Inquiry::OwnerOfCopy);
-                for agent in agents {
+                for agent in question.copies {
                     self.send(view, flow, agent, kind, ServiceId(0), packet);
                 }
+                self.asking.name(flow, &question.named, packet);
             }
             Step::Reset(reset) => self.reset(reset),
             Step::Drop(_) => {}
@@ -356,6 +405,7 @@
             revision: view.newest.0,
             in_progress: 0,
             open_flows: 0,
+            complete: false,
         };
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(agent, self.traffic.place.data_port);
@@ -365,6 +415,7 @@
     }
 
     fn reset(&mut self, reset: Reset) {
+        self.asking.take(&reset.flow);
         F::reset(&reset.flow, reset.seq, &mut self.out);
         let to = SocketAddrV4::new(*reset.flow.caller.ip(), self.traffic.place.data_port);
         self.account.reset(self.view.as_deref(), &reset);
--- a/crates/transport/src/passthrough/daemon.rs
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -37,6 +37,9 @@
 use crate::metrics::Metrics;
 use crate::signal::wait_for_end;
 
+/// Microseconds, in which start numbers count, in a millisecond.
+const US_PER_MS: u64 = 1000;
+
 /// Runs a balancer until it was asked to end and the routers have left it.
 ///
 /// # Errors
@@ -71,6 +74,7 @@
     let Some(beside) = place.beside.clone() else {
         return Err(DaemonError::NotAgent);
     };
+    let incarnation = clock::incarnation();
     // Before the traffic thread makes its counters.
     let counted = metrics::install()?;
     let clock = Clock::start();
@@ -78,7 +82,8 @@
     let (events, events_rx) = flume::unbounded();
     let traffic = agent::Traffic {
         clock,
-        nonce: mix(clock::incarnation().0) as u8,
+        nonce: mix(incarnation.0) as u8,
+        started_ms: incarnation.0 / US_PER_MS,
         data: bind(SocketAddrV4::new(place.ip, place.data_port))?,
         outbound: bind(beside.outbound)?,
         place: place.clone(),
--- a/crates/transport/src/passthrough/mod.rs
+++ b/crates/transport/src/passthrough/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod agent;
+pub mod asking;
 pub mod balancer;
 pub mod control;
 pub mod daemon;
