Let new flows wait beside a full server, the newest first

Cause: after a loss of power everybody comes back at the same moment, to servers that are cold.

Change: a server gets as many requests as it has slots and half as many behind them; further new flows go to other members, and where all are full they wait at an agent for 0.8 s at most, the newest first. Who is given up on is told at once. An opening whose request does not come frees its slot after 60 ms.

Ruled out: refusing them at once (their retries come back within 100 ms); a waiting room at the balancer (it does not know when a slot is free).

--- a/crates/coordination/src/passthrough/agent.rs
+++ b/crates/coordination/src/passthrough/agent.rs
@@ -6,6 +6,7 @@
 //! server bounces goes back to the balancer that sent it. The mark that
 //! a packet carries to the server and back names that balancer.
 
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use super::quota::Quota;
 use super::sweep::Sweep;
 use super::view::View;
+use super::waiting::Waiting;
 
 /// Time a server has to answer the opening of a flow.
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
@@ -41,6 +43,10 @@
 /// Silence after which a request no longer counts as in progress.
 const REQUEST_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time that a request may take to come once its flow is given to the server;
+/// a caller that has gone meanwhile must not hold a slot.
+const REQUEST_DUE: Duration = Duration::from_millis(60);
+
 /// How much earlier than its agent a server may have started while it still
 /// can't have flows that the agent has not seen: a machine that comes back
 /// starts both.
@@ -59,10 +65,23 @@
         /// Tell the balancer that the server has the flow.
         owned: bool,
     },
+    /// Keep it until [`Agent::release`] says what becomes of it.
+    Wait,
+    /// A copy of a packet that waits already: nothing.
+    Waiting,
     /// Send it back.
     Refuse(Refusal),
 }
 
+/// What becomes of a new flow that has waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// Give its packet to the server with this mark.
+    Pass(FlowKey, Mark),
+    /// Send its packet back to this balancer.
+    Refuse(FlowKey, Ipv4Addr),
+}
+
 /// What to do with a packet that the server bounced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bounce {
@@ -123,17 +142,32 @@
     leaving: bool,
     flows: IndexMap<FlowKey, Flow>,
     busy: u16,
+    /// Flows whose first request is expected, the oldest first.
+    expected: VecDeque<(Millis, FlowKey)>,
     senders: Senders,
     quota: Quota,
     /// First opening that the server has not answered.
     unanswered_since: Option<Millis>,
     tried_at: Millis,
     cold_until: Millis,
+    waiting: Waiting,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
 }
 
 impl Flow {
+    fn new(now: Millis, next_seq: u32) -> Flow {
+        Flow {
+            asked_by: None,
+            open: false,
+            busy_since: None,
+            running: false,
+            request: None,
+            next_seq,
+            seen_at: now,
+        }
+    }
+
     /// Whether a packet of the caller opens the flow or brings new data. The
     /// request of a flow that opens is counted at once: it follows soon, and
     /// openings that come together must not be taken for an idle server's.
@@ -165,11 +199,13 @@
             leaving: false,
             flows: IndexMap::new(),
             busy: 0,
+            expected: VecDeque::new(),
             senders: Senders::new(nonce),
             quota: Quota::default(),
             unanswered_since: None,
             tried_at: Millis(0),
             cold_until: Millis(0),
+            waiting: Waiting::default(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
         }
@@ -226,28 +262,36 @@
         seg: &Segment,
     ) -> Inbound {
         self.sweep(now);
-        if seg.opens
-            && !self.flows.contains_key(&seg.key)
-            && let Err(refusal) = self.admit(view, now, frame, inquiry, seg)
-        {
-            return Inbound::Refuse(refusal);
+        self.expire_expected(now);
+        if seg.opens && self.waiting.contains(&seg.key) {
+            return Inbound::Waiting;
+        }
+        if seg.opens && !self.flows.contains_key(&seg.key) {
+            if let Err(refusal) = self.admit(view, now, frame, seg) {
+                return Inbound::Refuse(refusal);
+            }
+            if let Some(step) = self.make_wait(view, now, from, inquiry, seg) {
+                return step;
+            }
+            if let Err(refusal) = self.admit_cold(view, now) {
+                return Inbound::Refuse(refusal);
+            }
+            self.note_opening(now);
         }
         let asked = inquiry != Inquiry::None;
-        let flow = self.flows.entry(seg.key).or_insert(Flow {
-            asked_by: None,
-            open: false,
-            busy_since: None,
-            running: false,
-            request: None,
-            next_seq: seg.seq,
-            seen_at: now,
-        });
+        let flow = self
+            .flows
+            .entry(seg.key)
+            .or_insert_with(|| Flow::new(now, seg.seq));
         flow.seen_at = now;
         let owned = asked && flow.open && !seg.opens;
         if asked && !owned {
             flow.asked_by = Some(from);
         }
         if flow.begins_request(seg) && flow.busy_since.is_none() {
+            if seg.opens {
+                self.expected.push_back((now, seg.key));
+            }
             flow.busy_since = Some(now);
             self.busy = self.busy.saturating_add(1);
         }
@@ -284,15 +328,10 @@
                 ..Outbound::default()
             };
         }
-        let flow = self.flows.entry(seg.key).or_insert(Flow {
-            asked_by: None,
-            open: true,
-            busy_since: None,
-            running: false,
-            request: None,
-            next_seq: seg.ack,
-            seen_at: now,
-        });
+        let flow = self
+            .flows
+            .entry(seg.key)
+            .or_insert_with(|| Flow::new(now, seg.ack));
         flow.seen_at = now;
         flow.open = true;
         let tell = flow.asked_by.take();
@@ -337,7 +376,6 @@
         view: Option<&View>,
         now: Millis,
         frame: &Frame,
-        inquiry: Inquiry,
         seg: &Segment,
     ) -> Result<(), Refusal> {
         if self.leaving {
@@ -348,7 +386,6 @@
         }
         let Some(view) = view else {
             // The balancer's view is all there is.
-            self.note_opening(now);
             return Ok(());
         };
         if view.version >= frame.version && !view.sends_to(seg.key.service, self.service) {
@@ -361,13 +398,69 @@
         if member.is_some_and(|m| m.evacuated) {
             return Err(Refusal::Evacuated);
         }
-        self.admit_silent(now)?;
-        if inquiry != Inquiry::OwnerThoughBusy && member.is_some_and(|m| m.is_full(self.busy)) {
-            return Err(Refusal::Busy);
+        self.admit_silent(now)
+    }
+
+    /// What becomes of a new flow while the server is full; none: it may go on.
+    fn make_wait(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Option<Inbound> {
+        if !self.is_full(view) {
+            return None;
+        }
+        // Another server may have room.
+        if inquiry != Inquiry::OwnerThoughBusy {
+            return Some(Inbound::Refuse(Refusal::Busy));
+        }
+        if self.waiting.add(seg.key, from, now) {
+            Some(Inbound::Wait)
+        } else {
+            Some(Inbound::Refuse(Refusal::Overloaded))
+        }
+    }
+
+    fn is_full(&self, view: Option<&View>) -> bool {
+        let member = view.and_then(|v| v.member(self.me));
+        member.is_some_and(|m| m.is_full(self.busy))
+    }
+
+    /// What becomes of new flows that wait: to be called after each packet of
+    /// the server, and now and then.
+    pub fn release(&mut self, view: Option<&View>, now: Millis) -> Option<Release> {
+        self.expire_expected(now);
+        if self.waiting.is_empty() {
+            return None;
+        }
+        if let Some(waiter) = self.waiting.overdue(now) {
+            return Some(Release::Refuse(waiter.flow, waiter.from));
+        }
+        let member = view.and_then(|v| v.member(self.me));
+        if self.leaving || member.is_some_and(|m| !m.takes_new()) {
+            let waiter = self.waiting.any()?;
+            return Some(Release::Refuse(waiter.flow, waiter.from));
+        }
+        if self.is_full(view) || self.admit_silent(now).is_err() {
+            return None;
+        }
+        let waiter = self.waiting.newest()?;
+        if self.admit_cold(view, now).is_err() {
+            return Some(Release::Refuse(waiter.flow, waiter.from));
         }
-        self.admit_cold(view, now)?;
         self.note_opening(now);
-        Ok(())
+        let mut flow = Flow::new(now, 0);
+        flow.asked_by = Some(waiter.from);
+        flow.busy_since = Some(now);
+        self.busy = self.busy.saturating_add(1);
+        self.expected.push_back((now, waiter.flow));
+        self.forget(&waiter.flow);
+        self.flows.insert(waiter.flow, flow);
+        let mark = self.senders.mark(waiter.from, false);
+        Some(Release::Pass(waiter.flow, mark))
     }
 
     /// Lets only a few openings through while the server does not answer.
@@ -381,7 +474,10 @@
         Err(Refusal::Silent)
     }
 
-    fn admit_cold(&mut self, view: &View, now: Millis) -> Result<(), Refusal> {
+    fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
+        let Some(view) = view else {
+            return Ok(());
+        };
         let Some(rate) = view.cold_rate_per_s(self.service) else {
             return Ok(());
         };
@@ -421,6 +517,22 @@
         self.cold_until = now + cold_start.unwrap_or_default();
     }
 
+    /// Frees the slots of requests that did not come.
+    fn expire_expected(&mut self, now: Millis) {
+        while let Some((since, key)) = self.expected.front() {
+            if now.since(*since) < REQUEST_DUE {
+                return;
+            }
+            if let Some(flow) = self.flows.get_mut(key)
+                && !flow.running
+                && flow.busy_since.take().is_some()
+            {
+                self.busy = self.busy.saturating_sub(1);
+            }
+            self.expected.pop_front();
+        }
+    }
+
     fn forget(&mut self, key: &FlowKey) {
         if let Some(flow) = self.flows.swap_remove(key) {
             self.busy = self
--- a/crates/coordination/src/passthrough/balancer.rs
+++ b/crates/coordination/src/passthrough/balancer.rs
@@ -97,6 +97,8 @@
     NoRoute,
     /// No member takes new flows now.
     NoMember,
+    /// It waited at a full server for as long as it may.
+    Overloaded,
     /// All holders have denied the flow.
     Unowned,
 }
@@ -223,6 +225,11 @@
         if refusal == Refusal::Silent {
             self.suspects.add(from, now);
         }
+        if refusal == Refusal::Overloaded {
+            self.flows.swap_remove(&seg.key);
+            self.placings.swap_remove(&seg.key);
+            return reset_or_drop(seg, ResetReason::Overloaded);
+        }
         if seg.opens {
             let placing = self.placing(now, seg.key);
             if refusal == Refusal::Busy {
@@ -293,6 +300,16 @@
         late.then(|| self.opening(view, now, seg))
     }
 
+    /// A new flow waits at an agent, which will say what becomes of it.
+    pub fn waits(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+        if let Some(flow) = self.flows.get_mut(&frame.flow)
+            && flow.agent == from
+        {
+            flow.confirmed = true;
+        }
+    }
+
     /// An agent does not know whether its server has a flow.
     pub fn unsure(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -111,7 +111,7 @@
     fn home_or_least(&self, open: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
         let members = || self.able.iter().copied().filter(&open);
         let home = members().max_by_key(|m| rank(self.flow, m.address))?;
-        if !home.is_full(self.loads.of(home.address, self.now)) {
+        if !home.is_busy(self.loads.of(home.address, self.now)) {
             return Some(home.address);
         }
         self.least(open)
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -26,3 +26,4 @@
 mod suspects;
 mod sweep;
 pub mod view;
+mod waiting;
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -47,10 +47,17 @@
     }
 
     /// Whether a server with that many requests in progress has no free slot.
-    pub fn is_full(&self, in_progress: u16) -> bool {
+    pub fn is_busy(&self, in_progress: u16) -> bool {
         self.slots > 0 && in_progress >= self.slots
     }
 
+    /// Whether a server with that many requests in progress has no room for
+    /// more. Half as many as it has slots may queue there, so that no slot is
+    /// idle while the next request is on its way.
+    pub fn is_full(&self, in_progress: u16) -> bool {
+        self.slots > 0 && in_progress >= self.slots + self.slots / 2
+    }
+
     /// Whether it is in cold start and limited.
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until && self.cold_rate_per_s.is_some()
--- a/crates/coordination/tests/passthrough/choice.rs
+++ b/crates/coordination/tests/passthrough/choice.rs
@@ -40,6 +40,13 @@
                     balancer.owned(Millis(0), agent, &owned);
                     break;
                 }
+                Inbound::Wait => {
+                    *taken.entry(agent).or_insert(0) += 1;
+                    let waits = told(FrameKind::Waits, port, beside);
+                    balancer.waits(Millis(0), agent, &waits);
+                    break;
+                }
+                Inbound::Waiting => panic!("flow {port} was sent twice"),
                 Inbound::Refuse(refusal) => {
                     assert_eq!(refusal, Refusal::Busy);
                     let back = told(FrameKind::Returned(refusal), port, beside);
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -53,6 +53,8 @@
     Denied,
     /// Agent to balancer: its server has the flow; no packet.
     Owned,
+    /// Agent to balancer: the new flow waits until its server has a free slot.
+    Waits,
     /// Balancer to agent: asks which of the flows listed behind the header its
     /// server has.
     Ask,
@@ -96,6 +98,8 @@
     Silent,
     /// All slots of the server are in use.
     Busy,
+    /// It has waited for a slot for as long as it may.
+    Overloaded,
 }
 
 /// Header of a frame.
@@ -215,6 +219,7 @@
 const KIND_PRESENT: u8 = 6;
 const KIND_ASK: u8 = 7;
 const KIND_ANSWER: u8 = 8;
+const KIND_WAITS: u8 = 9;
 
 const INQUIRIES: [Inquiry; 4] = [
     Inquiry::None,
@@ -223,7 +228,7 @@
     Inquiry::OwnerOfCopy,
 ];
 
-const REFUSALS: [Refusal; 8] = [
+const REFUSALS: [Refusal; 9] = [
     Refusal::Bounced,
     Refusal::Draining,
     Refusal::Evacuated,
@@ -232,6 +237,7 @@
     Refusal::Leaving,
     Refusal::Silent,
     Refusal::Busy,
+    Refusal::Overloaded,
 ];
 
 impl Frame {
@@ -296,6 +302,7 @@
             FrameKind::Returned(refusal) => (KIND_RETURNED, index_of(&REFUSALS, refusal)),
             FrameKind::Denied => (KIND_DENIED, 0),
             FrameKind::Owned => (KIND_OWNED, 0),
+            FrameKind::Waits => (KIND_WAITS, 0),
             FrameKind::Ask => (KIND_ASK, 0),
             FrameKind::Answer => (KIND_ANSWER, 0),
             FrameKind::Probe => (KIND_PROBE, 0),
@@ -310,6 +317,7 @@
             KIND_RETURNED => FrameKind::Returned(*REFUSALS.get(detail)?),
             KIND_DENIED => FrameKind::Denied,
             KIND_OWNED => FrameKind::Owned,
+            KIND_WAITS => FrameKind::Waits,
             KIND_ASK => FrameKind::Ask,
             KIND_ANSWER => FrameKind::Answer,
             KIND_PROBE => FrameKind::Probe,
--- a/crates/protocol/tests/hop.rs
+++ b/crates/protocol/tests/hop.rs
@@ -53,10 +53,12 @@
         Refusal::Leaving,
         Refusal::Silent,
         Refusal::Busy,
+        Refusal::Overloaded,
     ];
     let plain = [
         FrameKind::Denied,
         FrameKind::Owned,
+        FrameKind::Waits,
         FrameKind::Ask,
         FrameKind::Answer,
         FrameKind::Probe,
--- a/crates/transport/src/passthrough/account/agent.rs
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -85,6 +85,18 @@
         );
     }
 
+    /// A new flow has waited for as long as it may.
+    pub fn gave_up(&self, flow: &FlowKey, in_progress: u16) {
+        let reason = refusal_name(Refusal::Overloaded);
+        counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
+        log::info!(
+            caller:% = flow.caller,
+            reason,
+            in_progress;
+            "new flow refused"
+        );
+    }
+
     /// The server does not take a packet. A copy that went to several servers
     /// is expected to be bounced by most.
     pub fn bounced(&self, flow: &FlowKey, request: Option<RequestId>, copy: bool) {
--- a/crates/transport/src/passthrough/account/mod.rs
+++ b/crates/transport/src/passthrough/account/mod.rs
@@ -20,6 +20,7 @@
         Refusal::Leaving => "leaving",
         Refusal::Silent => "silent",
         Refusal::Busy => "busy",
+        Refusal::Overloaded => "overloaded",
     }
 }
 
@@ -28,6 +29,7 @@
     match reason {
         ResetReason::NoRoute => "no_route",
         ResetReason::NoMember => "no_member",
+        ResetReason::Overloaded => "overloaded",
         ResetReason::Unowned => "unowned",
     }
 }
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent.rs
@@ -11,9 +11,11 @@
 use flume::Receiver;
 use flume::Sender;
 use flume::TryRecvError;
+use indexmap::IndexMap;
 use ramp_coordination::passthrough::agent::Agent;
 use ramp_coordination::passthrough::agent::Bounce;
 use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::agent::Release;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
@@ -72,6 +74,8 @@
     traffic: Traffic,
     view: Option<Arc<View>>,
     agent: Agent,
+    /// Opening packets of flows that wait for a slot.
+    waiting: IndexMap<FlowKey, Vec<u8>>,
     heard: Revision,
     leaving_since: Option<Millis>,
     account: Account,
@@ -97,6 +101,7 @@
             traffic: self,
             view: None,
             agent,
+            waiting: IndexMap::new(),
             heard: Revision(0),
             leaving_since: None,
             account: Account::default(),
@@ -152,9 +157,35 @@
         for unanswered in self.agent.take_unanswered(now) {
             self.account.unanswered(&unanswered);
         }
+        self.release_waiting();
         Ok(())
     }
 
+    /// Lets new flows that wait in, or sends them back.
+    fn release_waiting(&mut self) {
+        loop {
+            let now = self.traffic.clock.now();
+            let Some(release) = self.agent.release(self.view.as_deref(), now) else {
+                return;
+            };
+            match release {
+                Release::Pass(flow, mark) => {
+                    if let Some(mut packet) = self.waiting.swap_remove(&flow) {
+                        F::mark(&mut packet, mark.0);
+                        self.to_server(&packet);
+                        self.account.passed();
+                    }
+                }
+                Release::Refuse(flow, to) => {
+                    let packet = self.waiting.swap_remove(&flow).unwrap_or_default();
+                    self.account.gave_up(&flow, self.agent.in_progress());
+                    let kind = FrameKind::Returned(Refusal::Overloaded);
+                    self.tell(to, kind, flow, &packet);
+                }
+            }
+        }
+    }
+
     fn read_balancers(&mut self, buf: &mut [u8]) -> io::Result<()> {
         for _ in 0..sockets::BATCH_DATAGRAMS {
             let Some((len, from)) = sockets::receive(&self.traffic.data, buf)? else {
@@ -211,6 +242,11 @@
                     self.tell(from, FrameKind::Owned, segment.key, &[]);
                 }
             }
+            Inbound::Wait => {
+                self.waiting.insert(segment.key, packet.to_vec());
+                self.tell(from, FrameKind::Waits, segment.key, &[]);
+            }
+            Inbound::Waiting => self.tell(from, FrameKind::Waits, segment.key, &[]),
             Inbound::Refuse(refusal) => {
                 self.account
                     .refused(view, from, refusal, &frame, in_progress);
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer.rs
@@ -281,6 +281,7 @@
             FrameKind::Returned(refusal) => {
                 self.handle_returned(&view, from, refusal, &frame, packet);
             }
+            FrameKind::Waits => self.balancer.waits(now, from, &frame),
             FrameKind::Present => self.balancer.present(now, from, &frame),
             // Only a balancer sends these.
             FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe => self.account.unreadable(),
