Part the balancer's and the agent's decisions by their jobs

Change: placing, owners, steps; admission, flows, steps. The length of the fleet's key stands with the keys, which ends that loop. No behaviour changes.

--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -0,0 +1,173 @@
+//! Whether and when a new flow is given to the server.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::time::Millis;
+
+use super::Agent;
+use super::flow::Flow;
+use super::step::Inbound;
+use super::step::Release;
+use crate::passthrough::view::View;
+
+/// Time a server has to answer the opening of a flow.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
+/// Time between two openings that try whether a silent server is back.
+const RETRY_SILENT: Duration = Duration::from_millis(100);
+
+/// Silence from which a server that answers again counts as restarted.
+const RESTART_SILENCE: Duration = Duration::from_millis(400);
+
+impl Agent {
+    pub(super) fn admit(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        frame: &Frame,
+        seg: &Segment,
+    ) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if frame.service != self.service {
+            return Err(Refusal::OtherService);
+        }
+        let Some(view) = view else {
+            // The balancer's view is all there is.
+            return Ok(());
+        };
+        if view.version >= frame.version && !view.sends_to(seg.key.service, self.service) {
+            return Err(Refusal::OtherService);
+        }
+        let member = view.member(self.me);
+        if member.is_some_and(|m| m.draining) {
+            return Err(Refusal::Draining);
+        }
+        if member.is_some_and(|m| m.evacuated) {
+            return Err(Refusal::Evacuated);
+        }
+        self.admit_silent(now)
+    }
+
+    /// What becomes of a new flow while the server is full; none: it may go on.
+    pub(super) fn make_wait(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Option<Inbound> {
+        if !self.is_full(view) {
+            return None;
+        }
+        // Another server may have room.
+        if inquiry != Inquiry::OwnerThoughBusy {
+            return Some(Inbound::Refuse(Refusal::Busy));
+        }
+        if self.waiting.add(seg.key, from, now) {
+            Some(Inbound::Wait)
+        } else {
+            Some(Inbound::Refuse(Refusal::Overloaded))
+        }
+    }
+
+    pub(super) fn is_full(&self, view: Option<&View>) -> bool {
+        let member = view.and_then(|v| v.member(self.me));
+        member.is_some_and(|m| m.is_full(self.busy))
+    }
+
+    /// What becomes of new flows that wait: to be called after each packet of
+    /// the server, and now and then.
+    pub fn release(&mut self, view: Option<&View>, now: Millis) -> Option<Release> {
+        self.expire_expected(now);
+        if self.waiting.is_empty() {
+            return None;
+        }
+        if let Some(waiter) = self.waiting.overdue(now) {
+            return Some(Release::Refuse(waiter.flow, waiter.from));
+        }
+        let member = view.and_then(|v| v.member(self.me));
+        if self.leaving || member.is_some_and(|m| !m.takes_new()) {
+            let waiter = self.waiting.any()?;
+            return Some(Release::Refuse(waiter.flow, waiter.from));
+        }
+        if self.is_full(view) || self.admit_silent(now).is_err() {
+            return None;
+        }
+        let waiter = self.waiting.newest()?;
+        if self.admit_cold(view, now).is_err() {
+            return Some(Release::Refuse(waiter.flow, waiter.from));
+        }
+        self.note_opening(now);
+        let mut flow = Flow::new(now, 0);
+        flow.asked_by = Some(waiter.from);
+        flow.busy_since = Some(now);
+        self.busy = self.busy.saturating_add(1);
+        self.expected.push_back((now, waiter.flow));
+        self.forget(&waiter.flow);
+        self.flows.insert(waiter.flow, flow);
+        let mark = self.senders.mark(waiter.from, false);
+        Some(Release::Pass(waiter.flow, mark))
+    }
+
+    /// Lets only a few openings through while the server does not answer.
+    pub(super) fn admit_silent(&self, now: Millis) -> Result<(), Refusal> {
+        let Some(since) = self.unanswered_since else {
+            return Ok(());
+        };
+        if now.since(since) < ANSWER_LIMIT || now.since(self.tried_at) >= RETRY_SILENT {
+            return Ok(());
+        }
+        Err(Refusal::Silent)
+    }
+
+    pub(super) fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
+        let Some(view) = view else {
+            return Ok(());
+        };
+        let Some(rate) = view.cold_rate_per_s(self.service) else {
+            return Ok(());
+        };
+        let member = view.member(self.me);
+        // A server that is not listed yet has just started.
+        let cold = member.is_none_or(|m| m.is_cold(now)) || now < self.cold_until;
+        if !cold {
+            self.quota.note(now);
+            return Ok(());
+        }
+        if self.quota.take(now, rate.floor().max(1.0) as usize) {
+            return Ok(());
+        }
+        Err(Refusal::Cold)
+    }
+
+    pub(super) fn note_opening(&mut self, now: Millis) {
+        self.tried_at = now;
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// The server answers; after a long silence it has most likely restarted.
+    pub(super) fn answered(&mut self, view: Option<&View>, now: Millis) {
+        let Some(since) = self.unanswered_since.take() else {
+            return;
+        };
+        if now.since(since) < RESTART_SILENCE {
+            return;
+        }
+        // Bounces will tell which flows are lost; none is being served.
+        for flow in self.flows.values_mut() {
+            flow.busy_since = None;
+            flow.running = false;
+        }
+        self.busy = 0;
+        let cold_start = view.and_then(|v| v.cold_start(self.service));
+        self.cold_until = now + cold_start.unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -0,0 +1,172 @@
+//! What an agent knows of the flows at its server.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_protocol::format::RequestId;
+use ramp_protocol::hop::Knowledge;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::time::Millis;
+
+use super::Agent;
+use super::step::Unanswered;
+use crate::passthrough::view::View;
+
+/// Silence after which a flow is forgotten here; its server may still have it.
+const FLOW_KEPT: Duration = Duration::from_secs(30);
+
+/// Silence after which a request no longer counts as in progress.
+const REQUEST_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time that a request may take to come once its flow is given to the server;
+/// a caller that has gone meanwhile must not hold a slot.
+const REQUEST_DUE: Duration = Duration::from_millis(60);
+
+/// How much earlier than its agent a server may have started while it still
+/// can't have flows that the agent has not seen: a machine that comes back
+/// starts both.
+const STARTED_TOGETHER: Duration = Duration::from_millis(500);
+
+/// Flows looked at for their age with each packet.
+const SWEEP_FLOWS: usize = 2;
+
+/// A flow at the server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Flow {
+    /// Balancer that waits to hear of its owner.
+    pub(super) asked_by: Option<Ipv4Addr>,
+    /// Whether the server has sent something on it.
+    pub(super) open: bool,
+    /// Since when a request is in progress, or about to come.
+    pub(super) busy_since: Option<Millis>,
+    /// Whether the request has come; before, it is only expected.
+    pub(super) running: bool,
+    /// The request in progress, where a packet has shown its id.
+    pub(super) request: Option<RequestId>,
+    /// Sequence number behind the newest data of the caller.
+    pub(super) next_seq: u32,
+    pub(super) seen_at: Millis,
+}
+
+impl Flow {
+    pub(super) fn new(now: Millis, next_seq: u32) -> Flow {
+        Flow {
+            asked_by: None,
+            open: false,
+            busy_since: None,
+            running: false,
+            request: None,
+            next_seq,
+            seen_at: now,
+        }
+    }
+
+    /// Whether a packet of the caller opens the flow or brings new data. The
+    /// request of a flow that opens is counted at once: it follows soon, and
+    /// openings that come together must not be taken for an idle server's.
+    pub(super) fn begins_request(&mut self, seg: &Segment) -> bool {
+        if seg.opens {
+            self.next_seq = seg.seq;
+            return true;
+        }
+        let end = seg.seq.wrapping_add(seg.len);
+        let new = seg.len > 0 && end.wrapping_sub(self.next_seq) as i32 > 0;
+        if new {
+            self.next_seq = end;
+            self.running = true;
+        }
+        new
+    }
+}
+
+impl Agent {
+    /// Whether every flow of the server is known here. The only way to the
+    /// server is this process, so that is so when it started no later than the
+    /// server, or has seen every flow that is not idle for too long.
+    pub fn is_complete(&self, view: Option<&View>, now: Millis) -> bool {
+        let Some(view) = view else {
+            return false;
+        };
+        if now.since(self.started_at) > view.idle_limit {
+            return true;
+        }
+        let born_ms = view.member(self.me).map_or(0, |m| m.born_ms);
+        born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
+    }
+
+    /// What is known of a flow, without asking the server.
+    pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
+        if self.flows.get(flow).is_some_and(|f| f.open) {
+            return Knowledge::Has;
+        }
+        if self.flows.contains_key(flow) || !self.is_complete(view, now) {
+            return Knowledge::Unsure;
+        }
+        Knowledge::HasNot
+    }
+
+    /// Takes note of the id that a packet of a flow has shown.
+    pub fn note_request(&mut self, flow: &FlowKey, request: RequestId) {
+        if let Some(flow) = self.flows.get_mut(flow) {
+            flow.request = Some(request);
+        }
+    }
+
+    /// Id of the last request of a flow, where a packet has shown it.
+    pub fn request_of(&self, flow: &FlowKey) -> Option<RequestId> {
+        self.flows.get(flow)?.request
+    }
+
+    /// Requests that were found unanswered since the last call. To be called
+    /// now and then, also when no packets come.
+    pub fn take_unanswered(&mut self, now: Millis) -> Vec<Unanswered> {
+        self.sweep(now);
+        std::mem::take(&mut self.unanswered)
+    }
+
+    /// Frees the slots of requests that did not come.
+    pub(super) fn expire_expected(&mut self, now: Millis) {
+        while let Some((since, key)) = self.expected.front() {
+            if now.since(*since) < REQUEST_DUE {
+                return;
+            }
+            if let Some(flow) = self.flows.get_mut(key)
+                && !flow.running
+                && flow.busy_since.take().is_some()
+            {
+                self.busy = self.busy.saturating_sub(1);
+            }
+            self.expected.pop_front();
+        }
+    }
+
+    pub(super) fn forget(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.swap_remove(key) {
+            self.busy = self
+                .busy
+                .saturating_sub(u16::from(flow.busy_since.is_some()));
+        }
+    }
+
+    pub(super) fn sweep(&mut self, now: Millis) {
+        let (busy, unanswered) = (&mut self.busy, &mut self.unanswered);
+        self.swept
+            .forget(&mut self.flows, SWEEP_FLOWS, |key, flow| {
+                let silence = now.since(flow.seen_at);
+                if silence <= REQUEST_LIMIT {
+                    return false;
+                }
+                if flow.busy_since.take().is_some() {
+                    *busy = busy.saturating_sub(1);
+                }
+                if std::mem::take(&mut flow.running) {
+                    unanswered.push(Unanswered {
+                        flow: *key,
+                        request: flow.request,
+                    });
+                }
+                silence > FLOW_KEPT
+            });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -0,0 +1,202 @@
+//! Decisions of an agent whose packets pass through.
+//!
+//! The agent has the last word on a new flow: it knows best whether its
+//! server drains, is cold or silent, and which service it is. Packets of open
+//! flows always go to the server, which alone knows what it has; what the
+//! server bounces goes back to the balancer that sent it. The mark that
+//! a packet carries to the server and back names that balancer.
+
+mod admission;
+mod flow;
+mod step;
+
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+
+use indexmap::IndexMap;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::time::Millis;
+
+use self::flow::Flow;
+use super::mark::Mark;
+use super::mark::Senders;
+use super::quota::Quota;
+use super::sweep::Sweep;
+use super::view::View;
+use super::waiting::Waiting;
+
+pub use self::step::Bounce;
+pub use self::step::Inbound;
+pub use self::step::Outbound;
+pub use self::step::Release;
+pub use self::step::Unanswered;
+
+/// State of an agent; see the module's head.
+#[derive(Debug)]
+pub struct Agent {
+    me: Ipv4Addr,
+    service: ServiceId,
+    /// Start of this process, Unix milliseconds and on the driver's clock.
+    started_ms: u64,
+    started_at: Millis,
+    leaving: bool,
+    flows: IndexMap<FlowKey, Flow>,
+    busy: u16,
+    /// Flows whose first request is expected, the oldest first.
+    expected: VecDeque<(Millis, FlowKey)>,
+    senders: Senders,
+    quota: Quota,
+    /// First opening that the server has not answered.
+    unanswered_since: Option<Millis>,
+    tried_at: Millis,
+    cold_until: Millis,
+    waiting: Waiting,
+    swept: Sweep,
+    unanswered: Vec<Unanswered>,
+}
+
+impl Agent {
+    /// Agent of the server at `me`, started now. `nonce` tells marks of this
+    /// process from those of an earlier one, `started_ms` is its start in Unix
+    /// milliseconds.
+    pub fn new(me: Ipv4Addr, service: ServiceId, nonce: u8, started_ms: u64, now: Millis) -> Agent {
+        Agent {
+            me,
+            service,
+            started_ms,
+            started_at: now,
+            leaving: false,
+            flows: IndexMap::new(),
+            busy: 0,
+            expected: VecDeque::new(),
+            senders: Senders::new(nonce),
+            quota: Quota::default(),
+            unanswered_since: None,
+            tried_at: Millis(0),
+            cold_until: Millis(0),
+            waiting: Waiting::default(),
+            swept: Sweep::default(),
+            unanswered: Vec::new(),
+        }
+    }
+
+    /// Takes no new flows from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> u16 {
+        self.busy
+    }
+
+    /// Flows that the server is known to have.
+    pub fn open_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// A packet that the balancer `from` sent.
+    pub fn inbound(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        frame: &Frame,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Inbound {
+        self.sweep(now);
+        self.expire_expected(now);
+        if seg.opens && self.waiting.contains(&seg.key) {
+            return Inbound::Waiting;
+        }
+        if seg.opens && !self.flows.contains_key(&seg.key) {
+            if let Err(refusal) = self.admit(view, now, frame, seg) {
+                return Inbound::Refuse(refusal);
+            }
+            if let Some(step) = self.make_wait(view, now, from, inquiry, seg) {
+                return step;
+            }
+            if let Err(refusal) = self.admit_cold(view, now) {
+                return Inbound::Refuse(refusal);
+            }
+            self.note_opening(now);
+        }
+        let asked = inquiry != Inquiry::None;
+        let flow = self
+            .flows
+            .entry(seg.key)
+            .or_insert_with(|| Flow::new(now, seg.seq));
+        flow.seen_at = now;
+        let owned = asked && flow.open && !seg.opens;
+        if asked && !owned {
+            flow.asked_by = Some(from);
+        }
+        if flow.begins_request(seg) && flow.busy_since.is_none() {
+            if seg.opens {
+                self.expected.push_back((now, seg.key));
+            }
+            flow.busy_since = Some(now);
+            self.busy = self.busy.saturating_add(1);
+        }
+        let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
+        Inbound::Pass { mark, owned }
+    }
+
+    /// A packet that the server sent to a caller.
+    pub fn outbound(&mut self, view: Option<&View>, now: Millis, seg: &Segment) -> Outbound {
+        self.answered(view, now);
+        if seg.rst {
+            self.forget(&seg.key);
+            return Outbound {
+                reset: true,
+                ..Outbound::default()
+            };
+        }
+        let flow = self
+            .flows
+            .entry(seg.key)
+            .or_insert_with(|| Flow::new(now, seg.ack));
+        flow.seen_at = now;
+        flow.open = true;
+        let tell = flow.asked_by.take();
+        if seg.len == 0 && !seg.fin {
+            return Outbound {
+                tell,
+                ..Outbound::default()
+            };
+        }
+        let since = flow.busy_since.take();
+        flow.running = false;
+        self.busy = self.busy.saturating_sub(u16::from(since.is_some()));
+        Outbound {
+            tell,
+            answered_after: since.map(|at| now.since(at)),
+            reset: false,
+        }
+    }
+
+    /// A packet that the server does not take.
+    pub fn bounced(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        mark: u32,
+        seg: &Segment,
+    ) -> Bounce {
+        self.answered(view, now);
+        self.forget(&seg.key);
+        let Some((sender, copy)) = self.senders.of(Mark(mark)) else {
+            return Bounce::Unknown;
+        };
+        if copy {
+            Bounce::Deny(sender)
+        } else {
+            Bounce::Return(sender)
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/step.rs
@@ -0,0 +1,68 @@
+//! What an agent decides.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_protocol::format::RequestId;
+use ramp_protocol::hop::Refusal;
+use ramp_state::key::FlowKey;
+
+use crate::passthrough::mark::Mark;
+
+/// What to do with a packet from a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inbound {
+    /// Give it to the server with this mark.
+    Pass {
+        /// The mark.
+        mark: Mark,
+        /// Tell the balancer that the server has the flow.
+        owned: bool,
+    },
+    /// Keep it until [`Agent::release`] says what becomes of it.
+    Wait,
+    /// A copy of a packet that waits already: nothing.
+    Waiting,
+    /// Send it back.
+    Refuse(Refusal),
+}
+
+/// What becomes of a new flow that has waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// Give its packet to the server with this mark.
+    Pass(FlowKey, Mark),
+    /// Send its packet back to this balancer.
+    Refuse(FlowKey, Ipv4Addr),
+}
+
+/// What to do with a packet that the server bounced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bounce {
+    /// Send the packet back to this balancer.
+    Return(Ipv4Addr),
+    /// Tell this balancer only that the server does not have the flow.
+    Deny(Ipv4Addr),
+    /// Its mark is not of this process's making.
+    Unknown,
+}
+
+/// What came of a packet that the server sent to a caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outbound {
+    /// Balancer that waits to hear that the server has the flow.
+    pub tell: Option<Ipv4Addr>,
+    /// Since the request came whose answer begins here.
+    pub answered_after: Option<Duration>,
+    /// Whether the server reset the flow.
+    pub reset: bool,
+}
+
+/// A request that the server has not answered for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unanswered {
+    /// Its flow.
+    pub flow: FlowKey,
+    /// Its id, where a packet has shown it.
+    pub request: Option<RequestId>,
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -0,0 +1,225 @@
+//! Decisions of a balancer whose packets pass through.
+//!
+//! A new flow goes to the member that ranks first for it among those that
+//! take new flows; the agent there has the last word and may send the packet
+//! back. A packet of a flow that is not remembered goes to the member that
+//! ranks first; when its server does not have the flow, every other holder
+//! gets a copy, and the one that has it says so. Only when all holders have
+//! denied the flow is the caller reset, and then at once.
+
+mod owner;
+mod placing;
+mod step;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+use ramp_state::time::Millis;
+
+use self::owner::Search;
+use self::placing::Placing;
+use self::step::reset_or_drop;
+use super::choice::Loads;
+use super::published::Revision;
+use super::suspects::Suspects;
+use super::sweep::Sweep;
+use super::view::View;
+
+pub use self::placing::CONFIRM_LIMIT;
+pub use self::step::DropReason;
+pub use self::step::Learned;
+pub use self::step::Question;
+pub use self::step::Reset;
+pub use self::step::ResetReason;
+pub use self::step::Step;
+
+/// Flows looked at for their age with each packet.
+const SWEEP_FLOWS: usize = 4;
+
+/// Silence after which a finished flow is forgotten.
+const FINISHED_KEPT: Duration = Duration::from_secs(3);
+
+/// Silence after which a search is forgotten.
+const SEARCH_KEPT: Duration = Duration::from_secs(10);
+
+/// A flow that came through here.
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    agent: Ipv4Addr,
+    service: ServiceId,
+    /// Whether the agent has said that its server has the flow.
+    confirmed: bool,
+    sent_at: Millis,
+    seen_at: Millis,
+    finished: bool,
+}
+
+/// State of a balancer; see the module's head.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    flows: IndexMap<FlowKey, Flow>,
+    placings: IndexMap<FlowKey, Placing>,
+    searches: IndexMap<FlowKey, Search>,
+    suspects: Suspects,
+    loads: Loads,
+    swept_flows: Sweep,
+    swept_placings: Sweep,
+    swept_searches: Sweep,
+    newest_heard: Revision,
+}
+
+impl Balancer {
+    /// Knows no flow.
+    pub fn new() -> Balancer {
+        Balancer::default()
+    }
+
+    /// Flows remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Newest position in the platform's history that an agent has told.
+    pub fn newest_heard(&self) -> Revision {
+        self.newest_heard
+    }
+
+    /// A packet of a caller.
+    pub fn arrival(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        self.sweep(view, now);
+        if seg.syn && seg.has_ack {
+            return Step::Drop(DropReason::Forged);
+        }
+        if view.route(seg.key.service).is_none() {
+            self.flows.swap_remove(&seg.key);
+            return reset_or_drop(seg, ResetReason::NoRoute);
+        }
+        if seg.opens {
+            return self.opening(view, now, seg);
+        }
+        self.open_flow(view, now, seg)
+    }
+
+    /// A packet that an agent sent back.
+    pub fn returned(
+        &mut self,
+        view: &View,
+        now: Millis,
+        from: Ipv4Addr,
+        refusal: Refusal,
+        frame: &Frame,
+        seg: &Segment,
+    ) -> Step {
+        self.hear(now, from, frame);
+        if refusal == Refusal::Silent {
+            self.suspects.add(from, now);
+        }
+        if refusal == Refusal::Overloaded {
+            self.flows.swap_remove(&seg.key);
+            self.placings.swap_remove(&seg.key);
+            return reset_or_drop(seg, ResetReason::Overloaded);
+        }
+        if seg.opens {
+            let placing = self.placing(now, seg.key);
+            if refusal == Refusal::Busy {
+                placing.busy.push(from);
+            } else {
+                placing.refused.push(from);
+            }
+            return self.place(view, now, seg);
+        }
+        let flow = self.flows.get(&seg.key).copied();
+        if let Some(flow) = flow.filter(|f| f.agent != from && f.confirmed) {
+            return Step::Carry {
+                agent: flow.agent,
+                inquiry: Inquiry::None,
+                service: flow.service,
+            };
+        }
+        self.flows.swap_remove(&seg.key);
+        if seg.rst {
+            return Step::Drop(DropReason::AlreadyEnded);
+        }
+        self.note_denial(now, seg, from);
+        self.ask(view, now, seg)
+    }
+
+    /// An agent's server has the flow.
+    pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> Learned {
+        self.hear(now, from, frame);
+        self.placings.swap_remove(&frame.flow);
+        let searched = self.searches.swap_remove(&frame.flow).is_some();
+        let before = self.flows.insert(
+            frame.flow,
+            Flow {
+                agent: from,
+                service: frame.service,
+                confirmed: true,
+                sent_at: now,
+                seen_at: now,
+                finished: false,
+            },
+        );
+        match before {
+            _ if searched => Learned::Found,
+            Some(flow) if !flow.confirmed && flow.agent == from => Learned::Confirmed {
+                after: now.since(flow.sent_at),
+            },
+            _ => Learned::Known,
+        }
+    }
+
+    /// An agent has given a sign of life.
+    pub fn present(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+    }
+
+    /// What every message of an agent tells.
+    fn hear(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.suspects.clear(from);
+        self.loads.told(from, frame, now);
+        self.newest_heard = self.newest_heard.max(Revision(frame.revision));
+    }
+
+    fn remember(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr, service: ServiceId) {
+        self.flows.insert(
+            seg.key,
+            Flow {
+                agent,
+                service,
+                confirmed: false,
+                sent_at: now,
+                seen_at: now,
+                finished: seg.fin || seg.rst,
+            },
+        );
+    }
+
+    /// Forgets a few old flows and searches.
+    fn sweep(&mut self, view: &View, now: Millis) {
+        self.swept_flows
+            .forget(&mut self.flows, SWEEP_FLOWS, |_, flow| {
+                let kept = if flow.finished {
+                    FINISHED_KEPT
+                } else {
+                    view.idle_limit
+                };
+                now.since(flow.seen_at) > kept
+            });
+        self.swept_searches
+            .forget(&mut self.searches, SWEEP_FLOWS, |_, search| {
+                now.since(search.seen_at) > SEARCH_KEPT
+            });
+        self.swept_placings
+            .forget(&mut self.placings, SWEEP_FLOWS, |_, placing| {
+                now.since(placing.seen_at) > SEARCH_KEPT
+            });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/balancer/step.rs
@@ -0,0 +1,110 @@
+//! What a balancer decides.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
+
+/// What to do with a packet or with the flow that a message is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send the packet to this agent.
+    Carry {
+        /// The agent.
+        agent: Ipv4Addr,
+        /// What it is asked.
+        inquiry: Inquiry,
+        /// Service that it is meant for.
+        service: ServiceId,
+    },
+    /// Ask these agents for the owner, and keep the packet for it.
+    Ask(Question),
+    /// Reset the caller's flow.
+    Reset(Reset),
+    /// Do nothing.
+    Drop(DropReason),
+}
+
+/// Whom to ask for the owner of a flow.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Question {
+    /// Agents whose servers must be asked: each gets a copy of the packet.
+    pub copies: Vec<Ipv4Addr>,
+    /// Agents that know by themselves: the name of the flow is enough.
+    pub named: Vec<Ipv4Addr>,
+}
+
+impl Question {
+    /// Agents that are asked.
+    pub fn agent_count(&self) -> usize {
+        self.copies.len() + self.named.len()
+    }
+}
+
+/// A reset to a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reset {
+    /// The flow.
+    pub flow: FlowKey,
+    /// Sequence number that the caller expects.
+    pub seq: u32,
+    /// Why.
+    pub reason: ResetReason,
+}
+
+/// Why a caller was reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ResetReason {
+    /// The configuration has no such route.
+    NoRoute,
+    /// No member takes new flows now.
+    NoMember,
+    /// It waited at a full server for as long as it may.
+    Overloaded,
+    /// All holders have denied the flow.
+    Unowned,
+}
+
+/// Why a packet was dropped without a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// The holders have been asked; the caller sends again.
+    Asked,
+    /// All known holders denied, but the view may be incomplete.
+    Unsettled,
+    /// A caller's end of a flow that nobody has.
+    AlreadyEnded,
+    /// A copy that came back after the owner was found.
+    OwnerFound,
+    /// Such a packet never comes from a caller.
+    Forged,
+}
+
+/// What an agent's word that its server has a flow has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// A new flow is open, so long after it was placed.
+    Confirmed {
+        /// Since it was placed.
+        after: Duration,
+    },
+    /// The owner of a flow that was asked for.
+    Found,
+    /// Nothing new.
+    Known,
+}
+
+pub(super) fn reset_or_drop(seg: &Segment, reason: ResetReason) -> Step {
+    // A reset is never answered by a reset.
+    if seg.rst {
+        return Step::Drop(DropReason::AlreadyEnded);
+    }
+    Step::Reset(Reset {
+        flow: seg.key,
+        seq: seg.ack,
+        reason,
+    })
+}
--- a/crates/protocol/src/seal.rs
+++ b/crates/protocol/src/seal.rs
@@ -4,7 +4,7 @@
 use std::hash::Hasher;
 
 use quick_error::quick_error;
-use ramp_state::settings::KEY_LEN_BYTES;
+use ramp_state::key::KEY_LEN_BYTES;
 use siphasher::sip128::Hasher128;
 use siphasher::sip128::SipHasher24;
 
--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -11,6 +11,9 @@
 /// Salt of the public name hash; it only spreads names, it protects nothing.
 const NAME_SALT: (u64, u64) = (0x6272_616d_6c65_7900, 0x7261_6d70_0000_0001);
 
+/// Length of the key of the fleet, in bytes.
+pub const KEY_LEN_BYTES: usize = 16;
+
 /// Version of the fleet document, given by the platform. Only ever rises.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/state/src/schema.rs
+++ b/crates/state/src/schema.rs
@@ -8,9 +8,9 @@
 use crate::fault::Faults;
 use crate::ini::Section;
 use crate::ini::quote;
+use crate::key::KEY_LEN_BYTES;
 use crate::policy::POLICY_KEYS;
 use crate::policy::PolicyKey;
-use crate::settings::KEY_LEN_BYTES;
 
 /// Longest name of anything, in bytes.
 pub const NAME_LEN_BYTES: usize = 64;
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -6,14 +6,12 @@
 use crate::ini;
 use crate::ini::Section;
 use crate::instances::Role;
+use crate::key::KEY_LEN_BYTES;
 use crate::schema;
 use crate::schema::Form;
 use crate::schema::KeyInfo;
 use crate::schema::SectionInfo;
 
-/// Length of the key of the fleet, in bytes.
-pub const KEY_LEN_BYTES: usize = 16;
-
 /// What only an agent needs to know.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentSettings {
--- a/crates/transport/src/logging/mod.rs
+++ b/crates/transport/src/logging/mod.rs
@@ -14,7 +14,7 @@
 use log::LevelFilter;
 use log::SetLoggerError;
 
-use writer::Writer;
+use self::writer::Writer;
 
 static WRITER: OnceLock<Writer> = OnceLock::new();
 
--- a/crates/transport/src/metrics/mod.rs
+++ b/crates/transport/src/metrics/mod.rs
@@ -22,7 +22,7 @@
 use metrics::Unit;
 use metrics_util::registry::Registry;
 
-use storage::Storage;
+use self::storage::Storage;
 
 /// All metrics of the process.
 #[derive(Clone)]
