Count a request only on a flow that its server has

Change: data on a flow that the server has not answered on is not counted. Test a_flood_of_unknown_flows_makes_no_server_full, which failed first (1,500 in progress).

Besides: traffic threads are parted by their jobs; no behaviour changes.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -65,13 +65,14 @@
     /// Whether a packet of the caller opens the flow or brings new data. The
     /// request of a flow that opens is counted at once: it follows soon, and
     /// openings that come together must not be taken for an idle server's.
+    /// Data on a flow that the server may not have is not counted.
     pub(super) fn begins_request(&mut self, seg: &Segment) -> bool {
         if seg.opens {
             self.next_seq = seg.seq;
             return true;
         }
         let end = seg.seq.wrapping_add(seg.len);
-        let new = seg.len > 0 && end.wrapping_sub(self.next_seq) as i32 > 0;
+        let new = self.open && seg.len > 0 && end.wrapping_sub(self.next_seq) as i32 > 0;
         if new {
             self.next_seq = end;
             self.running = true;
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -410,6 +410,8 @@
     };
     let mut empty = request;
     empty.len = 0;
+    open(&mut agent, &view, 0, 1);
+    answer(&mut agent, &view, 0, 1);
     carry(&mut agent, &empty);
     carry(&mut agent, &request);
     carry(&mut agent, &request);
@@ -523,3 +525,15 @@
     agent.bounced(Some(&view), Millis(2), 0, &segment(flow(9)));
     assert_eq!(know(&agent), Knowledge::HasNot, "its server has lost it");
 }
+
+#[test]
+fn a_flood_of_unknown_flows_makes_no_server_full() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    for port in 2000..3500 {
+        // Some of these never come back: the server is flooded as well.
+        ask(&mut agent, &view, 0, port);
+    }
+    assert_eq!(agent.in_progress(), 0);
+    assert!(is_passed(open(&mut agent, &view, 1, 1)));
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -0,0 +1,99 @@
+//! Packets and questions of balancers.
+
+use std::net::Ipv4Addr;
+
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::hop::FRAME_LEN_BYTES;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Listed;
+use ramp_protocol::hop::read_list;
+use ramp_protocol::hop::write_list;
+
+use super::Worker;
+use crate::passthrough::news::Event;
+
+impl<F: PacketFormat> Worker<F> {
+    pub(super) fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
+        let Ok(frame) = Frame::read(buf) else {
+            return self.account.unreadable();
+        };
+        let inquiry = match frame.kind {
+            FrameKind::Carry(inquiry) => inquiry,
+            FrameKind::Ask => return self.answer(from, &frame, &buf[FRAME_LEN_BYTES..]),
+            FrameKind::Probe => return self.tell(from, FrameKind::Present, frame.flow, &[]),
+            _ => return self.account.unreadable(),
+        };
+        let packet = &mut buf[FRAME_LEN_BYTES..];
+        let Some(passing) = F::read(packet) else {
+            return self.account.unreadable();
+        };
+        self.hear(Revision(frame.revision));
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let segment = &passing.segment;
+        let inbound = self
+            .agent
+            .inbound(view, now, from, &frame, inquiry, segment);
+        let in_progress = self.agent.in_progress();
+        match inbound {
+            Inbound::Pass { mark, owned } => {
+                F::mark(packet, mark.0);
+                self.to_server(packet);
+                self.account.passed();
+                if segment.len > 0
+                    && let Some(request) = F::request_id(packet)
+                {
+                    self.agent.note_request(&segment.key, request);
+                }
+                if owned {
+                    self.tell(from, FrameKind::Owned, segment.key, &[]);
+                }
+            }
+            Inbound::Wait => {
+                self.waiting.insert(segment.key, packet.to_vec());
+                self.tell(from, FrameKind::Waits, segment.key, &[]);
+            }
+            Inbound::Waiting => self.tell(from, FrameKind::Waits, segment.key, &[]),
+            Inbound::Refuse(refusal) => {
+                self.account
+                    .refused(view, from, refusal, &frame, in_progress);
+                let kind = match inquiry {
+                    Inquiry::OwnerOfCopy => FrameKind::Denied,
+                    _ => FrameKind::Returned(refusal),
+                };
+                self.tell(from, kind, segment.key, packet);
+            }
+        }
+    }
+
+    /// Answers for a list of flows.
+    pub(super) fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
+        self.hear(Revision(frame.revision));
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let answers: Vec<Listed> = read_list(list)
+            .map(|asked| Listed {
+                flow: asked.flow,
+                knowledge: self.agent.knowledge(view, now, &asked.flow),
+            })
+            .collect();
+        let mut body = Vec::new();
+        write_list(&answers, &mut body);
+        self.tell(from, FrameKind::Answer, frame.flow, &body);
+    }
+
+    /// Tells control when a balancer knows more than this process.
+    pub(super) fn hear(&mut self, revision: Revision) {
+        let known = self.view.as_ref().map(|v| v.cursor);
+        if revision <= self.heard || known.is_some_and(|known| revision <= known) {
+            return;
+        }
+        self.heard = revision;
+        // Control outlives this thread; if it is gone, the next turn ends.
+        let _ = self.traffic.events.send(Event::Heard(revision));
+    }
+}
--- a/crates/transport/src/passthrough/agent.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -1,5 +1,8 @@
 //! Traffic thread of an agent whose packets pass through.
 
+mod inbound;
+mod outbound;
+
 use std::io;
 use std::marker::PhantomData;
 use std::net::Ipv4Addr;
@@ -13,21 +16,11 @@
 use flume::TryRecvError;
 use indexmap::IndexMap;
 use ramp_coordination::passthrough::agent::Agent;
-use ramp_coordination::passthrough::agent::Bounce;
-use ramp_coordination::passthrough::agent::Inbound;
-use ramp_coordination::passthrough::agent::Release;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
-use ramp_protocol::format::Passing;
-use ramp_protocol::hop::FRAME_LEN_BYTES;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
-use ramp_protocol::hop::Inquiry;
-use ramp_protocol::hop::Listed;
-use ramp_protocol::hop::Refusal;
-use ramp_protocol::hop::read_list;
-use ramp_protocol::hop::write_list;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
@@ -161,31 +154,6 @@
         Ok(())
     }
 
-    /// Lets new flows that wait in, or sends them back.
-    fn release_waiting(&mut self) {
-        loop {
-            let now = self.traffic.clock.now();
-            let Some(release) = self.agent.release(self.view.as_deref(), now) else {
-                return;
-            };
-            match release {
-                Release::Pass(flow, mark) => {
-                    if let Some(mut packet) = self.waiting.swap_remove(&flow) {
-                        F::mark(&mut packet, mark.0);
-                        self.to_server(&packet);
-                        self.account.passed();
-                    }
-                }
-                Release::Refuse(flow, to) => {
-                    let packet = self.waiting.swap_remove(&flow).unwrap_or_default();
-                    self.account.gave_up(&flow, self.agent.in_progress());
-                    let kind = FrameKind::Returned(Refusal::Overloaded);
-                    self.tell(to, kind, flow, &packet);
-                }
-            }
-        }
-    }
-
     fn read_balancers(&mut self, buf: &mut [u8]) -> io::Result<()> {
         for _ in 0..sockets::BATCH_DATAGRAMS {
             let Some((len, from)) = sockets::receive(&self.traffic.data, buf)? else {
@@ -206,114 +174,6 @@
         Ok(())
     }
 
-    fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
-        let Ok(frame) = Frame::read(buf) else {
-            return self.account.unreadable();
-        };
-        let inquiry = match frame.kind {
-            FrameKind::Carry(inquiry) => inquiry,
-            FrameKind::Ask => return self.answer(from, &frame, &buf[FRAME_LEN_BYTES..]),
-            FrameKind::Probe => return self.tell(from, FrameKind::Present, frame.flow, &[]),
-            _ => return self.account.unreadable(),
-        };
-        let packet = &mut buf[FRAME_LEN_BYTES..];
-        let Some(passing) = F::read(packet) else {
-            return self.account.unreadable();
-        };
-        self.hear(Revision(frame.revision));
-        let view = self.view.as_deref();
-        let now = self.traffic.clock.now();
-        let segment = &passing.segment;
-        let inbound = self
-            .agent
-            .inbound(view, now, from, &frame, inquiry, segment);
-        let in_progress = self.agent.in_progress();
-        match inbound {
-            Inbound::Pass { mark, owned } => {
-                F::mark(packet, mark.0);
-                self.to_server(packet);
-                self.account.passed();
-                if segment.len > 0
-                    && let Some(request) = F::request_id(packet)
-                {
-                    self.agent.note_request(&segment.key, request);
-                }
-                if owned {
-                    self.tell(from, FrameKind::Owned, segment.key, &[]);
-                }
-            }
-            Inbound::Wait => {
-                self.waiting.insert(segment.key, packet.to_vec());
-                self.tell(from, FrameKind::Waits, segment.key, &[]);
-            }
-            Inbound::Waiting => self.tell(from, FrameKind::Waits, segment.key, &[]),
-            Inbound::Refuse(refusal) => {
-                self.account
-                    .refused(view, from, refusal, &frame, in_progress);
-                let kind = match inquiry {
-                    Inquiry::OwnerOfCopy => FrameKind::Denied,
-                    _ => FrameKind::Returned(refusal),
-                };
-                self.tell(from, kind, segment.key, packet);
-            }
-        }
-    }
-
-    /// Answers for a list of flows.
-    fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
-        self.hear(Revision(frame.revision));
-        let view = self.view.as_deref();
-        let now = self.traffic.clock.now();
-        let answers: Vec<Listed> = read_list(list)
-            .map(|asked| Listed {
-                flow: asked.flow,
-                knowledge: self.agent.knowledge(view, now, &asked.flow),
-            })
-            .collect();
-        let mut body = Vec::new();
-        write_list(&answers, &mut body);
-        self.tell(from, FrameKind::Answer, frame.flow, &body);
-    }
-
-    fn handle_server(&mut self, packet: &[u8]) {
-        let Some(passing) = F::read_from_server(packet) else {
-            return self.account.unreadable();
-        };
-        if passing.bounced {
-            return self.handle_bounce(&passing, packet);
-        }
-        let now = self.traffic.clock.now();
-        let view = self.view.as_deref();
-        let key = passing.segment.key;
-        let request = self.agent.request_of(&key);
-        let outbound = self.agent.outbound(view, now, &passing.segment);
-        self.to_caller(key, packet);
-        let failure = F::failed_status(packet);
-        self.account.delivered(&key, request, &outbound, failure);
-        if let Some(to) = outbound.tell {
-            self.tell(to, FrameKind::Owned, key, &[]);
-        }
-    }
-
-    fn handle_bounce(&mut self, passing: &Passing, packet: &[u8]) {
-        let now = self.traffic.clock.now();
-        let view = self.view.as_deref();
-        let key = passing.segment.key;
-        let request = F::request_id(packet).or_else(|| self.agent.request_of(&key));
-        let bounce = self
-            .agent
-            .bounced(view, now, passing.mark, &passing.segment);
-        let copy = matches!(bounce, Bounce::Deny(_));
-        self.account.bounced(&key, request, copy);
-        match bounce {
-            Bounce::Return(to) => {
-                self.tell(to, FrameKind::Returned(Refusal::Bounced), key, packet);
-            }
-            Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
-            Bounce::Unknown => {}
-        }
-    }
-
     fn to_server(&self, packet: &[u8]) {
         let server = self.traffic.beside.server;
         if let Err(err) = self.traffic.outbound.send_to(packet, server) {
@@ -346,15 +206,4 @@
             self.account.send_failed(to, &err);
         }
     }
-
-    /// Tells control when a balancer knows more than this process.
-    fn hear(&mut self, revision: Revision) {
-        let known = self.view.as_ref().map(|v| v.cursor);
-        if revision <= self.heard || known.is_some_and(|known| revision <= known) {
-            return;
-        }
-        self.heard = revision;
-        // Control outlives this thread; if it is gone, the next turn ends.
-        let _ = self.traffic.events.send(Event::Heard(revision));
-    }
 }
--- /dev/null
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -0,0 +1,76 @@
+//! Packets of the server, and new flows that its answers let in.
+
+use ramp_coordination::passthrough::agent::Bounce;
+use ramp_coordination::passthrough::agent::Release;
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::format::Passing;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Refusal;
+
+use super::Worker;
+
+impl<F: PacketFormat> Worker<F> {
+    /// Lets new flows that wait in, or sends them back.
+    pub(super) fn release_waiting(&mut self) {
+        loop {
+            let now = self.traffic.clock.now();
+            let Some(release) = self.agent.release(self.view.as_deref(), now) else {
+                return;
+            };
+            match release {
+                Release::Pass(flow, mark) => {
+                    if let Some(mut packet) = self.waiting.swap_remove(&flow) {
+                        F::mark(&mut packet, mark.0);
+                        self.to_server(&packet);
+                        self.account.passed();
+                    }
+                }
+                Release::Refuse(flow, to) => {
+                    let packet = self.waiting.swap_remove(&flow).unwrap_or_default();
+                    self.account.gave_up(&flow, self.agent.in_progress());
+                    let kind = FrameKind::Returned(Refusal::Overloaded);
+                    self.tell(to, kind, flow, &packet);
+                }
+            }
+        }
+    }
+
+    pub(super) fn handle_server(&mut self, packet: &[u8]) {
+        let Some(passing) = F::read_from_server(packet) else {
+            return self.account.unreadable();
+        };
+        if passing.bounced {
+            return self.handle_bounce(&passing, packet);
+        }
+        let now = self.traffic.clock.now();
+        let view = self.view.as_deref();
+        let key = passing.segment.key;
+        let request = self.agent.request_of(&key);
+        let outbound = self.agent.outbound(view, now, &passing.segment);
+        self.to_caller(key, packet);
+        let failure = F::failed_status(packet);
+        self.account.delivered(&key, request, &outbound, failure);
+        if let Some(to) = outbound.tell {
+            self.tell(to, FrameKind::Owned, key, &[]);
+        }
+    }
+
+    pub(super) fn handle_bounce(&mut self, passing: &Passing, packet: &[u8]) {
+        let now = self.traffic.clock.now();
+        let view = self.view.as_deref();
+        let key = passing.segment.key;
+        let request = F::request_id(packet).or_else(|| self.agent.request_of(&key));
+        let bounce = self
+            .agent
+            .bounced(view, now, passing.mark, &passing.segment);
+        let copy = matches!(bounce, Bounce::Deny(_));
+        self.account.bounced(&key, request, copy);
+        match bounce {
+            Bounce::Return(to) => {
+                self.tell(to, FrameKind::Returned(Refusal::Bounced), key, packet);
+            }
+            Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
+            Bounce::Unknown => {}
+        }
+    }
+}
--- a/crates/transport/src/passthrough/balancer.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -1,5 +1,8 @@
 //! Traffic thread of a balancer whose packets pass through.
 
+mod peers;
+mod timers;
+
 use std::collections::VecDeque;
 use std::io;
 use std::marker::PhantomData;
@@ -20,15 +23,9 @@
 use ramp_coordination::passthrough::reach::Reach;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
-use ramp_protocol::hop::FRAME_LEN_BYTES;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
-use ramp_protocol::hop::Knowledge;
-use ramp_protocol::hop::LIST_LIMIT_FLOWS;
-use ramp_protocol::hop::Refusal;
-use ramp_protocol::hop::read_list;
-use ramp_protocol::hop::write_list;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
@@ -42,7 +39,6 @@
 use super::place::Place;
 use super::sockets;
 use crate::clock::Clock;
-use crate::udp;
 
 /// Time in which the routers notice that a balancer is not ready.
 const ROUTERS_LEAVE: Duration = Duration::from_millis(1500);
@@ -182,52 +178,6 @@
         Ok(())
     }
 
-    /// Time until something must be done without a packet.
-    fn time_to_next(&self) -> Duration {
-        let Some(opening) = self.openings.front() else {
-            return udp::IDLE_TURN;
-        };
-        let left = opening.due.since(self.traffic.clock.now());
-        left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
-    }
-
-    /// Places flows again that no agent has confirmed in time.
-    fn place_overdue(&mut self) {
-        let now = self.traffic.clock.now();
-        while self.openings.front().is_some_and(|o| now >= o.due) {
-            let Some(opening) = self.openings.pop_front() else {
-                return;
-            };
-            let (Some(view), Some(passing)) = (self.view.clone(), F::read(&opening.packet)) else {
-                continue;
-            };
-            let seg = passing.segment;
-            if let Some(step) = self.balancer.overdue(&view, now, &seg) {
-                self.carry_out(&view, &seg, step, &opening.packet);
-            }
-        }
-    }
-
-    /// Tells control whether any agent answers, and asks some if none does.
-    fn watch_reach(&mut self) {
-        let now = self.traffic.clock.now();
-        let reaches = !self.reach.is_cut_off(now);
-        if reaches != self.reaches {
-            self.reaches = reaches;
-            // Control outlives this thread; if it is gone, the next turn ends.
-            let _ = self.traffic.events.send(Event::Reaches(reaches));
-        }
-        if !self.reach.must_probe(now) {
-            return;
-        }
-        let Some(view) = self.view.clone() else {
-            return;
-        };
-        for agent in view.holders() {
-            self.send(&view, NO_FLOW, agent, FrameKind::Probe, ServiceId(0), &[]);
-        }
-    }
-
     fn read_data(&mut self, buf: &mut [u8]) -> io::Result<()> {
         for _ in 0..sockets::BATCH_DATAGRAMS {
             let Some((len, _)) = sockets::receive(&self.traffic.data, buf)? else {
@@ -263,99 +213,6 @@
         self.carry_out(&view, &passing.segment, step, packet);
     }
 
-    fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
-        let Some(view) = self.view.clone() else {
-            return;
-        };
-        let Ok(frame) = Frame::read(buf) else {
-            self.account.unreadable();
-            return;
-        };
-        let now = self.traffic.clock.now();
-        self.reach.heard();
-        let packet = &mut buf[FRAME_LEN_BYTES..];
-        match frame.kind {
-            FrameKind::Owned => self.handle_owned(&view, from, &frame),
-            FrameKind::Denied => self.handle_denied(&view, from, &frame),
-            FrameKind::Answer => self.handle_answer(&view, from, &frame, packet),
-            FrameKind::Returned(refusal) => {
-                self.handle_returned(&view, from, refusal, &frame, packet);
-            }
-            FrameKind::Waits => self.balancer.waits(now, from, &frame),
-            FrameKind::Present => self.balancer.present(now, from, &frame),
-            // Only a balancer sends these.
-            FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe => self.account.unreadable(),
-        }
-    }
-
-    fn handle_owned(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
-        let now = self.traffic.clock.now();
-        let learned = self.balancer.owned(now, from, frame);
-        self.account.owned(&frame.flow, from, learned);
-        if let Some(packet) = self.asking.take(&frame.flow) {
-            let kind = FrameKind::Carry(Inquiry::None);
-            self.send(view, frame.flow, from, kind, frame.service, &packet);
-        }
-    }
-
-    fn handle_denied(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
-        let now = self.traffic.clock.now();
-        if let Step::Reset(reset) = self.balancer.denied(view, now, from, frame) {
-            self.reset(reset);
-        }
-    }
-
-    /// What an agent knows of each flow that it was asked for.
-    fn handle_answer(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
-        let now = self.traffic.clock.now();
-        for listed in read_list(list) {
-            let of_one = Frame {
-                flow: listed.flow,
-                ..*frame
-            };
-            match listed.knowledge {
-                Knowledge::Has => self.handle_owned(view, from, &of_one),
-                Knowledge::HasNot => self.handle_denied(view, from, &of_one),
-                Knowledge::Unsure => self.balancer.unsure(now, from, &of_one),
-            }
-        }
-    }
-
-    /// Sends the lists of flows that were gathered in this turn.
-    fn send_questions(&mut self) {
-        let Some(view) = self.view.clone() else {
-            return;
-        };
-        let mut body = Vec::new();
-        for (agent, list) in self.asking.take_lists() {
-            for part in list.chunks(LIST_LIMIT_FLOWS) {
-                write_list(part, &mut body);
-                self.send(&view, NO_FLOW, agent, FrameKind::Ask, ServiceId(0), &body);
-            }
-        }
-    }
-
-    fn handle_returned(
-        &mut self,
-        view: &View,
-        from: Ipv4Addr,
-        refusal: Refusal,
-        frame: &Frame,
-        packet: &mut [u8],
-    ) {
-        let Some(passing) = F::read(packet) else {
-            self.account.unreadable();
-            return;
-        };
-        self.account.returned(from, refusal, frame);
-        let now = self.traffic.clock.now();
-        let segment = passing.segment;
-        let step = self
-            .balancer
-            .returned(view, now, from, refusal, frame, &segment);
-        self.carry_out(view, &segment, step, packet);
-    }
-
     fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
         self.account.step(view, seg, &step);
         let flow = seg.key;
@@ -424,16 +281,4 @@
             self.account.send_failed(to, &err);
         }
     }
-
-    /// Tells control when a peer knows more than this process.
-    fn tell_heard(&mut self) {
-        let heard = self.balancer.newest_heard();
-        let known = self.view.as_ref().map(|v| v.cursor);
-        if heard <= self.heard || known.is_some_and(|known| heard <= known) {
-            return;
-        }
-        self.heard = heard;
-        // Control outlives this thread; if it is gone, the next turn ends.
-        let _ = self.traffic.events.send(Event::Heard(heard));
-    }
 }
--- /dev/null
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -0,0 +1,121 @@
+//! What agents say, and what they are asked.
+
+use std::net::Ipv4Addr;
+
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::hop::FRAME_LEN_BYTES;
+use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
+use ramp_protocol::hop::LIST_LIMIT_FLOWS;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::hop::read_list;
+use ramp_protocol::hop::write_list;
+use ramp_state::key::ServiceId;
+
+use super::NO_FLOW;
+use super::Worker;
+
+impl<F: PacketFormat> Worker<F> {
+    pub(super) fn handle_frame(&mut self, buf: &mut [u8], from: Ipv4Addr) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let Ok(frame) = Frame::read(buf) else {
+            self.account.unreadable();
+            return;
+        };
+        let now = self.traffic.clock.now();
+        self.reach.heard();
+        let packet = &mut buf[FRAME_LEN_BYTES..];
+        match frame.kind {
+            FrameKind::Owned => self.handle_owned(&view, from, &frame),
+            FrameKind::Denied => self.handle_denied(&view, from, &frame),
+            FrameKind::Answer => self.handle_answer(&view, from, &frame, packet),
+            FrameKind::Returned(refusal) => {
+                self.handle_returned(&view, from, refusal, &frame, packet);
+            }
+            FrameKind::Waits => self.balancer.waits(now, from, &frame),
+            FrameKind::Present => self.balancer.present(now, from, &frame),
+            // Only a balancer sends these.
+            FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe => self.account.unreadable(),
+        }
+    }
+
+    pub(super) fn handle_owned(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
+        let now = self.traffic.clock.now();
+        let learned = self.balancer.owned(now, from, frame);
+        self.account.owned(&frame.flow, from, learned);
+        if let Some(packet) = self.asking.take(&frame.flow) {
+            let kind = FrameKind::Carry(Inquiry::None);
+            self.send(view, frame.flow, from, kind, frame.service, &packet);
+        }
+    }
+
+    pub(super) fn handle_denied(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
+        let now = self.traffic.clock.now();
+        if let Step::Reset(reset) = self.balancer.denied(view, now, from, frame) {
+            self.reset(reset);
+        }
+    }
+
+    /// What an agent knows of each flow that it was asked for.
+    pub(super) fn handle_answer(
+        &mut self,
+        view: &View,
+        from: Ipv4Addr,
+        frame: &Frame,
+        list: &[u8],
+    ) {
+        let now = self.traffic.clock.now();
+        for listed in read_list(list) {
+            let of_one = Frame {
+                flow: listed.flow,
+                ..*frame
+            };
+            match listed.knowledge {
+                Knowledge::Has => self.handle_owned(view, from, &of_one),
+                Knowledge::HasNot => self.handle_denied(view, from, &of_one),
+                Knowledge::Unsure => self.balancer.unsure(now, from, &of_one),
+            }
+        }
+    }
+
+    /// Sends the lists of flows that were gathered in this turn.
+    pub(super) fn send_questions(&mut self) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let mut body = Vec::new();
+        for (agent, list) in self.asking.take_lists() {
+            for part in list.chunks(LIST_LIMIT_FLOWS) {
+                write_list(part, &mut body);
+                self.send(&view, NO_FLOW, agent, FrameKind::Ask, ServiceId(0), &body);
+            }
+        }
+    }
+
+    pub(super) fn handle_returned(
+        &mut self,
+        view: &View,
+        from: Ipv4Addr,
+        refusal: Refusal,
+        frame: &Frame,
+        packet: &mut [u8],
+    ) {
+        let Some(passing) = F::read(packet) else {
+            self.account.unreadable();
+            return;
+        };
+        self.account.returned(from, refusal, frame);
+        let now = self.traffic.clock.now();
+        let segment = passing.segment;
+        let step = self
+            .balancer
+            .returned(view, now, from, refusal, frame, &segment);
+        self.carry_out(view, &segment, step, packet);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -0,0 +1,73 @@
+//! What a balancer does without a packet: openings that are overdue, and its reach.
+
+use std::time::Duration;
+
+use ramp_protocol::format::PacketFormat;
+use ramp_protocol::hop::FrameKind;
+use ramp_state::key::ServiceId;
+
+use super::NO_FLOW;
+use super::SHORTEST_WAIT;
+use super::Worker;
+use crate::passthrough::news::Event;
+use crate::udp;
+
+impl<F: PacketFormat> Worker<F> {
+    /// Time until something must be done without a packet.
+    pub(super) fn time_to_next(&self) -> Duration {
+        let Some(opening) = self.openings.front() else {
+            return udp::IDLE_TURN;
+        };
+        let left = opening.due.since(self.traffic.clock.now());
+        left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
+    }
+
+    /// Places flows again that no agent has confirmed in time.
+    pub(super) fn place_overdue(&mut self) {
+        let now = self.traffic.clock.now();
+        while self.openings.front().is_some_and(|o| now >= o.due) {
+            let Some(opening) = self.openings.pop_front() else {
+                return;
+            };
+            let (Some(view), Some(passing)) = (self.view.clone(), F::read(&opening.packet)) else {
+                continue;
+            };
+            let seg = passing.segment;
+            if let Some(step) = self.balancer.overdue(&view, now, &seg) {
+                self.carry_out(&view, &seg, step, &opening.packet);
+            }
+        }
+    }
+
+    /// Tells control whether any agent answers, and asks some if none does.
+    pub(super) fn watch_reach(&mut self) {
+        let now = self.traffic.clock.now();
+        let reaches = !self.reach.is_cut_off(now);
+        if reaches != self.reaches {
+            self.reaches = reaches;
+            // Control outlives this thread; if it is gone, the next turn ends.
+            let _ = self.traffic.events.send(Event::Reaches(reaches));
+        }
+        if !self.reach.must_probe(now) {
+            return;
+        }
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        for agent in view.holders() {
+            self.send(&view, NO_FLOW, agent, FrameKind::Probe, ServiceId(0), &[]);
+        }
+    }
+
+    /// Tells control when a peer knows more than this process.
+    pub(super) fn tell_heard(&mut self) {
+        let heard = self.balancer.newest_heard();
+        let known = self.view.as_ref().map(|v| v.cursor);
+        if heard <= self.heard || known.is_some_and(|known| heard <= known) {
+            return;
+        }
+        self.heard = heard;
+        // Control outlives this thread; if it is gone, the next turn ends.
+        let _ = self.traffic.events.send(Event::Heard(heard));
+    }
+}
