--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -71,7 +71,7 @@
         if inquiry != Inquiry::OwnerThoughBusy {
             return Some(Inbound::Refuse(Refusal::Busy));
         }
-        if self.waiting.add(seg.key, from, now) {
+        if self.waiting.add(seg.key, seg.seq, from, now) {
             Some(Inbound::Wait)
         } else {
             Some(Inbound::Refuse(Refusal::Overloaded))
@@ -106,7 +106,7 @@
             return Some(Release::Refuse(waiter.flow, waiter.from));
         }
         self.note_opening(now);
-        let mut flow = Flow::new(now, 0);
+        let mut flow = Flow::new(now, waiter.seq);
         flow.asked_by = Some(waiter.from);
         flow.busy_since = Some(now);
         self.busy = self.busy.saturating_add(1);
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -94,11 +94,6 @@
         self.busy
     }
 
-    /// Flows that the server is known to have.
-    pub fn open_flows(&self) -> usize {
-        self.flows.len()
-    }
-
     /// A packet that the balancer `from` sent.
     pub fn inbound(
         &mut self,
--- a/crates/coordination/src/passthrough/waiting.rs
+++ b/crates/coordination/src/passthrough/waiting.rs
@@ -23,6 +23,8 @@
     pub(super) flow: FlowKey,
     /// Balancer that sent it.
     pub(super) from: Ipv4Addr,
+    /// Sequence number of its opening packet.
+    pub(super) seq: u32,
     since: Millis,
 }
 
@@ -32,12 +34,16 @@
 
 impl Waiting {
     /// Lets a flow wait; false when there is no room.
-    pub(super) fn add(&mut self, flow: FlowKey, from: Ipv4Addr, now: Millis) -> bool {
+    pub(super) fn add(&mut self, flow: FlowKey, seq: u32, from: Ipv4Addr, now: Millis) -> bool {
         if self.0.len() >= ROOM_FLOWS {
             return false;
         }
-        let since = now;
-        self.0.push(Waiter { flow, from, since });
+        self.0.push(Waiter {
+            flow,
+            from,
+            seq,
+            since: now,
+        });
         true
     }
 
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -537,3 +537,36 @@
     assert_eq!(agent.in_progress(), 0);
     assert!(is_passed(open(&mut agent, &view, 1, 1)));
 }
+
+#[test]
+fn the_request_of_a_flow_that_waited_counts_whatever_its_numbers() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    fill(&mut agent, &view);
+    let from = balancer_ip(1);
+    let high = Segment {
+        seq: 0xf000_0000,
+        ..opening(flow(11), 0)
+    };
+    let inquiry = Inquiry::OwnerThoughBusy;
+    let step = agent.inbound(Some(&view), Millis(1), from, &carry(11), inquiry, &high);
+    assert_eq!(step, Inbound::Wait);
+    respond(&mut agent, &view, 2, 1);
+    assert!(agent.release(Some(&view), Millis(2)).is_some());
+    answer(&mut agent, &view, 3, 11);
+    let request = Segment {
+        seq: 0xf000_0001,
+        ..segment(flow(11))
+    };
+    agent.inbound(
+        Some(&view),
+        Millis(4),
+        from,
+        &carry(11),
+        Inquiry::None,
+        &request,
+    );
+    // Its place is kept by the request itself now, not by the expected one.
+    agent.release(Some(&view), Millis(200));
+    assert_eq!(agent.in_progress(), 6);
+}
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -171,7 +171,6 @@
         version: Version(1),
         revision: 100,
         in_progress: 0,
-        open_flows: 0,
         complete: false,
     }
 }
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -117,8 +117,6 @@
     pub revision: u64,
     /// Requests in progress at the agent's server; zero from a balancer.
     pub in_progress: u16,
-    /// Open flows at the agent's server; zero from a balancer.
-    pub open_flows: u16,
     /// Whether the agent knows every flow of its server; false from a balancer.
     pub complete: bool,
 }
@@ -208,7 +206,6 @@
     version: U64,
     revision: U64,
     in_progress: U16,
-    open_flows: U16,
 }
 
 const KIND_CARRY: u8 = 1;
@@ -257,7 +254,6 @@
             version: U64::new(self.version.0),
             revision: U64::new(self.revision),
             in_progress: U16::new(self.in_progress),
-            open_flows: U16::new(self.open_flows),
         };
         buf.clear();
         buf.extend_from_slice(raw.as_bytes());
@@ -289,7 +285,6 @@
             version: Version(raw.version.get()),
             revision: raw.revision.get(),
             in_progress: raw.in_progress.get(),
-            open_flows: raw.open_flows.get(),
             complete: raw.complete != 0,
         })
     }
--- a/crates/protocol/tests/hop.rs
+++ b/crates/protocol/tests/hop.rs
@@ -31,7 +31,6 @@
         version: Version(8),
         revision: 9,
         in_progress: 10,
-        open_flows: 11,
         complete: true,
     }
 }
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -198,7 +198,6 @@
             revision: view.map_or(0, |v| v.newest.0),
             in_progress: self.agent.in_progress(),
             complete: self.agent.is_complete(view, self.traffic.clock.now()),
-            open_flows: u16::try_from(self.agent.open_flows()).unwrap_or(u16::MAX),
         };
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(to, self.traffic.place.peer_port);
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -262,7 +262,6 @@
             version: view.version,
             revision: view.newest.0,
             in_progress: 0,
-            open_flows: 0,
             complete: false,
         };
         frame.write(packet, &mut self.out);
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -69,8 +69,10 @@
 
 /// How one attempt to learn something ended.
 enum Turn {
-    /// The platform or a reader has told something, or nothing was new.
+    /// The platform has told something, or nothing was new.
     Learned,
+    /// A reader was followed for as long as this process follows one.
+    Followed,
     /// The platform failed.
     Failed(SourceError),
     /// The reader can't be followed any more.
@@ -103,6 +105,7 @@
                     failures = 0;
                     list = false;
                 }
+                Turn::Followed => failures = 0,
                 Turn::ReaderLost(reason) => {
                     if let Some(reader) = reader {
                         log::info!("the reader {reader} is not followed now: {reason}");
@@ -187,7 +190,7 @@
             };
             let news = tokio::select! {
                 news = next => news,
-                () = &mut until => return Turn::Learned,
+                () = &mut until => return Turn::Followed,
                 end = until_behind(&events, &self.feed, &self.readiness), if !behind => {
                     let Behind::Peer = end else {
                         return Turn::Finished;
@@ -217,12 +220,12 @@
         let now = self.clock.now();
         self.feed.tell(&news);
         let mut catalog = self.feed.catalog.borrow_mut();
-        let quiet = catalog.is_well();
+        let was_well = catalog.is_well();
         match news {
             News::Listing(listing) if listing.cursor == Revision(0) => return,
             News::Listing(listing) => catalog.replace(now, listing),
             News::Changes(changes) => {
-                let nothing = changes.changes.is_empty() && quiet;
+                let nothing = changes.changes.is_empty() && was_well;
                 catalog.apply(now, changes);
                 if nothing {
                     return;
@@ -234,7 +237,7 @@
                     ..Changes::default()
                 };
                 catalog.apply(now, changes);
-                if quiet {
+                if was_well {
                     return;
                 }
             }
