Send new flows to servers whose records lapsed in an outage

Cause: when the store is away for longer than three heartbeats, records of living servers lapse. The first answer after the outage removes them, and until each server reports again (0.2 to 2 s) the balancers had fewer members, or none: new flows were reset with no_member though their server was well.

Ruled out: keeping every server that vanishes. Outside an outage it has crashed, left or lost the store, and nothing is gained by trying it.

Change: a ready server whose record goes within 2.5 s of a failed call stays a candidate for 2 s, its agent having the last word as always. It counts as unlisted for the question who may own a flow, as before.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -45,7 +45,7 @@
         if view.version >= frame.version && !view.sends_to(seg.key.service, self.service) {
             return Err(Refusal::OtherService);
         }
-        let member = view.member(self.me);
+        let member = view.member_or_lapsed(self.me, now);
         if member.is_some_and(|m| m.draining) {
             return Err(Refusal::Draining);
         }
@@ -64,7 +64,7 @@
         inquiry: Inquiry,
         seg: &Segment,
     ) -> Option<Inbound> {
-        if !self.is_full(view) {
+        if !self.is_full(view, now) {
             return None;
         }
         // Another server may have room.
@@ -78,8 +78,8 @@
         }
     }
 
-    pub(super) fn is_full(&self, view: Option<&View>) -> bool {
-        let member = view.and_then(|v| v.member(self.me));
+    pub(super) fn is_full(&self, view: Option<&View>, now: Millis) -> bool {
+        let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
         member.is_some_and(|m| m.is_full(self.busy))
     }
 
@@ -93,12 +93,12 @@
         if let Some(waiter) = self.waiting.overdue(now) {
             return Some(Release::Refuse(waiter.flow, waiter.from));
         }
-        let member = view.and_then(|v| v.member(self.me));
+        let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
         if self.leaving || member.is_some_and(|m| !m.takes_new()) {
             let waiter = self.waiting.any()?;
             return Some(Release::Refuse(waiter.flow, waiter.from));
         }
-        if self.is_full(view) || self.admit_silent(now).is_err() {
+        if self.is_full(view, now) || self.admit_silent(now).is_err() {
             return None;
         }
         let waiter = self.waiting.newest()?;
@@ -135,7 +135,7 @@
         let Some(rate) = view.cold_rate_per_s(self.service) else {
             return Ok(());
         };
-        let member = view.member(self.me);
+        let member = view.member_or_lapsed(self.me, now);
         // A server that is not listed yet has just started.
         let cold = member.is_none_or(|m| m.is_cold(now)) || now < self.cold_until;
         if !cold {
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -92,7 +92,8 @@
         if now.since(self.started_at) > view.idle_limit {
             return true;
         }
-        let born_ms = view.member(self.me).map_or(0, |m| m.born_ms);
+        let member = view.member_or_lapsed(self.me, now);
+        let born_ms = member.map_or(0, |m| m.born_ms);
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -114,7 +114,7 @@
         let Some(service) = route.and_then(|r| r.service_of(&seg.key)) else {
             return reset_or_drop(seg, ResetReason::NoRoute);
         };
-        let members = view.members().iter().filter(|m| m.service == service);
+        let members = view.servers_of(service, now);
         let trusted = |m: &&Member| !self.suspects.holds(m.address, now);
         let Some(agent) = first_ranked(&seg.key, members.filter(trusted)) else {
             return self.ask(view, now, seg);
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -80,9 +80,8 @@
             Some(placing) => (placing.refused.as_slice(), placing.busy.as_slice()),
             None => Default::default(),
         };
-        let able =
-            |m: &&Member| m.service == service && m.takes_new() && !refused.contains(&m.address);
-        let able: Vec<&Member> = view.members().iter().filter(able).collect();
+        let able = |m: &&Member| m.takes_new() && !refused.contains(&m.address);
+        let able: Vec<&Member> = view.servers_of(service, now).filter(able).collect();
         let choice = Choice {
             flow: &seg.key,
             able: &able,
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -24,6 +24,7 @@
 use super::published::Server;
 use super::published::ServerState;
 use super::view::Departed;
+use super::view::Lapsed;
 use super::view::Member;
 use super::view::View;
 
@@ -34,6 +35,10 @@
 /// How long a server that vanished may still be asked for its flows.
 const DEPARTED_KEPT: Duration = Duration::from_secs(20);
 
+/// Time for which a server whose record lapsed while the platform was away
+/// still gets new flows.
+pub const LAPSED_KEPT: Duration = Duration::from_millis(2000);
+
 /// A listed server and when its record was read.
 #[derive(Clone, Copy, Debug)]
 struct Listed {
@@ -50,6 +55,14 @@
     }
 }
 
+/// A server that was ready when its record lapsed.
+#[derive(Clone, Copy, Debug)]
+struct LapsedRecord {
+    id: ServerId,
+    listed: Listed,
+    until: Millis,
+}
+
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -61,6 +74,9 @@
     /// When each data centre was taken back.
     taken_back: IndexMap<DataCentreId, Millis>,
     departed: Vec<Departed>,
+    lapsed: Vec<LapsedRecord>,
+    /// When a call of the platform failed last.
+    failed_at: Option<Millis>,
     /// Since when the platform has answered without a gap.
     well_since: Option<Millis>,
     /// Whether the platform failed before it first answered.
@@ -88,7 +104,13 @@
         self.configuration.is_some()
     }
 
-    /// Takes note that the platform did not answer.
+    /// Takes note of a call of the platform that failed, here or at the reader
+    /// that this process follows: records may have lapsed for no other reason.
+    pub fn call_failed(&mut self, now: Millis) {
+        self.failed_at = Some(now);
+    }
+
+    /// Takes note that the platform is away.
     pub fn platform_failed(&mut self) {
         if self.well_since.take().is_none() && self.cursor == Revision(0) {
             self.failed_first = true;
@@ -108,7 +130,7 @@
         }
         for (id, listed) in old {
             if !self.servers.contains_key(&id) {
-                self.depart(now, listed.server);
+                self.depart(now, id, listed);
             }
         }
         for data_centre in evacuated {
@@ -162,11 +184,13 @@
         }
         let mut departed = self.departed.clone();
         departed.retain(|d| now.since(d.at) < DEPARTED_KEPT && !members.contains_key(&d.address));
+        let lapsed = self.lapsed(now, &configuration, &members);
         Some(View::new(
             self.newest,
             self.cursor,
             configuration,
             members.into_values().collect(),
+            lapsed,
             departed,
             self.settled_at(),
         ))
@@ -189,6 +213,7 @@
             self.well_since = Some(now);
         }
         self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
+        self.lapsed.retain(|l| now < l.until);
     }
 
     fn write(&mut self, now: Millis, record: Record, old: &IndexMap<ServerId, Listed>) {
@@ -206,7 +231,10 @@
                     Some(listed) if listed.server == server => listed.read_at,
                     _ => now,
                 };
-                self.departed.retain(|d| d.address != *server.address.ip());
+                let address = *server.address.ip();
+                self.departed.retain(|d| d.address != address);
+                self.lapsed
+                    .retain(|l| l.id != id && *l.listed.server.address.ip() != address);
                 self.servers.insert(id, Listed { server, read_at });
             }
             Record::Evacuation(data_centre) => {
@@ -221,7 +249,7 @@
             RecordKey::Configuration => {}
             RecordKey::Server(id) => {
                 if let Some(listed) = self.servers.swap_remove(&id) {
-                    self.depart(now, listed.server);
+                    self.depart(now, id, listed);
                 }
             }
             RecordKey::Evacuation(data_centre) => {
@@ -232,10 +260,33 @@
         }
     }
 
-    fn depart(&mut self, now: Millis, server: Server) {
-        let address = *server.address.ip();
+    fn depart(&mut self, now: Millis, id: ServerId, listed: Listed) {
+        let address = *listed.server.address.ip();
         self.departed.retain(|d| d.address != address);
         self.departed.push(Departed { address, at: now });
+        let failed = |at: Millis| now.since(at) < RETURN_LIMIT;
+        let by_failure = self.failed_at.is_some_and(failed);
+        if by_failure && listed.server.state == ServerState::Ready {
+            let until = now + LAPSED_KEPT;
+            self.lapsed.push(LapsedRecord { id, listed, until });
+        }
+    }
+
+    /// Servers whose records lapsed and whose addresses nobody else has.
+    fn lapsed(
+        &self,
+        now: Millis,
+        configuration: &Configuration,
+        members: &IndexMap<Ipv4Addr, Member>,
+    ) -> Vec<Lapsed> {
+        let recent = self.lapsed.iter().filter(|l| now < l.until);
+        let lapsed = recent.map(|l| Lapsed {
+            member: self.member(&l.listed, configuration),
+            until: l.until,
+        });
+        lapsed
+            .filter(|l| !members.contains_key(&l.member.address))
+            .collect()
     }
 
     fn member(&self, listed: &Listed, configuration: &Configuration) -> Member {
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -73,6 +73,16 @@
     pub at: Millis,
 }
 
+/// A server whose record lapsed while the platform was away. It most likely
+/// lives and is listed again soon, so it still gets new flows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lapsed {
+    /// The server as it was listed.
+    pub member: Member,
+    /// From when it counts as gone, unless it is listed again.
+    pub until: Millis,
+}
+
 /// Tables of one moment.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -87,6 +97,7 @@
     routes: IndexMap<SocketAddrV4, Route>,
     policies: Vec<ServicePolicy>,
     members: Vec<Member>,
+    lapsed: Vec<Lapsed>,
     departed: Vec<Departed>,
     settled_at: Option<Millis>,
 }
@@ -99,6 +110,7 @@
         cursor: Revision,
         configuration: Arc<Configuration>,
         members: Vec<Member>,
+        lapsed: Vec<Lapsed>,
         departed: Vec<Departed>,
         settled_at: Option<Millis>,
     ) -> View {
@@ -111,6 +123,7 @@
             routes: routes.map(|r| (r.address, r.clone())).collect(),
             policies: configuration.services.clone(),
             members,
+            lapsed,
             departed,
             settled_at,
         }
@@ -157,6 +170,24 @@
         self.members.iter().find(|m| m.address == address)
     }
 
+    /// The member at an address, also if its record lapsed a moment ago.
+    pub fn member_or_lapsed(&self, address: Ipv4Addr, now: Millis) -> Option<&Member> {
+        let lapsed = || self.lapsed_at(now).find(|m| m.address == address);
+        self.member(address).or_else(lapsed)
+    }
+
+    /// Servers of a service that are listed, or whose records lapsed a moment
+    /// ago.
+    pub fn servers_of(&self, service: ServiceId, now: Millis) -> impl Iterator<Item = &Member> {
+        let known = self.members.iter().chain(self.lapsed_at(now));
+        known.filter(move |m| m.service == service)
+    }
+
+    fn lapsed_at(&self, now: Millis) -> impl Iterator<Item = &Member> {
+        let lapsed = self.lapsed.iter().filter(move |l| now < l.until);
+        lapsed.map(|l| &l.member)
+    }
+
     /// Everyone who may have flows: members, and those lately departed.
     pub fn holders(&self) -> impl Iterator<Item = Ipv4Addr> {
         let members = self.members.iter().map(|m| m.address);
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -6,6 +6,7 @@
 use ramp_coordination::passthrough::published::Record;
 use ramp_coordination::passthrough::published::RecordKey;
 use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::published::ServerState;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
 
@@ -62,6 +63,51 @@
     assert!(!view.is_gone(ip(1), Millis(3500)));
 }
 
+/// The pattern after an outage: all records lapsed and come back one by one.
+#[test]
+fn servers_that_lapsed_with_the_platform_away_still_get_new_flows() {
+    let mut catalog = catalog(&[1, 2]);
+    catalog.call_failed(Millis(8000));
+    let lapsed = [1, 2].map(|last| Change::Removed(RecordKey::Server(id(last))));
+    catalog.apply(Millis(8200), changes(101, lapsed.to_vec()));
+    let view = catalog.view(Millis(8200)).unwrap();
+    assert_eq!(view.members().len(), 0);
+    assert_eq!(view.servers_of(FEEDS, Millis(8300)).count(), 2);
+    assert!(view.member_or_lapsed(ip(1), Millis(8300)).is_some());
+    assert_eq!(view.servers_of(FEEDS, Millis(10_200)).count(), 0, "missing");
+
+    let back = written(102, record(1, FEEDS));
+    catalog.apply(Millis(8400), back);
+    let other = server(2, UPLOADS);
+    let reused = written(103, Record::Server(id(9), other));
+    catalog.apply(Millis(8500), reused);
+    let view = catalog.view(Millis(8500)).unwrap();
+    assert_eq!(view.servers_of(FEEDS, Millis(8600)).count(), 1);
+    assert_eq!(
+        view.member_or_lapsed(ip(2), Millis(8600)).unwrap().service,
+        UPLOADS
+    );
+}
+
+#[test]
+fn a_server_that_left_or_vanished_by_itself_gets_no_new_flows() {
+    let mut catalog = catalog(&[1, 2]);
+    let mut draining = server(2, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(100), written(101, Record::Server(id(2), draining)));
+    let gone = |last| vec![Change::Removed(RecordKey::Server(id(last)))];
+    catalog.apply(Millis(5000), changes(102, gone(1)));
+    let view = catalog.view(Millis(5000)).unwrap();
+    assert!(
+        view.member_or_lapsed(ip(1), Millis(5001)).is_none(),
+        "crashed"
+    );
+    catalog.call_failed(Millis(6000));
+    catalog.apply(Millis(6100), changes(103, gone(2)));
+    let view = catalog.view(Millis(6100)).unwrap();
+    assert!(view.member_or_lapsed(ip(2), Millis(6101)).is_none(), "left");
+}
+
 #[test]
 fn nobody_is_gone_while_the_platform_is_away_and_shortly_after() {
     let mut catalog = catalog(&[1, 2]);
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -109,6 +109,7 @@
                 Turn::ReaderLost(reason) => {
                     if let Some(reader) = reader {
                         log::info!("the reader {reader} is not followed now: {reason}");
+                        self.feed.note_failure();
                         self.feeds.failed(reader, self.clock.now());
                     }
                     list &= !self.feed.catalog.borrow().is_complete();
@@ -264,6 +265,7 @@
         if failures.is_power_of_two() {
             log::warn!("{err}; failed calls in a row: {failures}");
         }
+        self.feed.note_failure();
         if failures == AWAY_AFTER {
             self.feed.note_answer(false);
             let mut catalog = self.feed.catalog.borrow_mut();
--- a/crates/transport/src/passthrough/feed.rs
+++ b/crates/transport/src/passthrough/feed.rs
@@ -83,6 +83,12 @@
         self.answered_at.set(answered.then_some(now));
     }
 
+    /// Takes note that neither the platform nor a reader told anything now.
+    pub fn note_failure(&self) {
+        let now = self.clock.now();
+        self.catalog.borrow_mut().call_failed(now);
+    }
+
     /// Tells all followers.
     pub fn tell(&self, news: &News) {
         if self.news.receiver_count() == 0 {
