--- a/crates/transport/src/passthrough/feed.rs
+++ b/crates/transport/src/passthrough/feed.rs
@@ -29,6 +29,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::connect::connect;
 use crate::clock::Clock;
 
 /// Time between two signs of life.
@@ -166,7 +167,7 @@
     ///
     /// It can't be reached in time.
     pub async fn start(address: SocketAddrV4, has: Revision) -> io::Result<Following> {
-        let stream = timeout(PEER_LIMIT, TcpStream::connect(address)).await??;
+        let stream = connect(address, PEER_LIMIT).await?;
         stream.set_nodelay(true)?;
         let (read, mut write) = stream.into_split();
         let mut hello = serde_json::to_string(&has)?;
--- a/crates/transport/src/passthrough/http.rs
+++ b/crates/transport/src/passthrough/http.rs
@@ -18,11 +18,12 @@
 use ramp_coordination::passthrough::source::SourceError;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::connect::connect;
+
 /// Time that a connection may take to open.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 
@@ -90,10 +91,8 @@
     }
 
     async fn connect(&self) -> Result<Connection, SourceError> {
-        let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
-        let stream = connecting
-            .map_err(|_| unreachable("no connection in time"))?
-            .map_err(unreachable)?;
+        let connecting = connect(self.address, CONNECT_LIMIT).await;
+        let stream = connecting.map_err(|err| unreachable(format!("no connection: {err}")))?;
         let probes = TcpKeepalive::new()
             .with_time(PROBE_EVERY)
             .with_interval(PROBE_EVERY)
--- a/crates/transport/src/passthrough/mod.rs
+++ b/crates/transport/src/passthrough/mod.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod asking;
 pub mod balancer;
+pub mod connect;
 pub mod control;
 pub mod daemon;
 pub mod feed;
--- /dev/null
+++ b/crates/transport/tests/connect.rs
@@ -0,0 +1,50 @@
+//! Connections whose opening packet is lost.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use ramp_transport::passthrough::connect::connect;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+/// Time for which the listener's queue is full.
+const FULL_FOR: Duration = Duration::from_millis(300);
+
+/// Less than the second after which TCP sends an opening packet again.
+const CONNECT_LIMIT: Duration = Duration::from_millis(900);
+
+/// Listener whose queue has room for one connection, which takes it.
+fn full_listener() -> (Socket, SocketAddrV4, TcpStream) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket_ipv4().unwrap();
+    let first = TcpStream::connect(address).unwrap();
+    (listener, address, first)
+}
+
+#[tokio::test]
+async fn a_lost_opening_packet_costs_less_than_a_second() {
+    let (listener, address, _first) = full_listener();
+    let accepting = thread::spawn(move || {
+        thread::sleep(FULL_FOR);
+        (listener.accept().unwrap(), listener.accept().unwrap())
+    });
+    let connected = connect(address, CONNECT_LIMIT).await;
+    assert!(connected.is_ok(), "{connected:?}");
+    accepting.join().unwrap();
+}
+
+#[tokio::test]
+async fn nobody_is_waited_for_beyond_the_limit() {
+    let (_listener, address, _first) = full_listener();
+    let connected = connect(address, Duration::from_millis(200)).await;
+    let err = connected.unwrap_err();
+    assert_eq!(err.kind(), std::io::ErrorKind::TimedOut);
+}
