Keep packets that come while a woken process holds traffic

Callers' TCP had sent after 1 and 3 s and sends next after 7, which is when callers give up.

Ruled out: a shorter hold (the packets of the sleep are dropped in any case).

Change: up to 1024 packets are kept and handled in their order after the hold.

--- a/crates/coordination/src/wake.rs
+++ b/crates/coordination/src/wake.rs
@@ -4,7 +4,12 @@
 //! time has passed since its last turn than an idle turn takes, it holds
 //! traffic until the configuration is confirmed. Wakes are numbered, so that
 //! a confirmation of an earlier wake does not end the hold of a later one.
+//!
+//! What comes meanwhile, and what waited at the socket during the pause, is
+//! kept for after the hold. Callers' TCP doubles its pauses: by the time of a
+//! pause of some seconds, their next try may be as many seconds away.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use ramp_state::time::Millis;
@@ -12,6 +17,9 @@
 /// Longest time between two turns of a thread that was not paused.
 pub const LATE_LIMIT: Duration = Duration::from_millis(600);
 
+/// Packets kept while traffic is held; the rest are dropped.
+const HELD_PACKETS: usize = 1024;
+
 /// Number of a wake, from 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Wake(pub u64);
@@ -58,3 +66,23 @@
         self.holding
     }
 }
+
+/// Packets that came while traffic was held, the oldest first.
+#[derive(Debug, Default)]
+pub struct HeldPackets(VecDeque<Vec<u8>>);
+
+impl HeldPackets {
+    /// Keeps a packet; false when there is no room.
+    pub fn keep(&mut self, packet: &[u8]) -> bool {
+        if self.0.len() >= HELD_PACKETS {
+            return false;
+        }
+        self.0.push_back(packet.to_vec());
+        true
+    }
+
+    /// Takes out all that were kept.
+    pub fn take(&mut self) -> impl Iterator<Item = Vec<u8>> + use<> {
+        std::mem::take(&mut self.0).into_iter()
+    }
+}
--- a/crates/transport/src/agent/packets.rs
+++ b/crates/transport/src/agent/packets.rs
@@ -37,9 +37,19 @@
         Ok(())
     }
 
+    /// Handles what was kept while traffic was held.
+    pub(super) fn handle_held(&mut self) {
+        for datagram in self.held.take() {
+            self.handle(&datagram);
+        }
+    }
+
     fn handle(&mut self, datagram: &[u8]) {
         if self.guard.is_holding() {
-            return count_drop("held");
+            if !self.held.keep(datagram) {
+                count_drop("held");
+            }
+            return;
         }
         let Some(picture) = self.picture.clone() else {
             return count_drop("no_configuration");
--- a/crates/transport/src/agent/traffic.rs
+++ b/crates/transport/src/agent/traffic.rs
@@ -14,6 +14,7 @@
 use ramp_coordination::flows::Reset;
 use ramp_coordination::outgoing::Outgoing;
 use ramp_coordination::picture::GroupPicture;
+use ramp_coordination::wake::HeldPackets;
 use ramp_coordination::wake::WakeGuard;
 use ramp_protocol::message::Load;
 use ramp_protocol::seal::FleetKey;
@@ -66,6 +67,7 @@
     pub(super) flows: Flows,
     pub(super) picture: Option<Arc<GroupPicture>>,
     pub(super) guard: WakeGuard,
+    pub(super) held: HeldPackets,
     leaving: Leaving,
     load: Option<Load>,
     records: Receiver<Record>,
@@ -84,6 +86,7 @@
             flows: Flows::default(),
             picture: None,
             guard: WakeGuard::new(self.clock.now()),
+            held: HeldPackets::default(),
             leaving: Leaving::default(),
             load: None,
             records: self.requests.records(),
@@ -155,7 +158,10 @@
                 self.router.message(now, from, &message);
                 self.traffic.requests.message(now, from, &message);
             }
-            Update::Confirm(wake) => self.guard.confirm(wake),
+            Update::Confirm(wake) => {
+                self.guard.confirm(wake);
+                self.handle_held();
+            }
             Update::Drain => self.drain(),
         }
     }
--- a/crates/transport/src/balancer.rs
+++ b/crates/transport/src/balancer.rs
@@ -15,6 +15,7 @@
 use metrics::counter;
 use ramp_coordination::balancer::DropReason;
 use ramp_coordination::balancer::route;
+use ramp_coordination::wake::HeldPackets;
 use ramp_coordination::wake::Wake;
 use ramp_coordination::wake::WakeGuard;
 use ramp_protocol::header::HEADER_LEN_BYTES;
@@ -76,6 +77,7 @@
     traffic: Traffic,
     view: Option<Arc<View>>,
     guard: WakeGuard,
+    held_packets: HeldPackets,
     counters: Counters,
     out: Vec<u8>,
 }
@@ -93,6 +95,7 @@
             traffic: self,
             view: None,
             guard,
+            held_packets: HeldPackets::default(),
             counters: Counters::new(),
             out: Vec::with_capacity(HEADER_LEN_BYTES + udp::DATAGRAM_LIMIT_BYTES),
         };
@@ -110,7 +113,7 @@
         loop {
             match self.traffic.updates.try_recv() {
                 Ok(Update::View(view)) => self.view = Some(view),
-                Ok(Update::Confirm(wake)) => self.guard.confirm(wake),
+                Ok(Update::Confirm(wake)) => self.end_hold(wake),
                 Err(TryRecvError::Empty) => return true,
                 Err(TryRecvError::Disconnected) => return false,
             }
@@ -143,13 +146,23 @@
         let _ = self.traffic.events.send(Event::WokeLate(wake));
     }
 
+    fn end_hold(&mut self, wake: Wake) {
+        self.guard.confirm(wake);
+        for packet in self.held_packets.take() {
+            self.handle(&packet);
+        }
+    }
+
     fn handle(&mut self, packet: &[u8]) {
+        if self.guard.is_holding() {
+            if !self.held_packets.keep(packet) {
+                self.counters.held.increment(1);
+            }
+            return;
+        }
         let Some(view) = &self.view else {
             return self.counters.held.increment(1);
         };
-        if self.guard.is_holding() {
-            return self.counters.held.increment(1);
-        }
         let member = match route(view, packet) {
             Ok(member) => member,
             Err(reason) => return self.counters.drop(reason),
