Let the opening in first whose caller began last

Cause: after a loss of power new flows wait beside full servers, the newest arrival first. But the first packet that arrives is often a caller's second or third copy: that caller is late already and passed before one that began just now.

Ruled out: guessing from the caller's address who has retried.

--- a/crates/coordination/benches/common/mod.rs
+++ b/crates/coordination/benches/common/mod.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ramp_coordination::flows::Arrival;
 use ramp_coordination::flows::FlowRouter;
@@ -152,6 +153,7 @@
         has_ack: true,
         rst: false,
         fin: false,
+        opening_age: Duration::ZERO,
     }
 }
 
--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -71,7 +71,7 @@
         if inquiry != Inquiry::OwnerThoughBusy {
             return Some(Inbound::Refuse(Refusal::Busy));
         }
-        if self.waiting.add(seg.key, seg.seq, from, now) {
+        if self.waiting.add(seg, from, now) {
             Some(Inbound::Wait)
         } else {
             Some(Inbound::Refuse(Refusal::Overloaded))
--- a/crates/coordination/src/passthrough/waiting.rs
+++ b/crates/coordination/src/passthrough/waiting.rs
@@ -1,13 +1,16 @@
 //! New flows that wait beside a full server: the pattern after a loss of
 //! power, when everybody comes back at the same moment.
 //!
-//! The newest goes first. Those that came before are late already and lose
-//! little by waiting longer; served in their order, they would make all later
-//! ones late too. Nobody waits for long: who is given up on is told at once.
+//! The one whose caller began last goes first. Those that began before are late
+//! already and lose little by waiting longer; served in their order, they would
+//! make all later ones late too. After an outage the first packet that arrives
+//! is often a late copy, so its age counts, not its arrival. Nobody waits for
+//! long: who is given up on is told at once.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
 
@@ -25,25 +28,32 @@
     pub(super) from: Ipv4Addr,
     /// Sequence number of its opening packet.
     pub(super) seq: u32,
+    /// When its caller first sent the opening.
+    begun_at: Millis,
+    /// Since when it waits here.
     since: Millis,
 }
 
-/// New flows that wait, the oldest first.
+/// New flows that wait, the one that began first at the front.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Waiting(Vec<Waiter>);
 
 impl Waiting {
-    /// Lets a flow wait; false when there is no room.
-    pub(super) fn add(&mut self, flow: FlowKey, seq: u32, from: Ipv4Addr, now: Millis) -> bool {
+    /// Lets the flow of an opening packet wait; false when there is no room.
+    pub(super) fn add(&mut self, seg: &Segment, from: Ipv4Addr, now: Millis) -> bool {
         if self.0.len() >= ROOM_FLOWS {
             return false;
         }
-        self.0.push(Waiter {
-            flow,
+        let begun_at = now - seg.opening_age;
+        let at = self.0.partition_point(|w| w.begun_at <= begun_at);
+        let waiter = Waiter {
+            flow: seg.key,
             from,
-            seq,
+            seq: seg.seq,
+            begun_at,
             since: now,
-        });
+        };
+        self.0.insert(at, waiter);
         true
     }
 
@@ -58,11 +68,9 @@
 
     /// The next flow that has waited for too long.
     pub(super) fn overdue(&mut self, now: Millis) -> Option<Waiter> {
-        let oldest = self.0.first()?;
-        if now.since(oldest.since) < WAIT_LIMIT {
-            return None;
-        }
-        Some(self.0.remove(0))
+        let late = |w: &Waiter| now.since(w.since) >= WAIT_LIMIT;
+        let at = self.0.iter().position(late)?;
+        Some(self.0.remove(at))
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/coordination/tests/common/caller.rs
+++ b/crates/coordination/tests/common/caller.rs
@@ -1,5 +1,7 @@
 //! A caller with the bones of TCP: handshake, one request at a time, retries.
 
+use std::time::Duration;
+
 use ramp_coordination::flows::ResetReason;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
@@ -162,6 +164,7 @@
             has_ack: !syn,
             rst: false,
             fin: false,
+            opening_age: Duration::ZERO,
         }
     }
 }
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -415,6 +416,7 @@
         has_ack: false,
         rst: false,
         fin: false,
+        opening_age: Duration::ZERO,
     }
 }
 
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -323,6 +323,34 @@
     }
 }
 
+/// The pattern after an outage: late copies come in the order of chance, while
+/// callers that began just now still have all their time.
+#[test]
+fn of_the_openings_that_wait_the_one_that_began_last_goes_first() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    fill(&mut agent, &view);
+    for (now, port, age_ms) in [(10, 11, 0), (20, 12, 600), (30, 13, 200)] {
+        let step = agent.inbound(
+            Some(&view),
+            Millis(now),
+            balancer_ip(1),
+            &carry(port),
+            Inquiry::OwnerThoughBusy,
+            &opening(flow(port), age_ms),
+        );
+        assert_eq!(step, Inbound::Wait);
+    }
+    for (answered, let_in) in [(1, 11), (2, 13), (3, 12)] {
+        respond(&mut agent, &view, 40, answered);
+        let release = agent.release(Some(&view), Millis(40));
+        assert!(
+            matches!(release, Some(Release::Pass(key, _)) if key == flow(let_in)),
+            "{release:?}"
+        );
+    }
+}
+
 #[test]
 fn a_new_flow_that_waits_in_vain_is_given_up_on_in_time() {
     let view = view(&[1]);
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -286,7 +286,7 @@
     let view = view(&[1, 2, 3, 4]);
     let mut balancer = Balancer::new();
     let (first, _) = carried(&balancer.arrival(&view, Millis(0), &opening(flow(9), 0)));
-    let (second, _) = carried(&balancer.arrival(&view, Millis(200), &opening(flow(9), 1)));
+    let (second, _) = carried(&balancer.arrival(&view, Millis(200), &opening(flow(9), 200)));
     assert_ne!(first, second);
 }
 
@@ -326,7 +326,7 @@
     let view = view(&[1, 2, 3, 4]);
     let mut balancer = Balancer::new();
     let owner = open(&mut balancer, &view, flow(9));
-    let step = balancer.arrival(&view, Millis(200), &opening(flow(9), 1));
+    let step = balancer.arrival(&view, Millis(200), &opening(flow(9), 200));
     assert_eq!(carried(&step).0, owner);
 }
 
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -148,13 +148,15 @@
         has_ack: true,
         rst: false,
         fin: false,
+        opening_age: Duration::ZERO,
     }
 }
 
-/// The opening packet of a flow; `copy` counts the copies before it.
-pub fn opening(key: FlowKey, copy: u32) -> Segment {
+/// The opening packet of a flow, first sent `age_ms` ago.
+pub fn opening(key: FlowKey, age_ms: u64) -> Segment {
     Segment {
-        ack: copy,
+        opening_age: Duration::from_millis(age_ms),
+        ack: 0,
         len: 0,
         opens: true,
         syn: true,
--- a/crates/coordination/tests/passthrough/simulation.rs
+++ b/crates/coordination/tests/passthrough/simulation.rs
@@ -269,10 +269,12 @@
         if caller.ended || caller.packet != packet {
             return;
         }
-        let again = 200 << caller.tries.min(3);
+        let pause = |tries: u32| 200 << tries.min(3);
+        let again = pause(caller.tries);
+        let age_ms = (0..caller.tries).map(pause).sum();
         caller.tries += 1;
         let seg = if packet == 0 {
-            opening(flow(port), caller.tries - 1)
+            opening(flow(port), age_ms)
         } else {
             Segment {
                 seq: 1000 + packet * 100,
--- a/crates/protocol/src/packet.rs
+++ b/crates/protocol/src/packet.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use etherparse::Ipv4Slice;
 use etherparse::PacketBuilder;
@@ -52,6 +53,8 @@
     pub rst: bool,
     /// Carries a FIN.
     pub fin: bool,
+    /// Since the caller first sent this opening; zero where it does not tell.
+    pub opening_age: Duration,
 }
 
 impl Segment {
@@ -83,6 +86,7 @@
             has_ack: tcp.ack(),
             rst: tcp.rst(),
             fin: tcp.fin(),
+            opening_age: Duration::ZERO,
         })
     }
 
--- a/ramplab/src/slopes/flows.rs
+++ b/ramplab/src/slopes/flows.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use ramp_coordination::flows::Arrival;
@@ -213,5 +214,6 @@
         has_ack: !opens,
         rst: false,
         fin: false,
+        opening_age: Duration::ZERO,
     }
 }
