Reset at once when only a silent, unlisted holder has not answered

Ruled out: counting a listed server that is silent as gone (this balancer may be cut off from it); dropping the 2.5 s for everyone (a lapsed server that lives answers for its flows, and one that is only slow to return must not lose them).

Change: a holder that is not listed, was asked at least twice over 300 ms and has said nothing at all to this balancer since counts as gone for that search. The test failed first.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -23,12 +23,21 @@
 /// Time between two copies of a packet to all holders of one flow.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
+/// Silence after the first of at least two questions from which a holder that
+/// is not listed counts as gone.
+const SILENT_LIMIT: Duration = Duration::from_millis(300);
+
 /// Looking for the owner of an open flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
     /// Holders whose servers do not have it.
     pub(super) denied: Vec<Ipv4Addr>,
+    /// When the holders were asked last; none: they may be asked at once.
     pub(super) asked_at: Option<Millis>,
+    /// When they were asked first.
+    first_asked_at: Option<Millis>,
+    /// How often they were asked.
+    questions: u32,
     pub(super) seen_at: Millis,
     pub(super) seq: u32,
 }
@@ -38,10 +47,26 @@
         Search {
             denied: Vec::new(),
             asked_at: None,
+            first_asked_at: None,
+            questions: 0,
             seen_at: now,
             seq: seg.ack,
         }
     }
+
+    fn note_question(&mut self, now: Millis) {
+        self.asked_at = Some(now);
+        self.first_asked_at.get_or_insert(now);
+        self.questions += 1;
+    }
+
+    /// Since when holders that stay silent have not answered; none while they
+    /// still may.
+    fn unanswered_since(&self, now: Millis) -> Option<Millis> {
+        let since = self.first_asked_at?;
+        let long = now.since(since) >= SILENT_LIMIT;
+        (self.questions > 1 && long).then_some(since)
+    }
 }
 
 impl Balancer {
@@ -140,7 +165,7 @@
         if search.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN) {
             return Step::Drop(DropReason::Asked);
         }
-        search.asked_at = Some(now);
+        search.note_question(now);
         let mut question = Question::default();
         for holder in view.holders().filter(|h| !search.denied.contains(h)) {
             if self.loads.is_complete(holder) {
@@ -164,7 +189,11 @@
         if search.denied.len() < view.members().len() {
             return Step::Drop(DropReason::Asked);
         }
-        let denied = |h: Ipv4Addr| search.denied.contains(&h) || view.is_gone(h, now);
+        let denied = |h: Ipv4Addr| {
+            search.denied.contains(&h)
+                || view.is_gone(h, now)
+                || self.is_silent_and_unlisted(view, now, search, h)
+        };
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
         }
@@ -182,6 +211,21 @@
         })
     }
 
+    /// Whether a holder has reported neither to the platform nor to this
+    /// balancer for so long that its flows can't be served in any case.
+    fn is_silent_and_unlisted(
+        &self,
+        view: &View,
+        now: Millis,
+        search: &Search,
+        holder: Ipv4Addr,
+    ) -> bool {
+        let Some(since) = search.unanswered_since(now) else {
+            return false;
+        };
+        view.member(holder).is_none() && !self.loads.has_told_since(holder, since)
+    }
+
     pub(super) fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg));
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -82,6 +82,11 @@
         self.0.get(&agent).is_some_and(|load| load.complete)
     }
 
+    /// Whether an agent has said anything since a moment.
+    pub(super) fn has_told_since(&self, agent: Ipv4Addr, since: Millis) -> bool {
+        self.0.get(&agent).is_some_and(|load| load.told_at >= since)
+    }
+
     fn of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
         let fresh = |load: &&Load| now.since(load.told_at) < LOAD_KEPT;
         let load = self.0.get(&agent).filter(fresh);
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -210,6 +210,39 @@
     assert_eq!(balancer.concluded(&later, Millis(3000)).len(), 1);
 }
 
+/// The pattern after a loss of power: a server that ended with it is listed
+/// until its record lapses, and all lost flows wait for its word.
+#[test]
+fn an_unlisted_holder_that_stays_silent_holds_up_no_reset() {
+    let mut catalog = catalog(&[1, 2]);
+    let listed = catalog.view(Millis(0)).unwrap();
+    let lapsed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(10), changes(101, vec![lapsed]));
+    let unlisted = catalog.view(Millis(10)).unwrap();
+    let search = |view: &View| {
+        let mut balancer = Balancer::new();
+        let seg = segment(flow(7));
+        balancer.arrival(view, Millis(0), &seg);
+        returned(&mut balancer, view, 1, ip(1), Refusal::Bounced, &seg);
+        assert_eq!(asked(balancer.arrival(view, Millis(200), &seg)), [ip(2)]);
+        balancer
+    };
+    let seg = segment(flow(7));
+
+    let step = search(&unlisted).arrival(&unlisted, Millis(290), &seg);
+    assert_eq!(step, Step::Drop(DropReason::Asked), "not silent for long");
+    let step = search(&unlisted).arrival(&unlisted, Millis(600), &seg);
+    assert_eq!(reset_reason(&step), Some(ResetReason::Unowned));
+    let step = search(&listed).arrival(&listed, Millis(600), &seg);
+    assert_eq!(asked(step), [ip(2)], "listed: it may be cut off from here");
+
+    let mut balancer = search(&unlisted);
+    let other = frame(FrameKind::Owned, flow(8));
+    balancer.owned(Millis(400), ip(2), &other);
+    let step = balancer.arrival(&unlisted, Millis(600), &seg);
+    assert_eq!(asked(step), [ip(2)], "it lives, and will answer");
+}
+
 #[test]
 fn an_owner_that_was_missed_and_is_back_has_not_denied_its_flow() {
     // Seen on a day with a data centre that nothing left for 6 s.
