Take the loops of imports out of transport/requests

Cause: body, hand_on, local, progress, refusal and serve imported each other in a ring, and claim and context did; a reader found no place to begin.

Change, without another behaviour: job.rs has a request on its way and the ends of a try, visit.rs a stay at another agent, claim_desk.rs the claims themselves; answers of our own are made in refusal.rs, and Origin stands with Progress. No loop is left. Fixtures of the balancer's tests share the way to a bounced packet.

--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -60,6 +60,18 @@
     balancer.returned(view, Millis(now), from, refusal, &told, seg)
 }
 
+/// Sends a packet of an unknown flow, which the first agent bounces; gives that
+/// agent and those that are asked then.
+fn bounced_by_the_first(
+    balancer: &mut Balancer,
+    view: &View,
+    seg: &ramp_protocol::packet::Segment,
+) -> (Ipv4Addr, Vec<Ipv4Addr>) {
+    let (first, _) = carried(&balancer.arrival(view, Millis(0), seg));
+    let step = returned(balancer, view, 1, first, Refusal::Bounced, seg);
+    (first, asked(step))
+}
+
 fn denied(balancer: &mut Balancer, view: &View, now: u64, from: Ipv4Addr, key: FlowKey) -> Step {
     balancer.denied(view, Millis(now), from, &frame(FrameKind::Denied, key))
 }
@@ -93,15 +105,7 @@
     let view = view(&[1, 2, 3]);
     let mut balancer = Balancer::new();
     let seg = segment(flow(7));
-    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
-    let others = asked(returned(
-        &mut balancer,
-        &view,
-        1,
-        first,
-        Refusal::Bounced,
-        &seg,
-    ));
+    let (first, others) = bounced_by_the_first(&mut balancer, &view, &seg);
     assert_eq!(others.len(), 2);
     assert!(!others.contains(&first));
     let again = balancer.arrival(&view, Millis(50), &seg);
@@ -118,15 +122,7 @@
     let view = view(&[1, 2, 3]);
     let mut balancer = Balancer::new();
     let seg = segment(flow(7));
-    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
-    let others = asked(returned(
-        &mut balancer,
-        &view,
-        1,
-        first,
-        Refusal::Bounced,
-        &seg,
-    ));
+    let (_, others) = bounced_by_the_first(&mut balancer, &view, &seg);
     let step = denied(&mut balancer, &view, 2, others[0], flow(7));
     assert_eq!(step, Step::Drop(DropReason::Asked));
     let step = denied(&mut balancer, &view, 3, others[1], flow(7));
@@ -142,15 +138,7 @@
     let view = view(&[1, 2, 3]);
     let mut balancer = Balancer::new();
     let seg = segment(flow(7));
-    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
-    let others = asked(returned(
-        &mut balancer,
-        &view,
-        1,
-        first,
-        Refusal::Bounced,
-        &seg,
-    ));
+    let (_, others) = bounced_by_the_first(&mut balancer, &view, &seg);
     denied(&mut balancer, &view, 2, others[0], flow(7));
     for now in (0..20).map(|turn| 200 + turn * 200) {
         let step = balancer.arrival(&view, Millis(now), &seg);
@@ -187,15 +175,7 @@
     let old = catalog.view(Millis(0)).unwrap();
     let mut balancer = Balancer::new();
     let seg = segment(flow(7));
-    let (first, _) = carried(&balancer.arrival(&old, Millis(0), &seg));
-    let others = asked(returned(
-        &mut balancer,
-        &old,
-        1,
-        first,
-        Refusal::Bounced,
-        &seg,
-    ));
+    let (_, others) = bounced_by_the_first(&mut balancer, &old, &seg);
     let gone = if others == [ip(1)] { 1 } else { 2 };
     catalog.apply(
         Millis(10),
--- a/crates/transport/src/requests/body.rs
+++ b/crates/transport/src/requests/body.rs
@@ -17,10 +17,10 @@
 use ramp_state::verdict::Verdict;
 use tokio::time::Sleep;
 
-use super::hand_on::Visit;
 use super::progress::Held;
 use super::progress::Progress;
 use super::upstream::Upstream;
+use super::visit::Visit;
 
 quick_error! {
     /// Why an answer was cut.
--- a/crates/transport/src/requests/context.rs
+++ b/crates/transport/src/requests/context.rs
@@ -37,7 +37,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use super::claim::ClaimDesk;
+use super::claim_desk::ClaimDesk;
 use super::handoff::Challenge;
 use super::handoff::Challenges;
 
--- a/crates/transport/src/requests/flow.rs
+++ b/crates/transport/src/requests/flow.rs
@@ -13,7 +13,7 @@
 
 use super::context::Drain;
 use super::context::RequestContext;
-use super::serve::Origin;
+use super::progress::Origin;
 use super::serve::serve;
 
 /// Serves the requests of one flow until either side ends it. While the
--- a/crates/transport/src/requests/hand_on.rs
+++ b/crates/transport/src/requests/hand_on.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddrV4;
-use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::Request;
@@ -22,15 +21,14 @@
 
 use super::body::AnswerBody;
 use super::body::Relay;
-use super::context::RequestContext;
 use super::handoff;
 use super::handoff::CHALLENGE_LEN_BYTES;
 use super::handoff::Challenge;
 use super::head;
-use super::local::lost;
-use super::serve::Job;
-use super::serve::Tried;
+use super::job::Job;
+use super::job::Tried;
 use super::upstream::Upstream;
+use super::visit::Visit;
 
 /// Longest time to connect to another agent and to hear its challenge.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
@@ -38,10 +36,7 @@
 /// Hands the request to the agent `to`.
 pub async fn hand_on(mut job: Job, to: InstanceId) -> Tried {
     job.ask.tried.push(to);
-    let visit = Visit {
-        cx: job.cx.clone(),
-        to,
-    };
+    let visit = Visit::new(job.cx.clone(), to);
     let deadline = job.deadline();
     let connect_by = deadline.min(Instant::now() + CONNECT_LIMIT);
     let Some(address) = job.cx.address_of(to) else {
@@ -65,8 +60,8 @@
     let req = Request::from_parts(head, body);
     let res = match timeout_at(deadline, upstream.send(stream, req)).await {
         Ok(Ok(res)) => res,
-        Ok(Err(_)) => return lost(job, MayHaveRun::PeerLost, NotRun::NoServer),
-        Err(_) => return lost(job, MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
+        Ok(Err(_)) => return job.lost(MayHaveRun::PeerLost, NotRun::NoServer),
+        Err(_) => return job.lost(MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
     };
     match verdict(&res) {
         Some(Verdict::NotRun(reason)) => {
@@ -109,25 +104,3 @@
     let reason = text(REASON_HEADER).unwrap_or_default();
     Verdict::from_headers(text(VERDICT_HEADER)?, reason)
 }
-
-/// A request at another agent, noted as ended when dropped.
-pub struct Visit {
-    cx: Rc<RequestContext>,
-    to: InstanceId,
-}
-
-impl Visit {
-    fn refused(&self) {
-        let now = self.cx.now();
-        let mut requests = self.cx.requests.borrow_mut();
-        requests.handed_on_refused(now, self.to);
-    }
-}
-
-impl Drop for Visit {
-    fn drop(&mut self) {
-        let now = self.cx.now();
-        let mut requests = self.cx.requests.borrow_mut();
-        requests.handed_on_ended(now, self.to);
-    }
-}
--- a/crates/transport/src/requests/local.rs
+++ b/crates/transport/src/requests/local.rs
@@ -10,7 +10,6 @@
 use ramp_coordination::cold_start::Sign;
 use ramp_state::verdict::MayHaveRun;
 use ramp_state::verdict::NotRun;
-use ramp_state::verdict::Verdict;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
@@ -18,10 +17,10 @@
 use super::body::AnswerBody;
 use super::body::Relay;
 use super::head;
+use super::job::Job;
+use super::job::Tried;
 use super::progress::Held;
 use super::send_body::Sent;
-use super::serve::Job;
-use super::serve::Tried;
 use super::upstream::Upstream;
 
 /// By this header a backend server says that it did not run what it refuses.
@@ -57,9 +56,9 @@
         Ok(Ok(res)) => res,
         Ok(Err(_)) => {
             held.learn(sign_of_loss(sent.get()));
-            return lost(job, MayHaveRun::ServerLost, NotRun::NoServer);
+            return job.lost(MayHaveRun::ServerLost, NotRun::NoServer);
         }
-        Err(_) => return lost(job, MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
+        Err(_) => return job.lost(MayHaveRun::DeadlinePassed, NotRun::DeadlinePassed),
     };
     let is_feed = job.ask.feed && head::is_event_stream(res.headers());
     held.learn(if is_feed {
@@ -91,15 +90,6 @@
     Tried::Answered(Response::from_parts(parts, body))
 }
 
-/// What to do after a try without an answer: by whether a byte was written.
-pub fn lost(job: Job, written: MayHaveRun, unwritten: NotRun) -> Tried {
-    if job.progress.is_written() {
-        Tried::Answered(job.answer(Verdict::MayHaveRun(written)))
-    } else {
-        Tried::not_run(job, unwritten)
-    }
-}
-
 fn hold_connection(mut held: Held) -> Held {
     held.feed_answered();
     held
--- a/crates/transport/src/requests/mod.rs
+++ b/crates/transport/src/requests/mod.rs
@@ -7,11 +7,13 @@
 
 mod body;
 mod claim;
+mod claim_desk;
 mod context;
 mod flow;
 mod hand_on;
 mod handoff;
 mod head;
+mod job;
 mod local;
 mod peer;
 mod progress;
@@ -19,6 +21,7 @@
 mod send_body;
 mod serve;
 mod upstream;
+mod visit;
 
 pub use context::RequestConfig;
 pub use context::RequestContext;
--- a/crates/transport/src/requests/peer.rs
+++ b/crates/transport/src/requests/peer.rs
@@ -20,7 +20,7 @@
 use super::context::RequestContext;
 use super::handoff;
 use super::handoff::Challenge;
-use super::serve::Origin;
+use super::progress::Origin;
 use super::serve::serve;
 
 /// Wait after a failed accept, so that a lack of descriptors does not spin.
--- a/crates/transport/src/requests/progress.rs
+++ b/crates/transport/src/requests/progress.rs
@@ -4,15 +4,15 @@
 //! away, which drops the request's future, leaves nothing behind.
 
 use std::cell::Cell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use hyper::Response;
 use ramp_coordination::admission::PermitKey;
 use ramp_coordination::admission::TicketKey;
 use ramp_coordination::admission::Waiting;
-use ramp_coordination::claims::Decision;
 use ramp_coordination::cold_start::Sign;
-use ramp_coordination::request::Refusal;
+use ramp_state::fleet::Policy;
 use ramp_state::key::InstanceId;
 use ramp_state::outcome::Outcome;
 use ramp_state::outcome::Record;
@@ -23,11 +23,17 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::body::AnswerBody;
 use super::claim::Claim;
 use super::context::RequestContext;
-use super::refusal::refuse;
-use super::serve::Origin;
+
+/// Who a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller, on its own flow.
+    Caller(SocketAddrV4),
+    /// Another agent, which keeps the caller's flow and the record.
+    Peer(InstanceId),
+}
 
 /// A request that has begun and not ended.
 pub struct Progress {
@@ -119,34 +125,19 @@
         });
     }
 
-    /// Ends it and makes the answer that says so.
-    pub fn answer(mut self, verdict: Verdict) -> Response<AnswerBody> {
-        self.end(verdict);
-        refuse(verdict, None)
-    }
-
-    /// Ends it because its key does not allow it to run.
-    pub fn refuse_key(mut self, decision: Decision) -> Response<AnswerBody> {
-        let verdict = match decision {
-            Decision::Served => Verdict::Served,
-            Decision::Running => Verdict::MayHaveRun(MayHaveRun::KeyRunning),
-            Decision::Granted | Decision::Unknown => Verdict::MayHaveRun(MayHaveRun::KeyUnknown),
-        };
-        // What the key's other attempt did is told to the caller, but to the
-        // group this attempt did nothing.
+    /// Ends it because its key does not allow it to run. What the key's other
+    /// attempt did is told to the caller, but to the group this attempt did
+    /// nothing.
+    pub fn end_of_key(&mut self, verdict: Verdict) {
         if let Some(mut claim) = self.claim.take() {
             claim.settle(Verdict::NotRun(NotRun::KeyRunning));
         }
         self.end(verdict);
-        let again = decision == Decision::Running;
-        refuse(verdict, again.then(|| self.cx.policy().retry_after))
     }
 
-    /// Ends it with a refusal.
-    pub fn refuse(mut self, refusal: Refusal) -> Response<AnswerBody> {
-        let verdict = Verdict::NotRun(refusal.reason);
-        self.end(verdict);
-        refuse(verdict, Some(refusal.retry_after))
+    /// Policy that it is served by.
+    pub fn policy(&self) -> Arc<Policy> {
+        self.cx.policy()
     }
 
     /// Whether the agent itself gives it up: at the drain limit, or because
--- a/crates/transport/src/requests/refusal.rs
+++ b/crates/transport/src/requests/refusal.rs
@@ -7,6 +7,8 @@
 use hyper::StatusCode;
 use hyper::header;
 use hyper::header::HeaderValue;
+use ramp_coordination::claims::Decision;
+use ramp_coordination::request::Refusal;
 use ramp_state::verdict::MayHaveRun;
 use ramp_state::verdict::NotRun;
 use ramp_state::verdict::REASON_HEADER;
@@ -14,13 +16,41 @@
 use ramp_state::verdict::Verdict;
 
 use super::body::AnswerBody;
+use super::progress::Progress;
 
 /// Reason told when an earlier attempt of an idempotency key was served.
 const KEY_SERVED: &str = "a request with the same idempotency key was served";
 
+impl Progress {
+    /// Ends it and makes the answer that says so.
+    pub fn answer(mut self, verdict: Verdict) -> Response<AnswerBody> {
+        self.end(verdict);
+        refuse(verdict, None)
+    }
+
+    /// Ends it because its key does not allow it to run.
+    pub fn refuse_key(mut self, decision: Decision) -> Response<AnswerBody> {
+        let verdict = match decision {
+            Decision::Served => Verdict::Served,
+            Decision::Running => Verdict::MayHaveRun(MayHaveRun::KeyRunning),
+            Decision::Granted | Decision::Unknown => Verdict::MayHaveRun(MayHaveRun::KeyUnknown),
+        };
+        self.end_of_key(verdict);
+        let again = decision == Decision::Running;
+        refuse(verdict, again.then(|| self.policy().retry_after))
+    }
+
+    /// Ends it with a refusal.
+    pub fn refuse(mut self, refusal: Refusal) -> Response<AnswerBody> {
+        let verdict = Verdict::NotRun(refusal.reason);
+        self.end(verdict);
+        refuse(verdict, Some(refusal.retry_after))
+    }
+}
+
 /// Answer that tells the caller the verdict. `retry_after` is told only with
 /// refusals that a later try may escape.
-pub fn refuse(verdict: Verdict, retry_after: Option<Duration>) -> Response<AnswerBody> {
+fn refuse(verdict: Verdict, retry_after: Option<Duration>) -> Response<AnswerBody> {
     let text = format!("{}: {}\n", verdict.as_header(), reason(verdict));
     let mut res = Response::new(AnswerBody::Own(Full::from(text)));
     *res.status_mut() = status(verdict);
--- a/crates/transport/src/requests/serve.rs
+++ b/crates/transport/src/requests/serve.rs
@@ -1,21 +1,16 @@
 //! One request: follows the steps that the decisions return.
 
-use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::http::request::Parts;
 use ramp_coordination::claims::Decision;
 use ramp_coordination::request::Ask;
 use ramp_coordination::request::Step;
-use ramp_state::key::InstanceId;
 use ramp_state::time::Millis;
 use ramp_state::verdict::NotRun;
 use ramp_state::verdict::Verdict;
-use tokio::time::Instant;
 use tokio::time::timeout;
 
 use super::body::AnswerBody;
@@ -25,103 +20,15 @@
 use super::hand_on::hand_on;
 use super::head;
 use super::head::Head;
+use super::job::Job;
+use super::job::Tried;
 use super::local::run_here;
 use super::progress::Held;
+use super::progress::Origin;
 use super::progress::Place;
 use super::progress::Progress;
 use super::send_body::Payload;
 
-/// Who a request comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A caller, on its own flow.
-    Caller(SocketAddrV4),
-    /// Another agent, which keeps the caller's flow and the record.
-    Peer(InstanceId),
-}
-
-/// A request on its way to a server.
-pub struct Job {
-    /// What all requests share.
-    pub cx: Rc<RequestContext>,
-    /// Its state so far.
-    pub progress: Progress,
-    /// Its head, fit to be sent on.
-    pub parts: Parts,
-    /// Its body.
-    pub payload: Payload,
-    /// What it asks of the decisions.
-    pub ask: Ask,
-}
-
-/// Why a request must not be sent any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stale {
-    /// Others may have given its attempt of the key up.
-    Key,
-    /// Its time is up.
-    Deadline,
-}
-
-/// How one try of a request ended.
-pub enum Tried {
-    /// With an answer, or the head of one.
-    Answered(Response<AnswerBody>),
-    /// It certainly did not run; the request can be tried elsewhere.
-    NotRun(Box<Job>, NotRun),
-}
-
-impl Tried {
-    /// It certainly did not run.
-    pub fn not_run(job: Job, reason: NotRun) -> Tried {
-        Tried::NotRun(Box::new(job), reason)
-    }
-}
-
-impl Job {
-    /// Time that is left to it.
-    pub fn left(&self) -> Duration {
-        self.ask.deadline.since(self.cx.now())
-    }
-
-    /// When its time is up, on the runtime's clock.
-    pub fn deadline(&self) -> Instant {
-        Instant::now() + self.left()
-    }
-
-    /// Head for one more try.
-    pub fn head(&self) -> Parts {
-        let mut parts = self.parts.clone();
-        head::state_deadline(&mut parts.headers, self.left());
-        parts
-    }
-
-    /// Why it must not be sent any more, looked at right before it is: this
-    /// process may have slept since it was admitted.
-    pub fn is_stale(&self) -> Option<Stale> {
-        if !self.progress.may_send() {
-            Some(Stale::Key)
-        } else if self.left().is_zero() {
-            Some(Stale::Deadline)
-        } else {
-            None
-        }
-    }
-
-    /// Ends it unsent.
-    pub fn give_up(self, stale: Stale) -> Tried {
-        match stale {
-            Stale::Key => Tried::Answered(self.progress.refuse_key(Decision::Unknown)),
-            Stale::Deadline => Tried::not_run(self, NotRun::DeadlinePassed),
-        }
-    }
-
-    /// Tells the caller that it may have run.
-    pub fn answer(self, verdict: Verdict) -> Response<AnswerBody> {
-        self.progress.answer(verdict)
-    }
-}
-
 /// Serves one request.
 pub async fn serve(
     cx: Rc<RequestContext>,
