Soak real processes under faults from outside them

Three balancers and six agents as processes on loopback, servers and callers as sockets of the test, the store as a stand-in, a proxy before each process's connections. Faults are drawn from a seed and overlap: processes are killed, stopped, asked to end and to reload; connections are delayed, cut, silenced or answered one way only; the store refuses, goes silent, babbles, forgets; records lapse; servers drain, crash and come back with clocks that are off; data centres are evacuated; routers lose and double packets. Judged by callers and servers: bytes unchanged, no foreign or unsent request, no new flow for a draining or evacuated server, no reset while a server has the flow, no process that ends by itself, everyone served once the faults are over.

The parts that it shares with the tests on_platform now stand in tests/stand_ins.

--- a/bramleyramp/tests/on_platform/fixture.rs
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -4,16 +4,12 @@
 use std::collections::HashSet;
 use std::fs;
 use std::fs::File;
-use std::io::Read;
-use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
-use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -32,9 +28,15 @@
 use crate::stand_in::StandIn;
 use crate::stand_in::configuration_entry;
 use crate::stand_in::server_entry;
-
-/// No test waits longer than this for anything.
-const TEST_LIMIT: Duration = Duration::from_secs(15);
+use crate::stand_ins::machine;
+use crate::stand_ins::machine::Machine;
+use crate::stand_ins::machine::Ports;
+use crate::stand_ins::machine::signal;
+use crate::stand_ins::machine::until;
+use crate::stand_ins::wire;
+use crate::stand_ins::wire::ACK;
+use crate::stand_ins::wire::Packet;
+use crate::stand_ins::wire::SYN;
 
 /// Pause before a caller sends again.
 const SEND_AGAIN: Duration = Duration::from_millis(200);
@@ -44,11 +46,6 @@
 
 const SERVICE_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
-const FLAGS: usize = 12;
-const ACK: u8 = 1;
-const BOUNCED: u8 = 4;
-const SYN: u8 = 8;
-
 /// Fleets of one test process each get addresses of their own.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -80,17 +77,6 @@
     Closed,
 }
 
-#[derive(Clone, Copy)]
-struct Ports {
-    data: u16,
-    peers: u16,
-    outbound: u16,
-    server: u16,
-    ready: u16,
-    control: u16,
-    metrics: u16,
-}
-
 struct Process {
     name: String,
     child: Child,
@@ -136,7 +122,7 @@
     pub fn start_with(agents: u8, output: Output) -> Fleet {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let number = (std::process::id().wrapping_mul(31).wrapping_add(number) % 200) as u8 + 20;
-        let ports = pick_ports();
+        let ports = Ports::pick();
         let dir = std::env::temp_dir().join(format!("ramp-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
         let caller = UdpSocket::bind((ip(number, 250), ports.data)).unwrap();
@@ -165,50 +151,30 @@
     }
 
     pub fn start_balancer(&mut self) {
-        let at = ip(self.number, 1);
-        let ports = self.ports;
-        let extra = format!(
-            "Listen.Control={at}:{}\nSeeds={at}:{}\n",
-            ports.control, ports.control
-        );
-        self.start_process("balancer", "balancer", at, &extra);
+        self.start_process("balancer", None);
     }
 
     pub fn start_agent(&mut self, agent: u8) {
-        let at = self.agent_ip(agent);
-        let ports = self.ports;
-        let extra = format!(
-            "Listen.outbound={at}:{}\napp={at}:{}\nService=voucher\nSeeds={}:{}\n",
-            ports.outbound,
-            ports.server,
-            ip(self.number, 1),
-            ports.control
-        );
-        self.start_process("agent", &format!("agent-{agent}"), at, &extra);
+        self.start_process(&format!("agent-{agent}"), Some("voucher"));
     }
 
-    fn start_process(&mut self, role: &str, name: &str, at: Ipv4Addr, extra: &str) {
-        let ports = self.ports;
-        let settings = format!(
-            "NodeName={name}\nListen.DataAddr={at}:{}\nListen.Ready={at}:{}\n\
-             InternalPorts={},{}\nBounds.GraceS=4\nplatform.Address={}\n{extra}",
-            ports.data, ports.ready, ports.peers, ports.peers, self.store.address
-        );
-        let file = self.dir.join(format!("{name}.conf"));
-        fs::write(&file, settings).unwrap();
+    fn start_process(&mut self, name: &str, service: Option<&str>) {
+        let reader = SocketAddrV4::new(ip(self.number, 1), self.ports.control);
+        let machine = Machine {
+            name,
+            at: self.ip_of(name),
+            ports: self.ports,
+            store: self.store.address,
+            seeds: &[reader],
+            service,
+        };
         let log = self.dir.join(format!("{name}.log"));
         let out = File::options().create(true).append(true).open(&log);
         let stdout = match self.output {
             Output::File => Stdio::from(out.unwrap()),
             Output::NeverRead | Output::Closed => Stdio::piped(),
         };
-        let metrics = ports.metrics.to_string();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_bramleyramp"))
-            .args([role, "--on-platform", "--metrics-port", &metrics])
-            .env("BRAMLEYRAMP_NODE_FILE", &file)
-            .stdout(stdout)
-            .spawn()
-            .unwrap();
+        let mut child = machine.start(&self.dir, stdout);
         let mut pipe = child.stdout.take();
         if self.output == Output::Closed {
             pipe = None;
@@ -218,8 +184,7 @@
             child,
             _pipe: pipe,
         });
-        let ready = SocketAddrV4::new(at, ports.ready);
-        until("a process is ready", || get(ready, "/ready").0 == 200);
+        until("a process is ready", || machine.is_ready());
     }
 
     /// A backend server that knows its own flows and bounces all others.
@@ -277,9 +242,7 @@
 
     pub fn terminate(&self, name: &str) {
         let process = self.processes.iter().find(|p| p.name == name).unwrap();
-        let pid = process.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status();
-        assert!(status.unwrap().success());
+        signal(&process.child, "-TERM");
     }
 
     pub fn wait_for_end(&mut self, name: &str) -> ExitStatus {
@@ -293,15 +256,11 @@
     }
 
     pub fn is_ready(&self, name: &str) -> bool {
-        get(
-            SocketAddrV4::new(self.ip_of(name), self.ports.ready),
-            "/ready",
-        )
-        .0 == 200
+        machine::is_ready(self.ip_of(name), self.ports)
     }
 
     pub fn metrics(&self, name: &str) -> String {
-        get(
+        machine::get(
             SocketAddrV4::new(self.ip_of(name), self.ports.metrics),
             "/metrics",
         )
@@ -386,52 +345,34 @@
     Answer::Nothing
 }
 
-fn serve(packet: &[u8], mood: ServerMood, flows: &mut HashSet<u16>) -> Option<Vec<u8>> {
-    let seg = PlatformPacket::read(packet)?.segment;
-    let port = seg.key.caller.port();
-    if seg.opens {
+fn serve(buf: &[u8], mood: ServerMood, flows: &mut HashSet<u16>) -> Option<Vec<u8>> {
+    let packet = Packet::decode(buf)?;
+    let port = packet.from.port();
+    if packet.opens() {
         flows.insert(port);
-        return Some(answer(packet, SYN | ACK, b""));
+        return Some(packet.answer(SYN | ACK, 0, b"").encode());
     }
     if !flows.contains(&port) {
-        let mut bounced = packet.to_vec();
-        bounced[FLAGS] |= BOUNCED;
-        return Some(bounced);
-    }
-    match mood {
-        ServerMood::Mute => None,
-        ServerMood::Failing => Some(answer(packet, ACK, b"HTTP/1.1 503 busy\r\n\r\n")),
-        ServerMood::Well | ServerMood::Forgetful => {
-            Some(answer(packet, ACK, b"HTTP/1.1 200 fine\r\n\r\n"))
-        }
+        return Some(wire::bounced(buf));
     }
-}
-
-/// The packet that answers `packet`, with the two ends changed over.
-fn answer(packet: &[u8], flags: u8, data: &[u8]) -> Vec<u8> {
-    let mut buf = packet[..HEADER_LEN_BYTES].to_vec();
-    buf[8..12].fill(0);
-    buf[FLAGS] = flags;
-    buf[18..20].copy_from_slice(&(data.len() as u16).to_le_bytes());
-    buf[20..22].copy_from_slice(&packet[22..24]);
-    buf[22..24].copy_from_slice(&packet[20..22]);
-    buf[24..28].copy_from_slice(&packet[28..32]);
-    buf[28..32].copy_from_slice(&packet[24..28]);
-    buf.extend_from_slice(data);
-    buf
+    let data: &[u8] = match mood {
+        ServerMood::Mute => return None,
+        ServerMood::Failing => b"HTTP/1.1 503 busy\r\n\r\n",
+        ServerMood::Well | ServerMood::Forgetful => b"HTTP/1.1 200 fine\r\n\r\n",
+    };
+    Some(packet.answer(ACK, 0, data).encode())
 }
 
 fn packet(caller: Ipv4Addr, port: u16, flags: u8, seq: u32, data: &[u8]) -> Vec<u8> {
-    let mut buf = vec![0; HEADER_LEN_BYTES];
-    buf[..4].copy_from_slice(&seq.to_le_bytes());
-    buf[FLAGS] = flags;
-    buf[18..20].copy_from_slice(&(data.len() as u16).to_le_bytes());
-    buf[20..22].copy_from_slice(&SERVICE_ADDRESS.port().to_le_bytes());
-    buf[22..24].copy_from_slice(&port.to_le_bytes());
-    buf[24..28].copy_from_slice(&u32::from(*SERVICE_ADDRESS.ip()).to_le_bytes());
-    buf[28..32].copy_from_slice(&u32::from(caller).to_le_bytes());
-    buf.extend_from_slice(data);
-    buf
+    let packet = Packet {
+        from: SocketAddrV4::new(caller, port),
+        to: SERVICE_ADDRESS,
+        flags,
+        seq,
+        ack: 0,
+        data: data.to_vec(),
+    };
+    packet.encode()
 }
 
 /// A field of a log line, as text.
@@ -451,41 +392,3 @@
 fn ip(fleet: u8, machine: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 77, fleet, machine)
 }
-
-/// Ports that the kernel picks; each is held until all are picked.
-fn pick_ports() -> Ports {
-    let held: Vec<UdpSocket> = (0..7)
-        .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
-        .collect();
-    let port = |at: usize| held[at].local_addr().unwrap().port();
-    Ports {
-        data: port(0),
-        peers: port(1),
-        outbound: port(2),
-        server: port(3),
-        ready: port(4),
-        control: port(5),
-        metrics: port(6),
-    }
-}
-
-fn get(at: SocketAddrV4, path: &str) -> (u16, String) {
-    let Ok(mut stream) = TcpStream::connect(at) else {
-        return (0, String::new());
-    };
-    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    let mut text = String::new();
-    if stream.write_all(request.as_bytes()).is_err() || stream.read_to_string(&mut text).is_err() {
-        return (0, String::new());
-    }
-    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
-    (status.unwrap_or(0), text)
-}
-
-fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let end = Instant::now() + TEST_LIMIT;
-    while !done() {
-        assert!(Instant::now() < end, "waited in vain: {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -4,6 +4,8 @@
 mod fixture;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/bramleyramp/tests/soak/fleet.rs
@@ -0,0 +1,361 @@
+//! The fleet of a run: real balancers and agents behind proxies, servers,
+//! routers, and what operators and servers have written into the store.
+
+use std::fs;
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::callers::Callers;
+use crate::callers::Routers;
+use crate::proxy;
+use crate::proxy::Switch;
+use crate::record::Record;
+use crate::servers;
+use crate::servers::Server;
+use crate::stand_in::StandIn;
+use crate::stand_ins::machine;
+use crate::stand_ins::machine::Machine;
+use crate::stand_ins::machine::Ports;
+use crate::stand_ins::machine::signal;
+use crate::stand_ins::machine::until;
+
+pub const BALANCERS: usize = 3;
+pub const AGENTS: usize = 6;
+
+/// Agents of the first service; the rest serve the second.
+const FIRST_SERVICE_AGENTS: usize = 4;
+const SERVICES: [&str; 2] = ["voucher", "intake"];
+const CALLERS: [usize; 2] = [28, 12];
+
+/// Time between two questions for readiness, and misses that count.
+const PROBE_EVERY: Duration = Duration::from_millis(250);
+const PROBE_MISSES: u32 = 2;
+
+/// Unix milliseconds of a time long ago, for servers that are not new.
+const LONG_AGO_MS: u64 = 1_000;
+
+/// A machine with its process.
+pub struct Node {
+    pub name: String,
+    pub at: Ipv4Addr,
+    pub service: Option<&'static str>,
+    pub store_switch: Switch,
+    pub feed_switch: Switch,
+    store: SocketAddrV4,
+    seeds: Vec<SocketAddrV4>,
+    child: Option<Child>,
+    /// Whether a fault is at work on it.
+    pub busy: bool,
+}
+
+/// Everything that runs.
+pub struct Fleet {
+    pub store: StandIn,
+    pub nodes: Vec<Node>,
+    pub servers: Vec<Server>,
+    pub record: Arc<Mutex<Record>>,
+    pub routers: Arc<Mutex<Routers>>,
+    ports: Ports,
+    dir: PathBuf,
+    version: u64,
+    boots: u64,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for child in self.nodes.iter_mut().filter_map(|n| n.child.as_mut()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        if self.record.lock().unwrap().violations.is_empty() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Fleet {
+    pub fn start(number: u8, seed: u64) -> Fleet {
+        let ports = Ports::pick();
+        let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let record = Arc::new(Mutex::new(Record::new()));
+        let store = StandIn::start();
+        let at = |machine: usize| Ipv4Addr::new(127, 78, number, machine as u8);
+        let balancers: Vec<Ipv4Addr> = (1..=BALANCERS).map(at).collect();
+        let mut fleet = Fleet {
+            store,
+            nodes: Vec::new(),
+            servers: Vec::new(),
+            record,
+            routers: Arc::new(Mutex::new(Routers {
+                in_rotation: vec![true; BALANCERS],
+                balancers: balancers.clone(),
+                lost_per_mille: 0,
+                doubled_per_mille: 0,
+            })),
+            ports,
+            dir,
+            version: 1,
+            boots: 0,
+            stop: Arc::new(AtomicBool::new(false)),
+            threads: Vec::new(),
+        };
+        fleet.configure();
+        for (n, at) in balancers.iter().enumerate() {
+            fleet.add_node(format!("balancer-{}", n + 1), *at, None, &balancers);
+        }
+        for n in 0..AGENTS {
+            let first = n < FIRST_SERVICE_AGENTS;
+            let service = SERVICES[usize::from(!first)];
+            let name = format!("agent-{}", n + 1);
+            let at = at(11 + n);
+            let address = address_of(service);
+            let server = servers::start(at, ports, &name, service, address, &fleet.record);
+            fleet.servers.push(server);
+            fleet.add_node(name, at, Some(service), &balancers);
+            fleet.write_server(n, "ready");
+        }
+        for node in 0..fleet.nodes.len() {
+            fleet.start_node(node);
+        }
+        for node in &fleet.nodes {
+            until("a process is ready", || machine::is_ready(node.at, ports));
+        }
+        fleet.watch_rotation();
+        fleet.let_callers_in(at(250), seed);
+        fleet
+    }
+
+    fn add_node(
+        &mut self,
+        name: String,
+        at: Ipv4Addr,
+        service: Option<&'static str>,
+        balancers: &[Ipv4Addr],
+    ) {
+        let (store_switch, feed_switch) = (Switch::new(), Switch::new());
+        let control = self.ports.control;
+        let seeds = balancers.iter().map(|balancer| {
+            let target = SocketAddrV4::new(*balancer, control);
+            // A reader knows itself by its own address.
+            if *balancer == at {
+                return target;
+            }
+            proxy::start(target, &feed_switch)
+        });
+        let seeds = seeds.collect();
+        self.nodes.push(Node {
+            name,
+            at,
+            service,
+            store: proxy::start(self.store.address, &store_switch),
+            store_switch,
+            feed_switch,
+            seeds,
+            child: None,
+            busy: false,
+        });
+    }
+
+    pub fn start_node(&mut self, node: usize) {
+        let node = &mut self.nodes[node];
+        let log = self.dir.join(format!("{}.log", node.name));
+        let out = File::options().create(true).append(true).open(log).unwrap();
+        let machine = Machine {
+            name: &node.name,
+            at: node.at,
+            ports: self.ports,
+            store: node.store,
+            seeds: &node.seeds,
+            service: node.service,
+        };
+        node.child = Some(machine.start(&self.dir, Stdio::from(out)));
+    }
+
+    pub fn signal(&self, node: usize, name: &str) {
+        let child = self.nodes[node].child.as_ref();
+        signal(child.expect("only a running process is signalled"), name);
+    }
+
+    /// Kills a process and waits for its end.
+    pub fn kill(&mut self, node: usize) {
+        let mut child = self.nodes[node].child.take().expect("it runs");
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Whether a process that was asked to end has ended; it must end well.
+    pub fn has_ended(&mut self, node: usize) -> bool {
+        let node = &mut self.nodes[node];
+        let Some(child) = &mut node.child else {
+            return true;
+        };
+        let Some(status) = child.try_wait().unwrap() else {
+            return false;
+        };
+        node.child = None;
+        if !status.success() {
+            let what = format!("{} ended with {status}", node.name);
+            self.record.lock().unwrap().violation(&what);
+        }
+        true
+    }
+
+    /// Notes processes that ended although nobody asked them to.
+    pub fn look_for_ends(&mut self) {
+        for node in self.nodes.iter_mut().filter(|n| !n.busy) {
+            let Some(child) = &mut node.child else {
+                continue;
+            };
+            if let Some(status) = child.try_wait().unwrap() {
+                node.child = None;
+                let what = format!("{} ended by itself: {status}", node.name);
+                self.record.lock().unwrap().violation(&what);
+            }
+        }
+    }
+
+    /// Publishes the next version of the configuration.
+    pub fn configure(&mut self) {
+        self.version += 3;
+        let routes = SERVICES.map(|service| {
+            let address = address_of(service);
+            json!({"Name": service, "Host": address.ip().to_string(),
+                "Prefix": format!("/{}/", address.port()), "RouteType": "safe",
+                "TimeoutMs": 1500 + self.version, "AimMs": 150, "Priority": 2, "Service": service})
+        });
+        let services =
+            SERVICES.map(|service| json!({"Name": service, "ColdStartS": 1.0, "ColdPerS": 0.0}));
+        let text = json!({"Version": self.version, "Routes": routes, "Services": services,
+            "Limits": {"IdleTimeoutMs": 15000}});
+        self.store.put("op/config", &text.to_string());
+    }
+
+    /// Writes the record of a server that has its entry, in this state.
+    pub fn write_server(&mut self, server: usize, state: &str) {
+        self.write_record(server, state, LONG_AGO_MS);
+    }
+
+    /// Writes the record of a server that has just started; its clock is off.
+    pub fn write_new_server(&mut self, server: usize, clock_off_ms: i64) {
+        self.boots += 1;
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let now_ms = now.unwrap().as_millis() as u64;
+        self.write_record(server, "ready", now_ms.saturating_add_signed(clock_off_ms));
+    }
+
+    fn write_record(&mut self, server: usize, state: &str, born_ms: u64) {
+        let service = self.servers[server].lock().unwrap().service.clone();
+        let at = self.nodes[BALANCERS + server].at;
+        let entry = json!({"Service": service, "Address": format!("{at}:{}", self.ports.server),
+            "Zone": zone_of(server), "Version": "v1", "Slots": 8, "State": state,
+            "ColdLeftMs": 0, "Sequence": self.boots, "born": born_ms});
+        self.store.put(&entry_key(server), &entry.to_string());
+    }
+
+    pub fn remove_record(&self, server: usize) {
+        self.store.remove(&entry_key(server));
+    }
+
+    /// Servers of a data centre.
+    pub fn servers_in(&self, zone: &str) -> Vec<usize> {
+        (0..AGENTS).filter(|n| zone_of(*n) == zone).collect()
+    }
+
+    /// Puts balancers into and out of the rotation, as the routers do.
+    fn watch_rotation(&mut self) {
+        let (stop, routers, ports) = (
+            Arc::clone(&self.stop),
+            Arc::clone(&self.routers),
+            self.ports,
+        );
+        let thread = thread::spawn(move || {
+            let balancers = routers.lock().unwrap().balancers.clone();
+            let mut misses = vec![0; balancers.len()];
+            while !stop.load(Ordering::Relaxed) {
+                for (n, at) in balancers.iter().enumerate() {
+                    misses[n] = if machine::is_ready(*at, ports) {
+                        0
+                    } else {
+                        misses[n] + 1
+                    };
+                    routers.lock().unwrap().in_rotation[n] = misses[n] < PROBE_MISSES;
+                }
+                thread::sleep(PROBE_EVERY);
+            }
+        });
+        self.threads.push(thread);
+    }
+
+    fn let_callers_in(&mut self, at: Ipv4Addr, seed: u64) {
+        let mut callers = Callers::new(
+            at,
+            self.ports.data,
+            Arc::clone(&self.routers),
+            Arc::clone(&self.record),
+            self.servers.clone(),
+            seed,
+        );
+        for (service, count) in SERVICES.iter().zip(CALLERS) {
+            callers.add(address_of(service), count);
+        }
+        let stop = Arc::clone(&self.stop);
+        let thread = thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                callers.turn();
+            }
+        });
+        self.threads.push(thread);
+    }
+
+    /// Everything that happened, and where the logs are.
+    pub fn story(&self) -> String {
+        let record = self.record.lock().unwrap();
+        format!("{}\nlogs: {}", record.story.join("\n"), self.dir.display())
+    }
+}
+
+/// Lets things run; looks for processes that end by themselves.
+pub fn run_until(fleet: &mut Fleet, end: Instant) {
+    while Instant::now() < end {
+        fleet.look_for_ends();
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn zone_of(server: usize) -> &'static str {
+    if server.is_multiple_of(2) {
+        "west"
+    } else {
+        "east"
+    }
+}
+
+fn address_of(service: &str) -> SocketAddrV4 {
+    let last = if service == SERVICES[0] { 1 } else { 2 };
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, last), 443)
+}
+
+fn entry_key(server: usize) -> String {
+    format!("servers/i-{server}")
+}
--- /dev/null
+++ b/bramleyramp/tests/soak/proxy.rs
@@ -0,0 +1,110 @@
+//! A loopback proxy that spoils connections of one process.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+/// How long a pump waits for bytes before it looks at the mode again.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// What happens to the bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Pass,
+    /// Each piece is held for so many milliseconds.
+    Delay(u64),
+    /// Nothing comes back.
+    OneWay,
+    /// Nothing passes.
+    Silence,
+    /// Connections are ended.
+    Cut,
+}
+
+/// Mode of all connections of one process to one kind of target.
+#[derive(Clone)]
+pub struct Switch(Arc<Mutex<Mode>>);
+
+impl Switch {
+    pub fn new() -> Switch {
+        Switch(Arc::new(Mutex::new(Mode::Pass)))
+    }
+
+    pub fn set(&self, mode: Mode) {
+        *self.0.lock().unwrap() = mode;
+    }
+
+    fn mode(&self) -> Mode {
+        *self.0.lock().unwrap()
+    }
+}
+
+/// Starts a proxy to `target` and gives its address.
+pub fn start(target: SocketAddrV4, switch: &Switch) -> SocketAddrV4 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        unreachable!("bound to IPv4")
+    };
+    let switch = switch.clone();
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            if switch.mode() == Mode::Cut {
+                continue;
+            }
+            // A target that is down refuses, and so does the proxy.
+            let Ok(server) = TcpStream::connect(target) else {
+                continue;
+            };
+            pump(&client, &server, &switch, false);
+            pump(&server, &client, &switch, true);
+        }
+    });
+    address
+}
+
+/// Carries bytes from one end to the other until either closes.
+fn pump(from: &TcpStream, to: &TcpStream, switch: &Switch, back: bool) {
+    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+    let switch = switch.clone();
+    from.set_read_timeout(Some(LOOK_EVERY)).unwrap();
+    thread::spawn(move || {
+        let mut buf = [0; 16 << 10];
+        loop {
+            let len = match from.read(&mut buf) {
+                Ok(0) => break,
+                Ok(len) => len,
+                Err(err) if err.kind() == std::io::ErrorKind::WouldBlock => 0,
+                Err(_) => break,
+            };
+            let passes = match switch.mode() {
+                Mode::Cut => break,
+                Mode::Silence => false,
+                Mode::OneWay => !back,
+                Mode::Delay(ms) if len > 0 => {
+                    thread::sleep(Duration::from_millis(ms));
+                    true
+                }
+                Mode::Delay(_) | Mode::Pass => true,
+            };
+            if len > 0 && !passes {
+                // What is lost can't be made up for: nothing more comes.
+                while from.read(&mut buf).is_ok_and(|len| len > 0) {}
+                break;
+            }
+            if to.write_all(&buf[..len]).is_err() {
+                break;
+            }
+        }
+        // Either end may be closed already.
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    });
+}
--- /dev/null
+++ b/bramleyramp/tests/soak/servers.rs
@@ -0,0 +1,166 @@
+//! Backend servers: sockets of the test that hold flows, verify every packet,
+//! and judge who is sent to them.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::record::Record;
+use crate::record::STORE;
+use crate::stand_ins::machine::Ports;
+use crate::stand_ins::wire;
+use crate::stand_ins::wire::ACK;
+use crate::stand_ins::wire::FIN;
+use crate::stand_ins::wire::Packet;
+use crate::stand_ins::wire::SYN;
+
+/// Time from the word that a server drains until nothing new comes.
+const DRAIN_LIMIT: Duration = Duration::from_millis(3000);
+
+/// Time from the word that a data centre is evacuated until nothing new comes.
+const EVACUATE_LIMIT: Duration = Duration::from_millis(5000);
+
+/// A flow at a server.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    isn: u32,
+    /// Whether the end of the handshake has come.
+    open: bool,
+}
+
+/// What one server is and has.
+pub struct State {
+    pub agent: String,
+    pub service: String,
+    /// Where callers reach its service.
+    pub address: SocketAddrV4,
+    pub alive: bool,
+    pub draining_since: Option<Instant>,
+    pub evacuated_since: Option<Instant>,
+    flows: HashMap<u16, Held>,
+    next_isn: u32,
+}
+
+/// A server that others may look at.
+pub type Server = Arc<Mutex<State>>;
+
+impl State {
+    /// A server that has just started: without flows.
+    pub fn reborn(&mut self) {
+        self.flows.clear();
+        self.alive = true;
+        self.draining_since = None;
+    }
+
+    /// Whether the flow is open here.
+    pub fn has_open(&self, port: u16, isn: u32) -> bool {
+        let held = self.flows.get(&port);
+        self.alive && held.is_some_and(|held| held.open && held.isn == isn)
+    }
+}
+
+/// Starts a server at `at`; its packets go to the agent on the same machine.
+pub fn start(
+    at: Ipv4Addr,
+    ports: Ports,
+    agent: &str,
+    service: &str,
+    address: SocketAddrV4,
+    record: &Arc<Mutex<Record>>,
+) -> Server {
+    let state = Arc::new(Mutex::new(State {
+        agent: agent.to_string(),
+        service: service.to_string(),
+        address,
+        alive: true,
+        draining_since: None,
+        evacuated_since: None,
+        flows: HashMap::new(),
+        next_isn: u32::from(at) << 16,
+    }));
+    let socket = UdpSocket::bind((at, ports.server)).unwrap();
+    let outbound = SocketAddrV4::new(at, ports.outbound);
+    let (server, record) = (Arc::clone(&state), Arc::clone(record));
+    thread::spawn(move || {
+        let mut buf = [0; 2048];
+        while let Ok((len, _)) = socket.recv_from(&mut buf) {
+            let answer = server.lock().unwrap().take(&buf[..len], &record);
+            if let Some(answer) = answer {
+                // The agent may be down.
+                let _ = socket.send_to(&answer, outbound);
+            }
+        }
+    });
+    state
+}
+
+impl State {
+    fn take(&mut self, buf: &[u8], record: &Mutex<Record>) -> Option<Vec<u8>> {
+        if !self.alive {
+            return None;
+        }
+        let Some(packet) = Packet::decode(buf) else {
+            let what = format!("{} got a packet that nobody wrote so", self.agent);
+            record.lock().unwrap().violation(&what);
+            return None;
+        };
+        if packet.has(SYN) && packet.has(ACK) {
+            let what = format!("{} got a server's answer", self.agent);
+            record.lock().unwrap().violation(&what);
+            return None;
+        }
+        if packet.opens() {
+            self.judge_opening(&packet, &mut record.lock().unwrap());
+            return Some(self.accept(&packet).encode());
+        }
+        let port = packet.from.port();
+        let Some(held) = self.flows.get_mut(&port).filter(|h| h.isn == packet.ack) else {
+            return Some(wire::bounced(buf));
+        };
+        held.open = true;
+        if packet.has(FIN) {
+            self.flows.remove(&port);
+            return Some(packet.answer(ACK, packet.ack, b"").encode());
+        }
+        let id = String::from_utf8_lossy(&packet.data).into_owned();
+        if !id.is_empty() && !record.lock().unwrap().asked.contains(&id) {
+            let what = format!("{} ran a request that nobody sent: {id}", self.agent);
+            record.lock().unwrap().violation(&what);
+        }
+        Some(packet.answer(ACK, packet.ack, &packet.data).encode())
+    }
+
+    fn accept(&mut self, packet: &Packet) -> Packet {
+        let port = packet.from.port();
+        self.next_isn = self.next_isn.wrapping_add(7);
+        let isn = self.next_isn;
+        let held = self.flows.entry(port).or_insert(Held { isn, open: false });
+        packet.answer(SYN | ACK, held.isn, b"")
+    }
+
+    fn judge_opening(&self, packet: &Packet, record: &mut Record) {
+        if packet.to != self.address {
+            let what = format!("{} got a flow of {}", self.agent, packet.to);
+            record.violation(&what);
+        }
+        let limits = [
+            ("drains", self.draining_since, DRAIN_LIMIT),
+            ("is evacuated", self.evacuated_since, EVACUATE_LIMIT),
+        ];
+        for (why, since, limit) in limits {
+            // The balancer that sent it is not known here: all must be calm.
+            let whom = [STORE, "balancer", &self.agent];
+            let calm = since.and_then(|since| record.calm_since(&whom, since));
+            if calm.is_some_and(|calm| calm.elapsed() > limit) {
+                let what = format!("{} {why} and got a new flow", self.agent);
+                record.violation(&what);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bramleyramp/tests/stand_ins/machine.rs
@@ -0,0 +1,143 @@
+//! Machines: loopback addresses with ports, on which real processes run.
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// No test waits longer than this for anything.
+const TEST_LIMIT: Duration = Duration::from_secs(15);
+
+/// Time that a process has to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Ports, the same on all machines of a fleet.
+#[derive(Clone, Copy)]
+pub struct Ports {
+    pub data: u16,
+    pub peers: u16,
+    pub outbound: u16,
+    pub server: u16,
+    pub ready: u16,
+    pub control: u16,
+    pub metrics: u16,
+}
+
+/// What a process is started with.
+pub struct Machine<'a> {
+    pub name: &'a str,
+    pub at: Ipv4Addr,
+    pub ports: Ports,
+    pub store: SocketAddrV4,
+    /// Readers of the platform, as this machine reaches them.
+    pub seeds: &'a [SocketAddrV4],
+    /// Service of the backend server beside it; none at a balancer.
+    pub service: Option<&'a str>,
+}
+
+impl Machine<'_> {
+    pub fn start(&self, dir: &Path, stdout: Stdio) -> Child {
+        let file = dir.join(format!("{}.conf", self.name));
+        fs::write(&file, self.settings()).unwrap();
+        let role = self.service.map_or("balancer", |_| "agent");
+        let metrics = self.ports.metrics.to_string();
+        Command::new(env!("CARGO_BIN_EXE_bramleyramp"))
+            .args([role, "--on-platform", "--metrics-port", &metrics])
+            .env("BRAMLEYRAMP_NODE_FILE", &file)
+            .stdout(stdout)
+            .spawn()
+            .unwrap()
+    }
+
+    fn settings(&self) -> String {
+        let Machine {
+            name, at, ports, ..
+        } = self;
+        let seeds: Vec<String> = self.seeds.iter().map(SocketAddrV4::to_string).collect();
+        let own = match self.service {
+            Some(service) => format!(
+                "Listen.outbound={at}:{}\napp={at}:{}\nService={service}\n",
+                ports.outbound, ports.server
+            ),
+            None => format!("Listen.Control={at}:{}\n", ports.control),
+        };
+        format!(
+            "NodeName={name}\nListen.DataAddr={at}:{}\nListen.Ready={at}:{}\n\
+             InternalPorts={},{}\nBounds.GraceS=4\nplatform.Address={}\nSeeds={}\n{own}",
+            ports.data,
+            ports.ready,
+            ports.peers,
+            ports.peers,
+            self.store,
+            seeds.join(",")
+        )
+    }
+
+    pub fn is_ready(&self) -> bool {
+        is_ready(self.at, self.ports)
+    }
+}
+
+impl Ports {
+    /// Ports that the kernel picks; each is held until all are picked.
+    pub fn pick() -> Ports {
+        let held: Vec<UdpSocket> = (0..7)
+            .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let port = |at: usize| held[at].local_addr().unwrap().port();
+        Ports {
+            data: port(0),
+            peers: port(1),
+            outbound: port(2),
+            server: port(3),
+            ready: port(4),
+            control: port(5),
+            metrics: port(6),
+        }
+    }
+}
+
+pub fn is_ready(at: Ipv4Addr, ports: Ports) -> bool {
+    get(SocketAddrV4::new(at, ports.ready), "/ready").0 == 200
+}
+
+/// Status and text of an answer; status 0 where there is none.
+pub fn get(at: SocketAddrV4, path: &str) -> (u16, String) {
+    let none = (0, String::new());
+    let Ok(mut stream) = TcpStream::connect_timeout(&at.into(), ANSWER_LIMIT) else {
+        return none;
+    };
+    stream.set_read_timeout(Some(ANSWER_LIMIT)).unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let mut text = String::new();
+    if stream.write_all(request.as_bytes()).is_err() || stream.read_to_string(&mut text).is_err() {
+        return none;
+    }
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+    (status.unwrap_or(0), text)
+}
+
+/// Sends a signal to a process of the test, by its id.
+pub fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    let status = Command::new("kill").args([name, &pid]).status();
+    assert!(status.unwrap().success(), "kill {name} {pid}");
+}
+
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + TEST_LIMIT;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
