--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -25,7 +25,34 @@
 const RESTART_SILENCE: Duration = Duration::from_millis(400);
 
 impl Agent {
-    pub(super) fn admit(
+    /// What becomes of a new flow that the server does not get now; none: it
+    /// gets it.
+    pub(super) fn hold_back(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        frame: &Frame,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Option<Inbound> {
+        if self.waiting.contains(&seg.key) {
+            return Some(Inbound::Waiting);
+        }
+        if let Err(refusal) = self.admit(view, now, frame, seg) {
+            return Some(Inbound::Refuse(refusal));
+        }
+        if let Some(step) = self.make_wait(view, now, from, inquiry, seg) {
+            return Some(step);
+        }
+        if let Err(refusal) = self.admit_cold(view, now) {
+            return Some(Inbound::Refuse(refusal));
+        }
+        self.note_opening(now);
+        None
+    }
+
+    fn admit(
         &mut self,
         view: Option<&View>,
         now: Millis,
@@ -56,7 +83,7 @@
     }
 
     /// What becomes of a new flow while the server is full; none: it may go on.
-    pub(super) fn make_wait(
+    fn make_wait(
         &mut self,
         view: Option<&View>,
         now: Millis,
@@ -78,7 +105,7 @@
         }
     }
 
-    pub(super) fn is_full(&self, view: Option<&View>, now: Millis) -> bool {
+    fn is_full(&self, view: Option<&View>, now: Millis) -> bool {
         let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
         member.is_some_and(|m| m.is_full(self.busy))
     }
@@ -118,7 +145,7 @@
     }
 
     /// Lets only a few openings through while the server does not answer.
-    pub(super) fn admit_silent(&self, now: Millis) -> Result<(), Refusal> {
+    fn admit_silent(&self, now: Millis) -> Result<(), Refusal> {
         let Some(since) = self.unanswered_since else {
             return Ok(());
         };
@@ -128,7 +155,7 @@
         Err(Refusal::Silent)
     }
 
-    pub(super) fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
+    fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
         let Some(view) = view else {
             return Ok(());
         };
@@ -148,7 +175,7 @@
         Err(Refusal::Cold)
     }
 
-    pub(super) fn note_opening(&mut self, now: Millis) {
+    fn note_opening(&mut self, now: Millis) {
         self.tried_at = now;
         self.unanswered_since.get_or_insert(now);
     }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -106,20 +106,11 @@
     ) -> Inbound {
         self.sweep(now);
         self.expire_expected(now);
-        if seg.opens && self.waiting.contains(&seg.key) {
-            return Inbound::Waiting;
-        }
-        if seg.opens && !self.flows.contains_key(&seg.key) {
-            if let Err(refusal) = self.admit(view, now, frame, seg) {
-                return Inbound::Refuse(refusal);
-            }
-            if let Some(step) = self.make_wait(view, now, from, inquiry, seg) {
-                return step;
-            }
-            if let Err(refusal) = self.admit_cold(view, now) {
-                return Inbound::Refuse(refusal);
-            }
-            self.note_opening(now);
+        if seg.opens
+            && !self.flows.contains_key(&seg.key)
+            && let Some(step) = self.hold_back(view, now, from, frame, inquiry, seg)
+        {
+            return step;
         }
         let asked = inquiry != Inquiry::None;
         let flow = self
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -6,7 +6,6 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -14,55 +13,21 @@
 use ramp_state::key::ServerId;
 use ramp_state::time::Millis;
 
+use super::listed::Listed;
+use super::listed::Unlisted;
 use super::published::Change;
 use super::published::Changes;
 use super::published::Configuration;
 use super::published::Listing;
+use super::published::RETURN_LIMIT;
 use super::published::Record;
 use super::published::RecordKey;
 use super::published::Revision;
-use super::published::Server;
 use super::published::ServerState;
-use super::view::Departed;
 use super::view::Lapsed;
 use super::view::Member;
 use super::view::View;
 
-/// Time in which a server that lapsed while the platform was away is listed
-/// again, if it lives.
-pub const RETURN_LIMIT: Duration = Duration::from_millis(2500);
-
-/// How long a server that vanished may still be asked for its flows.
-const DEPARTED_KEPT: Duration = Duration::from_secs(20);
-
-/// Time for which a server whose record lapsed while the platform was away
-/// still gets new flows.
-pub const LAPSED_KEPT: Duration = Duration::from_millis(2000);
-
-/// A listed server and when its record was read.
-#[derive(Clone, Copy, Debug)]
-struct Listed {
-    server: Server,
-    read_at: Millis,
-}
-
-impl Listed {
-    /// The record as it would read at `now`.
-    fn server_at(&self, now: Millis) -> Server {
-        let mut server = self.server;
-        server.cold_for = server.cold_for.saturating_sub(now.since(self.read_at));
-        server
-    }
-}
-
-/// A server that was ready when its record lapsed.
-#[derive(Clone, Copy, Debug)]
-struct LapsedRecord {
-    id: ServerId,
-    listed: Listed,
-    until: Millis,
-}
-
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -73,10 +38,7 @@
     evacuated: IndexSet<DataCentreId>,
     /// When each data centre was taken back.
     taken_back: IndexMap<DataCentreId, Millis>,
-    departed: Vec<Departed>,
-    lapsed: Vec<LapsedRecord>,
-    /// When a call of the platform failed last.
-    failed_at: Option<Millis>,
+    unlisted: Unlisted,
     /// Since when the platform has answered without a gap.
     well_since: Option<Millis>,
     /// Whether the platform failed before it first answered.
@@ -107,7 +69,7 @@
     /// Takes note of a call of the platform that failed, here or at the reader
     /// that this process follows: records may have lapsed for no other reason.
     pub fn call_failed(&mut self, now: Millis) {
-        self.failed_at = Some(now);
+        self.unlisted.call_failed(now);
     }
 
     /// Takes note that the platform is away.
@@ -130,7 +92,7 @@
         }
         for (id, listed) in old {
             if !self.servers.contains_key(&id) {
-                self.depart(now, id, listed);
+                self.unlisted.missed(now, id, listed);
             }
         }
         for data_centre in evacuated {
@@ -182,9 +144,14 @@
                 *held = member;
             }
         }
-        let mut departed = self.departed.clone();
-        departed.retain(|d| now.since(d.at) < DEPARTED_KEPT && !members.contains_key(&d.address));
-        let lapsed = self.lapsed(now, &configuration, &members);
+        let is_free = |address: Ipv4Addr| !members.contains_key(&address);
+        let departed = self.unlisted.departed(now);
+        let departed = departed.filter(|d| is_free(d.address)).collect();
+        let lapsed = self.unlisted.lapsed(now).map(|(listed, until)| Lapsed {
+            member: self.member(listed, &configuration),
+            until,
+        });
+        let lapsed = lapsed.filter(|l| is_free(l.member.address)).collect();
         Some(View::new(
             self.newest,
             self.cursor,
@@ -212,8 +179,7 @@
             }
             self.well_since = Some(now);
         }
-        self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
-        self.lapsed.retain(|l| now < l.until);
+        self.unlisted.forget(now);
     }
 
     fn write(&mut self, now: Millis, record: Record, old: &IndexMap<ServerId, Listed>) {
@@ -231,10 +197,7 @@
                     Some(listed) if listed.server == server => listed.read_at,
                     _ => now,
                 };
-                let address = *server.address.ip();
-                self.departed.retain(|d| d.address != address);
-                self.lapsed
-                    .retain(|l| l.id != id && *l.listed.server.address.ip() != address);
+                self.unlisted.listed(id, *server.address.ip());
                 self.servers.insert(id, Listed { server, read_at });
             }
             Record::Evacuation(data_centre) => {
@@ -249,7 +212,7 @@
             RecordKey::Configuration => {}
             RecordKey::Server(id) => {
                 if let Some(listed) = self.servers.swap_remove(&id) {
-                    self.depart(now, id, listed);
+                    self.unlisted.missed(now, id, listed);
                 }
             }
             RecordKey::Evacuation(data_centre) => {
@@ -260,35 +223,6 @@
         }
     }
 
-    fn depart(&mut self, now: Millis, id: ServerId, listed: Listed) {
-        let address = *listed.server.address.ip();
-        self.departed.retain(|d| d.address != address);
-        self.departed.push(Departed { address, at: now });
-        let failed = |at: Millis| now.since(at) < RETURN_LIMIT;
-        let by_failure = self.failed_at.is_some_and(failed);
-        if by_failure && listed.server.state == ServerState::Ready {
-            let until = now + LAPSED_KEPT;
-            self.lapsed.push(LapsedRecord { id, listed, until });
-        }
-    }
-
-    /// Servers whose records lapsed and whose addresses nobody else has.
-    fn lapsed(
-        &self,
-        now: Millis,
-        configuration: &Configuration,
-        members: &IndexMap<Ipv4Addr, Member>,
-    ) -> Vec<Lapsed> {
-        let recent = self.lapsed.iter().filter(|l| now < l.until);
-        let lapsed = recent.map(|l| Lapsed {
-            member: self.member(&l.listed, configuration),
-            until: l.until,
-        });
-        lapsed
-            .filter(|l| !members.contains_key(&l.member.address))
-            .collect()
-    }
-
     fn member(&self, listed: &Listed, configuration: &Configuration) -> Member {
         let server = &listed.server;
         let policy = configuration
--- /dev/null
+++ b/crates/coordination/src/passthrough/listed.rs
@@ -0,0 +1,106 @@
+//! Backend servers as the platform lists them, and those that it no longer
+//! lists.
+//!
+//! A server that vanishes from the listing may live on and have flows. When
+//! calls of the platform failed shortly before, its record has most likely
+//! lapsed for no other reason, and it still gets new flows for a while.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_state::key::ServerId;
+use ramp_state::time::Millis;
+
+use super::published::RETURN_LIMIT;
+use super::published::Server;
+use super::published::ServerState;
+use super::view::Departed;
+
+/// How long a server that vanished may still be asked for its flows.
+const DEPARTED_KEPT: Duration = Duration::from_secs(20);
+
+/// Time for which a server whose record lapsed while the platform was away
+/// still gets new flows.
+const LAPSED_KEPT: Duration = Duration::from_millis(2000);
+
+/// A listed server and when its record was read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Listed {
+    pub(super) server: Server,
+    pub(super) read_at: Millis,
+}
+
+/// A server that was ready when its record lapsed.
+#[derive(Clone, Copy, Debug)]
+struct Lapse {
+    id: ServerId,
+    listed: Listed,
+    until: Millis,
+}
+
+/// Servers that are no longer listed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Unlisted {
+    departed: Vec<Departed>,
+    lapses: Vec<Lapse>,
+    /// When a call of the platform failed last.
+    failed_at: Option<Millis>,
+}
+
+impl Listed {
+    /// The record as it would read at `now`.
+    pub(super) fn server_at(&self, now: Millis) -> Server {
+        let mut server = self.server;
+        server.cold_for = server.cold_for.saturating_sub(now.since(self.read_at));
+        server
+    }
+
+    fn address(&self) -> Ipv4Addr {
+        *self.server.address.ip()
+    }
+}
+
+impl Unlisted {
+    /// A call of the platform failed, here or at the reader that is followed.
+    pub(super) fn call_failed(&mut self, now: Millis) {
+        self.failed_at = Some(now);
+    }
+
+    /// A server has vanished from the listing.
+    pub(super) fn missed(&mut self, now: Millis, id: ServerId, listed: Listed) {
+        let address = listed.address();
+        self.departed.retain(|d| d.address != address);
+        self.departed.push(Departed { address, at: now });
+        let failed = |at: Millis| now.since(at) < RETURN_LIMIT;
+        let by_failure = self.failed_at.is_some_and(failed);
+        if by_failure && listed.server.state == ServerState::Ready {
+            let until = now + LAPSED_KEPT;
+            self.lapses.push(Lapse { id, listed, until });
+        }
+    }
+
+    /// A server is listed (again), or another one at its address.
+    pub(super) fn listed(&mut self, id: ServerId, address: Ipv4Addr) {
+        self.departed.retain(|d| d.address != address);
+        let other = |l: &Lapse| l.id != id && l.listed.address() != address;
+        self.lapses.retain(other);
+    }
+
+    /// Forgets those that have been missing for long.
+    pub(super) fn forget(&mut self, now: Millis) {
+        self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
+        self.lapses.retain(|l| now < l.until);
+    }
+
+    /// Servers that may still be asked for their flows.
+    pub(super) fn departed(&self, now: Millis) -> impl Iterator<Item = Departed> {
+        let departed = self.departed.iter().copied();
+        departed.filter(move |d| now.since(d.at) < DEPARTED_KEPT)
+    }
+
+    /// Servers that still get new flows, and until when.
+    pub(super) fn lapsed(&self, now: Millis) -> impl Iterator<Item = (&Listed, Millis)> {
+        let recent = self.lapses.iter().filter(move |l| now < l.until);
+        recent.map(|l| (&l.listed, l.until))
+    }
+}
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 mod choice;
 pub mod feeds;
+mod listed;
 pub mod mark;
 pub mod published;
 mod quota;
--- a/crates/coordination/src/passthrough/published.rs
+++ b/crates/coordination/src/passthrough/published.rs
@@ -13,6 +13,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Time in which a server that lapsed while the platform was away is listed
+/// again, if it lives.
+pub const RETURN_LIMIT: Duration = Duration::from_millis(2500);
+
 /// Position in the platform's history; only rises.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -12,8 +12,8 @@
 use ramp_state::key::mix;
 use ramp_state::time::Millis;
 
-use super::catalog::RETURN_LIMIT;
 use super::published::Configuration;
+use super::published::RETURN_LIMIT;
 use super::published::Revision;
 use super::published::Route;
 use super::published::ServicePolicy;
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::mark::Mark;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::hop::FRAME_LEN_BYTES;
@@ -12,6 +13,7 @@
 use ramp_protocol::hop::Listed;
 use ramp_protocol::hop::read_list;
 use ramp_protocol::hop::write_list;
+use ramp_protocol::packet::Segment;
 
 use super::Worker;
 use crate::passthrough::news::Event;
@@ -38,17 +40,9 @@
         let inbound = self
             .agent
             .inbound(view, now, from, &frame, inquiry, segment);
-        let in_progress = self.agent.in_progress();
         match inbound {
             Inbound::Pass { mark, owned } => {
-                F::mark(packet, mark.0);
-                self.to_server(packet);
-                self.account.passed();
-                if segment.len > 0
-                    && let Some(request) = F::request_id(packet)
-                {
-                    self.agent.note_request(&segment.key, request);
-                }
+                self.pass(packet, segment, mark);
                 if owned {
                     self.tell(from, FrameKind::Owned, segment.key, &[]);
                 }
@@ -59,6 +53,7 @@
             }
             Inbound::Waiting => self.tell(from, FrameKind::Waits, segment.key, &[]),
             Inbound::Refuse(refusal) => {
+                let in_progress = self.agent.in_progress();
                 self.account
                     .refused(view, from, refusal, &frame, in_progress);
                 let kind = match inquiry {
@@ -70,6 +65,18 @@
         }
     }
 
+    /// Gives a packet to the server.
+    fn pass(&mut self, packet: &mut [u8], segment: &Segment, mark: Mark) {
+        F::mark(packet, mark.0);
+        self.to_server(packet);
+        self.account.passed();
+        if segment.len > 0
+            && let Some(request) = F::request_id(packet)
+        {
+            self.agent.note_request(&segment.key, request);
+        }
+    }
+
     /// Answers for a list of flows.
     pub(super) fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
         self.hear(Revision(frame.revision));
