Draw random numbers from a library; ask peers while the platform is silent

Two hand-made generators give way to fastrand behind one small type. With other numbers two tests of the configuration failed. One only needs a seed whose first call comes early (now 6; the precondition is asserted). The other was a fault that its one seed had hidden, with the old numbers too: of seeds 10 to 20, five failed.

Cause: a reader that is cut off from the platform and hears of a newer version before it knows who has it turns to the platform and gives that 4 s; holders that it hears of meanwhile were not asked.

Change: once a holder is known, the platform keeps a head start of 0.5 s. The test now plays seeds 10 to 29, counts who heard by packets, and failed first at 10; its bound of 3 s is as it was.

--- a/crates/coordination/src/configuration/catch_up.rs
+++ b/crates/coordination/src/configuration/catch_up.rs
@@ -24,6 +24,9 @@
 /// Time that the platform has before peers are asked again.
 pub const PLATFORM_TURN: Duration = Duration::from_secs(4);
 
+/// Time that the platform has once a peer is known that could be asked.
+pub const PLATFORM_HEAD_START: Duration = Duration::from_millis(500);
+
 /// Holders of the newest version that are remembered.
 const HOLDERS: usize = 8;
 
@@ -99,6 +102,7 @@
             && !self.holders.contains(&from)
         {
             self.holders.push(from);
+            self.shorten_platform_turn(now);
         }
         if self.phase == Phase::Idle {
             self.asked = 0;
@@ -153,6 +157,15 @@
         }
     }
 
+    /// A process that the platform does not answer need not wait for it when a
+    /// peer can help.
+    fn shorten_platform_turn(&mut self, now: Millis) {
+        if self.phase == Phase::PlatformTurn {
+            let earliest = now + PLATFORM_HEAD_START;
+            self.until = self.until.min(self.random.within(earliest, ASK_SPREAD));
+        }
+    }
+
     fn turn_to_platform(&mut self, now: Millis) -> Step {
         self.phase = Phase::PlatformTurn;
         self.until = now + PLATFORM_TURN;
--- a/crates/coordination/src/random.rs
+++ b/crates/coordination/src/random.rs
@@ -2,30 +2,32 @@
 
 use std::time::Duration;
 
-use ramp_state::key::mix;
+use fastrand::Rng;
 use ramp_state::time::Millis;
 
-/// Source of pseudo-random numbers (SplitMix64). Nothing secret is made of
-/// them.
+/// Source of pseudo-random numbers. Nothing secret is made of them.
 #[derive(Clone, Debug)]
-pub struct Random(u64);
+pub struct Random(Rng);
 
 impl Random {
     /// Source that gives the same numbers for the same `seed`.
     pub fn new(seed: u64) -> Random {
-        Random(seed)
+        Random(Rng::with_seed(seed))
     }
 
     /// The next number.
     pub fn next_u64(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(1);
-        mix(self.0)
+        self.0.u64(..)
     }
 
     /// A number below `bound`; zero when `bound` is zero.
     pub fn below(&mut self, bound: u64) -> u64 {
-        let wide = u128::from(self.next_u64()) * u128::from(bound);
-        (wide >> u64::BITS) as u64
+        self.0.u64(..bound.max(1))
+    }
+
+    /// True with probability `p`, from 0 to 1.
+    pub fn chance(&mut self, p: f64) -> bool {
+        self.0.f64() < p
     }
 
     /// Moment after `now`, by less than `span` and to the millisecond.
--- a/crates/coordination/tests/configuration/main.rs
+++ b/crates/coordination/tests/configuration/main.rs
@@ -57,7 +57,7 @@
 const CALLS_A_SECOND: usize = 2_000;
 
 /// Seed of a process that first calls the platform within a second.
-const EARLY_SEED: u64 = 5;
+const EARLY_SEED: u64 = 6;
 
 fn text(slots: u32) -> String {
     format!(
@@ -323,23 +323,29 @@
 
 #[test]
 fn group_whose_readers_are_cut_off_hears_by_packets() {
-    let mut network = started(10);
-    // Watches end that began before all knew their group.
-    network.run(WATCH_WAIT);
-    for node in 0..5 {
-        let config = network.nodes[node].config.as_ref().unwrap();
-        network.nodes[node].platform_cut = config.attention() == Attention::Reader;
-    }
-    network.run(seconds(1));
-    let version = network.publish(text(2));
-    network.run(seconds(1));
-    assert_eq!(network.version(0), Version(1));
-    let now = network.now;
-    for node in 0..5 {
-        network.drive(node, |config| config.newer_seen(now, version));
+    let mut heard_by_packets = 0;
+    for seed in 10..30 {
+        let mut network = started(seed);
+        // Watches end that began before all knew their group.
+        network.run(WATCH_WAIT);
+        for node in 0..5 {
+            let config = network.nodes[node].config.as_ref().unwrap();
+            network.nodes[node].platform_cut = config.attention() == Attention::Reader;
+        }
+        network.run(seconds(1));
+        let version = network.publish(text(2));
+        network.run(seconds(1));
+        let behind = (0..5).filter(|node| network.version(*node) < version);
+        let behind: Vec<usize> = behind.collect();
+        let now = network.now;
+        for node in &behind {
+            network.drive(*node, |config| config.newer_seen(now, version));
+        }
+        network.run(seconds(3));
+        assert_eq!(network.lowest(), version, "seed {seed}");
+        heard_by_packets += behind.len();
     }
-    network.run(seconds(3));
-    assert_eq!(network.lowest(), version);
+    assert!(heard_by_packets >= 20, "{heard_by_packets}");
 }
 
 #[test]
--- a/ramplab/src/answers.rs
+++ b/ramplab/src/answers.rs
@@ -4,10 +4,9 @@
 use std::hash::Hasher;
 
 use bytes::Bytes;
+use ramp_coordination::random::Random;
 use siphasher::sip::SipHasher13;
 
-use crate::rng::Rng;
-
 /// Longest answer, in bytes.
 pub const ANSWER_MOST_BYTES: usize = 16 * 1024 * 1024;
 
@@ -20,7 +19,7 @@
 
 /// The answer of `len` bytes to the request `id`.
 pub fn derived(id: &str, len: usize) -> Bytes {
-    let mut rng = Rng::new(hash(id.as_bytes()));
+    let mut rng = Random::new(hash(id.as_bytes()));
     let mut buf = Vec::with_capacity(len + size_of::<u64>());
     while buf.len() < len {
         buf.extend_from_slice(&rng.next_u64().to_le_bytes());
--- a/ramplab/src/backend/mod.rs
+++ b/ramplab/src/backend/mod.rs
@@ -11,13 +11,13 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use ramp_coordination::random::Random;
 use tokio::sync::watch;
 
 use crate::backend::capacity::Capacity;
 use crate::backend::report::LoadReports;
 use crate::history::What;
 use crate::history::Writer;
-use crate::rng::Rng;
 
 /// What a backend server is told at its start.
 #[derive(Clone, Debug)]
@@ -52,7 +52,7 @@
     capacity: RefCell<Capacity>,
     reports: RefCell<LoadReports>,
     history: RefCell<Option<Writer>>,
-    rng: RefCell<Rng>,
+    rng: RefCell<Random>,
     connections: Cell<u32>,
     /// Counts how often it fell over; a change resets all connections.
     falls: watch::Sender<u32>,
@@ -66,7 +66,7 @@
             capacity: RefCell::new(Capacity::new(cfg.slots, cfg.warm_after, cfg.cold)),
             reports: RefCell::new(LoadReports::new(cfg.lag)),
             history: RefCell::new(history),
-            rng: RefCell::new(Rng::new(cfg.seed)),
+            rng: RefCell::new(Random::new(cfg.seed)),
             connections: Cell::new(0),
             falls: watch::Sender::new(0),
             draining: watch::Sender::new(false),
--- a/ramplab/src/backend/report.rs
+++ b/ramplab/src/backend/report.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use ramp_coordination::random::Random;
 use serde::Serialize;
 
-use crate::rng::Rng;
-
 /// Load of a backend server as its endpoint tells it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct LoadReport {
@@ -52,7 +51,7 @@
 }
 
 /// A false report in place of a true one.
-pub fn lie(rng: &mut Rng, load: LoadReport) -> LoadReport {
+pub fn lie(rng: &mut Random, load: LoadReport) -> LoadReport {
     LoadReport {
         in_progress: rng.below(u64::from(load.slots) + 1) as u32,
         bears: load.slots,
--- a/ramplab/src/fabric/link.rs
+++ b/ramplab/src/fabric/link.rs
@@ -5,11 +5,11 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use ramp_coordination::random::Random;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::fabric::Way;
-use crate::rng::Rng;
 
 /// Longest extra delay of a reordered packet, in microseconds.
 const REORDER_MOST_US: u64 = 5_000;
@@ -44,7 +44,7 @@
 type Held = Reverse<(Instant, u64, Way, Vec<u8>)>;
 
 struct Queue {
-    rng: Rng,
+    rng: Random,
     held: BinaryHeap<Held>,
     count: u64,
 }
@@ -62,7 +62,7 @@
         Link {
             faults,
             queue: RefCell::new(Queue {
-                rng: Rng::new(seed),
+                rng: Random::new(seed),
                 held: BinaryHeap::new(),
                 count: 0,
             }),
--- a/ramplab/src/lib.rs
+++ b/ramplab/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod http;
 pub mod load;
 pub mod relay;
-pub mod rng;
 pub mod slopes;
 pub mod throughput;
 pub mod trial;
--- a/ramplab/src/load/mod.rs
+++ b/ramplab/src/load/mod.rs
@@ -17,6 +17,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use ramp_coordination::random::Random;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -28,7 +29,6 @@
 use crate::load::ask::Ask;
 use crate::load::connection::Connection;
 use crate::load::counts::Counts;
-use crate::rng::Rng;
 
 /// Callers' IPs, by which the fabric tells them apart.
 const CALLERS: u64 = 8;
@@ -86,7 +86,7 @@
     cfg: Config,
     history: RefCell<Option<Writer>>,
     counts: RefCell<Counts>,
-    rng: RefCell<Rng>,
+    rng: RefCell<Random>,
     next_number: Cell<u64>,
     idle: RefCell<Vec<Connection>>,
     stopping: watch::Sender<bool>,
@@ -96,7 +96,7 @@
     /// Load that writes its events to `history`, if any.
     pub fn new(cfg: Config, history: Option<Writer>) -> Rc<Load> {
         Rc::new(Load {
-            rng: RefCell::new(Rng::new(cfg.seed)),
+            rng: RefCell::new(Random::new(cfg.seed)),
             cfg,
             history: RefCell::new(history),
             counts: RefCell::default(),
--- a/ramplab/tests/trials.rs
+++ b/ramplab/tests/trials.rs
@@ -73,7 +73,6 @@
 }
 
 #[test]
-#[ignore = "known red: KNOWN-RED.txt"]
 fn a_killed_agent_takes_only_its_own_flows_along() {
     let trial = Trial::run("agent-killed", 12);
     trial.is_clean();
@@ -97,7 +96,6 @@
 }
 
 #[test]
-#[ignore = "known red: KNOWN-RED.txt"]
 fn an_agent_that_slept_breaks_no_flow() {
     let trial = Trial::run("agent-frozen", 12);
     trial.is_clean();
@@ -105,7 +103,6 @@
 }
 
 #[test]
-#[ignore = "known red: KNOWN-RED.txt"]
 fn an_agent_that_slept_through_its_leaving_gives_its_server_nothing_new() {
     let trial = Trial::run("agent-frozen-leaving", 10);
     trial.is_clean();
