Take a start whose first call failed for one in an outage

Its first call hung for 0.9 s, the second was answered; one failure did not count as an outage, the record of one server had lapsed, and a flow of that server was reset. No agent had noticed yet either.

Ruled out: counting each failed call of a running process so (one refused call would hold up resets for 2.5 s; a process that knows the servers sees them vanish).

Change: where the platform has never answered, one failed call makes the view unsettled for 2.5 s. The soak writes a server's birth anew only when it restarts, and its names say what they hold.

--- a/bramleyramp/tests/soak/faults.rs
+++ b/bramleyramp/tests/soak/faults.rs
@@ -56,7 +56,8 @@
     due: Vec<Due>,
     evacuated: bool,
     store_ill: bool,
-    draining: [bool; AGENTS],
+    /// Servers on which a fault is at work.
+    occupied: [bool; AGENTS],
 }
 
 impl Faults {
@@ -66,7 +67,7 @@
             due: Vec::new(),
             evacuated: false,
             store_ill: false,
-            draining: [false; AGENTS],
+            occupied: [false; AGENTS],
         }
     }
 
@@ -215,7 +216,7 @@
         }
         let trouble = self.make_store_ill(fleet);
         let one_in = 1 + self.random.below(3);
-        let mut lapsed: Vec<usize> = (0..AGENTS).filter(|n| !self.draining[*n]).collect();
+        let mut lapsed: Vec<usize> = (0..AGENTS).filter(|n| !self.occupied[*n]).collect();
         lapsed.retain(|_| self.random.below(one_in) == 0);
         note(fleet, &format!("records of servers {lapsed:?} lapse"));
         let mut troubles = Vec::new();
@@ -223,7 +224,7 @@
             let agent = fleet.nodes[BALANCERS + server].name.clone();
             troubles.push(fleet.record.lock().unwrap().begin(&unlisted(&agent)));
             fleet.remove_record(*server);
-            self.draining[*server] = true;
+            self.occupied[*server] = true;
         }
         let away_ms = 500 + self.random.below(1500);
         self.later(away_ms, away_ms + 1, Then::StoreWell, vec![trouble]);
@@ -231,11 +232,11 @@
     }
 
     fn drain(&mut self, fleet: &mut Fleet) {
-        let Some(server) = self.ready_server() else {
+        let Some(server) = self.idle_server() else {
             return;
         };
         note(fleet, &format!("server {server} drains"));
-        self.draining[server] = true;
+        self.occupied[server] = true;
         fleet.write_server(server, "draining");
         fleet.servers[server].lock().unwrap().draining_since = Some(Instant::now());
         let drain_ms = DRAIN.as_millis() as u64;
@@ -243,11 +244,11 @@
     }
 
     fn crash(&mut self, fleet: &mut Fleet) {
-        let Some(server) = self.ready_server() else {
+        let Some(server) = self.idle_server() else {
             return;
         };
         note(fleet, &format!("server {server} crashes"));
-        self.draining[server] = true;
+        self.occupied[server] = true;
         fleet.servers[server].lock().unwrap().alive = false;
         self.later(50, 1500, Then::Restart(server), Vec::new());
     }
@@ -308,15 +309,16 @@
             Then::Relist(lapsed) => {
                 for server in lapsed {
                     fleet.write_server(*server, "ready");
-                    self.draining[*server] = false;
+                    self.occupied[*server] = false;
                 }
             }
             Then::Replace(server) | Then::Restart(server) => {
                 let clock_off_ms = self.random.below(4000) as i64 - 2000;
                 fleet.servers[*server].lock().unwrap().reborn();
                 fleet.remove_record(*server);
-                fleet.write_new_server(*server, clock_off_ms);
-                self.draining[*server] = false;
+                fleet.restart_server(*server, clock_off_ms);
+                fleet.write_server(*server, "ready");
+                self.occupied[*server] = false;
             }
             Then::TakeBack(zone) => {
                 fleet.store.remove(&format!("op/evacuate/{zone}"));
@@ -351,11 +353,11 @@
         Some(node)
     }
 
-    /// A server that neither drains nor is down.
-    fn ready_server(&mut self) -> Option<usize> {
-        let ready = (0..AGENTS).filter(|n| !self.draining[*n]);
-        let ready: Vec<usize> = ready.collect();
-        self.random.pick(&ready).copied()
+    /// A server on which no fault is at work.
+    fn idle_server(&mut self) -> Option<usize> {
+        let idle = (0..AGENTS).filter(|n| !self.occupied[*n]);
+        let idle: Vec<usize> = idle.collect();
+        self.random.pick(&idle).copied()
     }
 }
 
--- a/bramleyramp/tests/soak/fleet.rs
+++ b/bramleyramp/tests/soak/fleet.rs
@@ -16,6 +16,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use serde_json::json;
 
@@ -73,6 +75,8 @@
     dir: PathBuf,
     version: u64,
     boots: u64,
+    /// When each server started, by its own clock, Unix milliseconds.
+    born_ms: [u64; AGENTS],
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -117,6 +121,7 @@
             dir,
             version: 1,
             boots: 0,
+            born_ms: [LONG_AGO_MS; AGENTS],
             stop: Arc::new(AtomicBool::new(false)),
             threads: Vec::new(),
         };
@@ -251,25 +256,21 @@
         self.store.put("op/config", &text.to_string());
     }
 
-    /// Writes the record of a server that has its entry, in this state.
-    pub fn write_server(&mut self, server: usize, state: &str) {
-        self.write_record(server, state, LONG_AGO_MS);
-    }
-
-    /// Writes the record of a server that has just started; its clock is off.
-    pub fn write_new_server(&mut self, server: usize, clock_off_ms: i64) {
+    /// A server has just started; its clock is off.
+    pub fn restart_server(&mut self, server: usize, clock_off_ms: i64) {
         self.boots += 1;
-        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let now_ms = now.unwrap().as_millis() as u64;
-        self.write_record(server, "ready", now_ms.saturating_add_signed(clock_off_ms));
+        self.born_ms[server] = now_ms.saturating_add_signed(clock_off_ms);
     }
 
-    fn write_record(&mut self, server: usize, state: &str, born_ms: u64) {
+    /// Writes the record of a server.
+    pub fn write_server(&self, server: usize, state: &str) {
         let service = self.servers[server].lock().unwrap().service.clone();
         let at = self.nodes[BALANCERS + server].at;
         let entry = json!({"Service": service, "Address": format!("{at}:{}", self.ports.server),
             "Zone": zone_of(server), "Version": "v1", "Slots": 8, "State": state,
-            "ColdLeftMs": 0, "Sequence": self.boots, "born": born_ms});
+            "ColdLeftMs": 0, "Sequence": self.boots, "born": self.born_ms[server]});
         self.store.put(&entry_key(server), &entry.to_string());
     }
 
--- a/bramleyramp/tests/soak/main.rs
+++ b/bramleyramp/tests/soak/main.rs
@@ -41,13 +41,16 @@
 const CI_PLAYS: [Play; 2] = [Play::new(1, 6), Play::new(2, 6)];
 
 /// What failed once, each with its cause.
-const REGRESSIONS: [Play; 2] = [
+const REGRESSIONS: [Play; 3] = [
     // A balancer woke with an old view and reset a flow by a copy of its
     // opening, as that view had no member for it.
     Play::new(21, 10),
     // A balancer started just after an outage; its first answer lacked five of
     // six servers, whose records had lapsed, and it reset their flows.
     Play::new(41, 10),
+    // As before, but the balancer's first call had hung for all of the outage:
+    // one failure alone did not count as one.
+    Play::new(301, 10),
 ];
 
 /// Time for which faults come in runs by hand, in seconds.
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -73,13 +73,14 @@
     /// that this process follows: records may have lapsed for no other reason.
     pub fn call_failed(&mut self, now: Millis) {
         self.unlisted.call_failed(now);
+        // A process that has known servers before would see them vanish.
+        self.failed_first |= self.cursor == Revision(0);
     }
 
     /// Takes note that the platform is away.
     pub fn platform_failed(&mut self) {
-        if self.well_since.take().is_none() && self.cursor == Revision(0) {
-            self.failed_first = true;
-        }
+        self.well_since = None;
+        self.failed_first |= self.cursor == Revision(0);
     }
 
     /// Replaces everything by a listing.
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -132,6 +132,24 @@
     assert!(catalog(&[1]).view(Millis(0)).unwrap().is_settled(Millis(0)));
 }
 
+/// The pattern of a short outage: one call hung for all of it, and the second
+/// was answered. Seen in the soak, seed 301.
+#[test]
+fn a_start_whose_first_call_failed_waits_for_lapsed_servers() {
+    let mut late = ramp_coordination::passthrough::catalog::Catalog::new();
+    late.call_failed(Millis(400));
+    late.replace(Millis(500), listing(&[1]));
+    let view = late.view(Millis(500)).unwrap();
+    assert!(!view.is_settled(Millis(2_900)));
+    assert!(view.is_settled(Millis(3_000)));
+
+    let mut running = catalog(&[1]);
+    running.call_failed(Millis(400));
+    running.apply(Millis(500), changes(101, Vec::new()));
+    let view = running.view(Millis(500)).unwrap();
+    assert!(view.is_settled(Millis(500)), "it knew all servers before");
+}
+
 #[test]
 fn an_unchanged_record_does_not_make_a_server_cold_again() {
     let mut cold = server(1, FEEDS);
