Log each question about an open flow that a balancer sends with its packet

On-call engineers found nothing at the balancer while it waited for an answer that never came: the packet went to the agent that ranks first with a question, and only a bounce or another question left a line. Each such packet now leaves 'agent asked whether its server has a flow' and counts in passthrough_balancer_inquired_total.

--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -25,6 +25,7 @@
     packets: Counter,
     unreadable: Counter,
     placed: Counter,
+    inquired: Counter,
     asked: Counter,
     send_failed: Counter,
     opening_s: Histogram,
@@ -36,6 +37,7 @@
             packets: counter!("passthrough_balancer_packets_total"),
             unreadable: counter!("passthrough_balancer_unreadable_total"),
             placed: counter!("passthrough_balancer_placed_total"),
+            inquired: counter!("passthrough_balancer_inquired_total"),
             asked: counter!("passthrough_balancer_asked_total"),
             send_failed: counter!("passthrough_balancer_send_failed_total"),
             opening_s: histogram!("passthrough_balancer_opening_seconds"),
@@ -70,7 +72,19 @@
                     "new flow placed"
                 );
             }
-            Step::Carry { .. } => {}
+            Step::Carry { inquiry, .. } if *inquiry == Inquiry::None => {}
+            Step::Carry { agent, .. } => {
+                self.inquired.increment(1);
+                log::info!(
+                    caller:% = seg.key.caller,
+                    address:% = seg.key.service,
+                    agent:% = agent,
+                    seq = seg.seq,
+                    version = view.version.0,
+                    revision = view.newest.0;
+                    "agent asked whether its server has a flow"
+                );
+            }
             Step::Ask(question) => {
                 self.asked.increment(1);
                 log::info!(
