Give each question about a flow a time limit

Cause: a balancer that does not remember a flow sends its packets to the member that ranks first, with a question, and remembers that member. Only its answer ended this. When the path back was cut, the server bounced each packet and nobody heard of it. The class of fault: a step that waits for one answer without a time limit, where messages may be lost one way only.

The same waits stood elsewhere in the search for an owner: - a confirmation of the wrong agent was never doubted, and its bounces may be lost too. A caller that repeats its data now has the agent asked again. - an owner that was asked by name got the name again and again, never the packet, when its answer was lost or it was not sure. A silent agent now gets the packet after 200 ms, eight agents with each packet and all in turn.

Now: a question that is unanswered after 70 ms, as for openings, starts the search for the owner, with or without another packet of the caller. The agent that was asked goes on getting the packets: mostly it has the flow, and only its answers are lost. The balancer logs 'agent has not answered for a flow'.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -3,12 +3,18 @@
 //! A new flow goes to the member that ranks first for it among those that
 //! take new flows; the agent there has the last word and may send the packet
 //! back. A packet of a flow that is not remembered goes to the member that
-//! ranks first; when its server does not have the flow, every other holder
-//! gets a copy, and the one that has it says so. Only when all holders have
-//! denied the flow is the caller reset, and then at once.
+//! ranks first; when its server does not have the flow, or nothing is heard of
+//! it in time, every other holder is asked, and the one that has it says so.
+//! Only when all holders have denied the flow is the caller reset, and then at
+//! once.
+//!
+//! Messages may be lost one way only, so no step waits for one answer: it has a
+//! time limit, behind which the packet goes to everyone who may have the flow.
 
+mod flow;
 mod owner;
 mod placing;
+mod search;
 mod step;
 
 use std::net::Ipv4Addr;
@@ -23,8 +29,9 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
-use self::owner::Search;
+use self::flow::Flow;
 use self::placing::Placing;
+use self::search::Search;
 use self::step::reset_or_drop;
 use super::choice::Loads;
 use super::published::Revision;
@@ -32,12 +39,13 @@
 use super::sweep::Sweep;
 use super::view::View;
 
-pub use self::placing::CONFIRM_LIMIT;
+pub use self::flow::CONFIRM_LIMIT;
 pub use self::step::DropReason;
 pub use self::step::Learned;
 pub use self::step::Question;
 pub use self::step::Reset;
 pub use self::step::ResetReason;
+pub use self::step::Silent;
 pub use self::step::Step;
 
 /// Flows looked at for their age with each packet.
@@ -49,18 +57,6 @@
 /// Silence after which a search is forgotten.
 const SEARCH_KEPT: Duration = Duration::from_secs(10);
 
-/// A flow that came through here.
-#[derive(Clone, Copy, Debug)]
-struct Flow {
-    agent: Ipv4Addr,
-    service: ServiceId,
-    /// Whether the agent has said that its server has the flow.
-    confirmed: bool,
-    sent_at: Millis,
-    seen_at: Millis,
-    finished: bool,
-}
-
 /// State of a balancer; see the module's head.
 #[derive(Debug, Default)]
 pub struct Balancer {
@@ -154,28 +150,43 @@
     /// An agent's server has the flow.
     pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> Learned {
         self.hear(now, from, frame);
-        self.placings.swap_remove(&frame.flow);
         let searched = self.searches.swap_remove(&frame.flow).is_some();
-        let before = self.flows.insert(
-            frame.flow,
-            Flow {
-                agent: from,
-                service: frame.service,
-                confirmed: true,
-                sent_at: now,
-                seen_at: now,
-                finished: false,
-            },
-        );
+        let before = self.flows.get(&frame.flow).copied();
+        if let Some(flow) = before.filter(|f| f.confirmed && !searched) {
+            return self.owned_again(from, flow, frame);
+        }
+        self.placings.swap_remove(&frame.flow);
+        let flow = Flow::confirmed(now, from, frame.service);
+        self.flows.insert(frame.flow, flow);
         match before {
             _ if searched => Learned::Found,
-            Some(flow) if !flow.confirmed && flow.agent == from => Learned::Confirmed {
-                after: now.since(flow.sent_at),
+            Some(flow) if flow.agent == from => Learned::Confirmed {
+                after: flow.waited(now),
             },
             _ => Learned::Known,
         }
     }
 
+    /// A confirmation of a flow that is confirmed already. One from another
+    /// agent is late: the flow was placed elsewhere meanwhile.
+    fn owned_again(&mut self, from: Ipv4Addr, flow: Flow, frame: &Frame) -> Learned {
+        if flow.agent == from
+            && let Some(flow) = self.flows.get_mut(&frame.flow)
+        {
+            flow.confirm();
+        }
+        Learned::Known
+    }
+
+    /// A packet was sent with a question [`CONFIRM_LIMIT`] ago; gives what to do
+    /// with it if that is unanswered.
+    pub fn overdue(&mut self, view: &View, now: Millis, seg: &Segment) -> Option<Step> {
+        if seg.opens {
+            return self.overdue_opening(view, now, seg);
+        }
+        self.overdue_answer(view, now, seg)
+    }
+
     /// An agent has given a sign of life.
     pub fn present(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
@@ -198,17 +209,8 @@
     }
 
     fn remember(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr, service: ServiceId) {
-        self.flows.insert(
-            seg.key,
-            Flow {
-                agent,
-                service,
-                confirmed: false,
-                sent_at: now,
-                seen_at: now,
-                finished: seg.fin || seg.rst,
-            },
-        );
+        let flow = Flow::asked(now, seg, agent, service);
+        self.flows.insert(seg.key, flow);
     }
 
     /// Forgets a few old flows and searches.
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -1,7 +1,6 @@
 //! Finding the owner of an open flow, or that it has none.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
@@ -10,64 +9,18 @@
 use ramp_state::time::Millis;
 
 use super::Balancer;
+use super::flow::Flow;
+use super::search::Candidate;
+use super::search::Search;
 use super::step::DropReason;
-use super::step::Question;
 use super::step::Reset;
 use super::step::ResetReason;
+use super::step::Silent;
 use super::step::Step;
 use crate::passthrough::choice::first_ranked;
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
-/// Time between two copies of a packet to all holders of one flow.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
-
-/// Silence after the first of at least two questions from which a holder that
-/// is not listed counts as gone.
-const SILENT_LIMIT: Duration = Duration::from_millis(300);
-
-/// Looking for the owner of an open flow.
-#[derive(Clone, Debug)]
-pub(super) struct Search {
-    /// Holders whose servers do not have it.
-    pub(super) denied: Vec<Ipv4Addr>,
-    /// When the holders were asked last; none: they may be asked at once.
-    pub(super) asked_at: Option<Millis>,
-    /// When they were asked first.
-    first_asked_at: Option<Millis>,
-    /// How often they were asked.
-    questions: u32,
-    pub(super) seen_at: Millis,
-    pub(super) seq: u32,
-}
-
-impl Search {
-    pub(super) fn new(now: Millis, seg: &Segment) -> Search {
-        Search {
-            denied: Vec::new(),
-            asked_at: None,
-            first_asked_at: None,
-            questions: 0,
-            seen_at: now,
-            seq: seg.ack,
-        }
-    }
-
-    fn note_question(&mut self, now: Millis) {
-        self.asked_at = Some(now);
-        self.first_asked_at.get_or_insert(now);
-        self.questions += 1;
-    }
-
-    /// Since when holders that stay silent have not answered; none while they
-    /// still may.
-    fn unanswered_since(&self, now: Millis) -> Option<Millis> {
-        let since = self.first_asked_at?;
-        let long = now.since(since) >= SILENT_LIMIT;
-        (self.questions > 1 && long).then_some(since)
-    }
-}
-
 impl Balancer {
     /// An agent's server does not have the flow.
     pub fn denied(&mut self, view: &View, now: Millis, from: Ipv4Addr, frame: &Frame) -> Step {
@@ -75,8 +28,9 @@
         let Some(search) = self.searches.get_mut(&frame.flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
-        if !search.denied.contains(&from) {
-            search.denied.push(from);
+        search.note_denial(from);
+        if self.flows.get(&frame.flow).is_some_and(|f| f.agent == from) {
+            self.flows.swap_remove(&frame.flow);
         }
         self.conclude(view, now, frame.flow)
     }
@@ -85,14 +39,13 @@
     pub fn unsure(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
         if let Some(search) = self.searches.get_mut(&frame.flow) {
-            // The caller's next packet is sent to its server at once.
-            search.asked_at = None;
+            search.note_unsure(from);
         }
     }
 
     /// Callers whose flows a new view shows to be owned by nobody.
     pub fn concluded(&mut self, view: &View, now: Millis) -> Vec<Reset> {
-        let asked = self.searches.iter().filter(|(_, s)| s.asked_at.is_some());
+        let asked = self.searches.iter().filter(|(_, s)| s.is_asked());
         let flows: Vec<FlowKey> = asked.map(|(flow, _)| *flow).collect();
         let steps = flows.into_iter().map(|flow| self.conclude(view, now, flow));
         steps
@@ -104,31 +57,46 @@
     }
 
     pub(super) fn open_flow(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
-        if let Some(flow) = self.flows.get_mut(&seg.key) {
-            flow.seen_at = now;
-            flow.finished |= seg.fin || seg.rst;
-            let flow = *flow;
-            if !view.is_gone(flow.agent, now) {
-                return Step::Carry {
-                    agent: flow.agent,
-                    inquiry: if flow.confirmed {
-                        Inquiry::None
-                    } else {
-                        Inquiry::Owner
-                    },
-                    service: flow.service,
-                };
+        let Some(flow) = self.flows.get_mut(&seg.key) else {
+            if self.searches.contains_key(&seg.key) {
+                return self.ask(view, now, seg);
             }
+            return self.guess(view, now, seg);
+        };
+        flow.note(now, seg);
+        let flow = *flow;
+        if view.is_gone(flow.agent, now) {
             // Gone by this view only: should it be listed again, it is asked.
             self.flows.swap_remove(&seg.key);
             return self.ask(view, now, seg);
         }
-        if let Some(search) = self.searches.get_mut(&seg.key) {
-            search.seen_at = now;
-            search.seq = seg.ack;
+        if flow.is_unanswered(now) {
             return self.ask(view, now, seg);
         }
-        self.guess(view, now, seg)
+        Step::Carry {
+            agent: flow.agent,
+            inquiry: flow.inquiry(),
+            service: flow.service,
+        }
+    }
+
+    /// A packet of an open flow was sent with a question [`CONFIRM_LIMIT`] ago;
+    /// gives what to do with it if nobody has answered.
+    ///
+    /// [`CONFIRM_LIMIT`]: super::CONFIRM_LIMIT
+    pub(super) fn overdue_answer(
+        &mut self,
+        view: &View,
+        now: Millis,
+        seg: &Segment,
+    ) -> Option<Step> {
+        let flow = self.flows.get(&seg.key);
+        let unanswered = flow.is_some_and(|f| f.is_unanswered(now));
+        if !unanswered && !self.searches.contains_key(&seg.key) {
+            return None;
+        }
+        let step = self.ask(view, now, seg);
+        matches!(step, Step::Ask(_) | Step::Reset(_)).then_some(step)
     }
 
     /// Sends a packet of a flow that is not remembered where it most likely
@@ -151,34 +119,50 @@
         }
     }
 
-    /// Asks all holders that have not denied the flow.
+    /// Asks all holders that have not denied the flow. Between two questions
+    /// the agent that most likely has it gets its packets all the same.
     pub(super) fn ask(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
         let search = self.searches.entry(seg.key);
-        search.or_insert_with(|| Search::new(now, seg));
+        let search = search.or_insert_with(|| Search::new(now, seg));
+        search.note(now, seg);
         if let step @ Step::Reset(_) = self.conclude(view, now, seg.key) {
             return step;
         }
+        let candidates = self.candidates(view, &seg.key);
+        let likely = self.flows.get(&seg.key).copied();
         let Some(search) = self.searches.get_mut(&seg.key) else {
             return Step::Drop(DropReason::OwnerFound);
         };
-        if search.asked_at.is_some_and(|at| now.since(at) < ASK_AGAIN) {
-            return Step::Drop(DropReason::Asked);
-        }
-        search.note_question(now);
-        let mut question = Question::default();
-        for holder in view.holders().filter(|h| !search.denied.contains(h)) {
-            if self.loads.is_complete(holder) {
-                question.named.push(holder);
-            } else {
-                question.copies.push(holder);
-            }
+        if !search.is_due(now, candidates.len()) {
+            return carry_or_wait(likely);
         }
+        let mut question = search.question(now, seg, &candidates);
+        question.silent = likely.filter(|f| f.is_unanswered(now)).map(|f| Silent {
+            agent: f.agent,
+            confirmed: f.confirmed,
+            waited: f.waited(now),
+        });
         if question.agent_count() == 0 {
             return Step::Drop(DropReason::Unsettled);
         }
         Step::Ask(question)
     }
 
+    /// Holders that have not denied a flow.
+    fn candidates(&self, view: &View, flow: &FlowKey) -> Vec<Candidate> {
+        let denied = self.searches.get(flow).map(|s| s.denied.as_slice());
+        let denied = denied.unwrap_or_default();
+        let likely = self.flows.get(flow).map(|f| f.agent);
+        let holders = view.holders().filter(|h| !denied.contains(h));
+        holders
+            .map(|agent| Candidate {
+                agent,
+                likely: likely == Some(agent),
+                complete: self.loads.is_complete(agent),
+            })
+            .collect()
+    }
+
     /// Resets the caller once nobody can have the flow.
     pub(super) fn conclude(&mut self, view: &View, now: Millis, flow: FlowKey) -> Step {
         let Some(search) = self.searches.get(&flow) else {
@@ -236,10 +220,19 @@
     pub(super) fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg));
-        search.seen_at = now;
-        search.seq = seg.ack;
-        if !search.denied.contains(&agent) {
-            search.denied.push(agent);
-        }
+        search.note(now, seg);
+        search.note_denial(agent);
+    }
+}
+
+/// What becomes of a packet between two questions.
+fn carry_or_wait(likely: Option<Flow>) -> Step {
+    match likely {
+        Some(flow) => Step::Carry {
+            agent: flow.agent,
+            inquiry: Inquiry::Owner,
+            service: flow.service,
+        },
+        None => Step::Drop(DropReason::Asked),
     }
 }
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -1,7 +1,6 @@
 //! Finding a member that takes a new flow.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
@@ -16,9 +15,6 @@
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
-/// Time an agent has to confirm a new flow before another is tried.
-pub const CONFIRM_LIMIT: Duration = Duration::from_millis(70);
-
 /// Looking for a member that takes a new flow.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Placing {
@@ -33,9 +29,16 @@
 impl Balancer {
     /// A new flow was placed [`CONFIRM_LIMIT`] ago; gives what to do with its
     /// opening packet if no agent has confirmed it yet.
-    pub fn overdue(&mut self, view: &View, now: Millis, seg: &Segment) -> Option<Step> {
+    ///
+    /// [`CONFIRM_LIMIT`]: super::CONFIRM_LIMIT
+    pub(super) fn overdue_opening(
+        &mut self,
+        view: &View,
+        now: Millis,
+        seg: &Segment,
+    ) -> Option<Step> {
         let flow = self.flows.get(&seg.key)?;
-        let late = !flow.confirmed && now.since(flow.sent_at) >= CONFIRM_LIMIT;
+        let late = !flow.confirmed && flow.is_unanswered(now);
         late.then(|| self.opening(view, now, seg))
     }
 
@@ -45,15 +48,15 @@
         if let Some(flow) = self.flows.get_mut(&frame.flow)
             && flow.agent == from
         {
-            flow.confirmed = true;
+            flow.confirm();
         }
     }
 
     pub(super) fn opening(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
         if let Some(flow) = self.flows.get_mut(&seg.key) {
-            let late = !flow.confirmed && now.since(flow.sent_at) >= CONFIRM_LIMIT;
+            let late = !flow.confirmed && flow.is_unanswered(now);
             if !late {
-                flow.seen_at = now;
+                flow.note(now, seg);
                 return Step::Carry {
                     agent: flow.agent,
                     inquiry: Inquiry::Owner,
--- a/crates/coordination/src/passthrough/balancer/step.rs
+++ b/crates/coordination/src/passthrough/balancer/step.rs
@@ -35,6 +35,19 @@
     pub copies: Vec<Ipv4Addr>,
     /// Agents that know by themselves: the name of the flow is enough.
     pub named: Vec<Ipv4Addr>,
+    /// The agent that was asked before and has not answered in time, if any.
+    pub silent: Option<Silent>,
+}
+
+/// An agent that owes an answer about a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silent {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// Whether it had said before that its server has the flow.
+    pub confirmed: bool,
+    /// How long it has owed the answer.
+    pub waited: Duration,
 }
 
 impl Question {
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -524,7 +524,6 @@
 // Guards against an open flow whose packets all go to a member that does not
 // have it, because that member's answers are lost.
 #[test]
-#[ignore = "known red: KNOWN-RED.txt"]
 fn a_member_whose_answers_are_lost_holds_up_no_open_flow() {
     let view = view(&[1, 2, 3]);
     let mut balancer = Balancer::new();
@@ -534,3 +533,138 @@
     assert_eq!(asked.len(), 3, "it may be the owner all the same");
     assert!(asked.contains(&guess));
 }
+
+// Guards against the same where the caller sends nothing more.
+#[test]
+fn a_question_that_stays_unanswered_needs_no_further_packet() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    carried(&balancer.arrival(&view, Millis(0), &seg));
+    assert_eq!(balancer.overdue(&view, Millis(60), &seg), None);
+    let step = balancer.overdue(&view, Millis(70), &seg).unwrap();
+    assert_eq!(asked(step).len(), 3);
+    balancer.owned(Millis(75), ip(2), &frame(FrameKind::Owned, flow(7)));
+    assert_eq!(balancer.overdue(&view, Millis(200), &seg), None);
+}
+
+// Guards against a flow that is slowed down by the search for its owner though
+// the agent that has it gets its packets: only that agent's answers are lost.
+#[test]
+fn a_member_whose_answers_are_lost_still_gets_each_packet() {
+    let view = view(&[1, 2, 3, 4, 5, 6, 7]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (guess, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    for now in 80..400 {
+        match balancer.arrival(&view, Millis(now), &seg) {
+            Step::Carry { agent, .. } => assert_eq!(agent, guess),
+            Step::Ask(question) => assert!(question.copies.contains(&guess)),
+            step => panic!("{step:?} at {now}"),
+        }
+    }
+}
+
+// Guards against packets that follow a confirmation of the wrong agent, whose
+// bounces are lost: two servers may have answered an opening.
+#[test]
+fn a_confirmation_is_doubted_when_the_caller_repeats_itself() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let wrong = open(&mut balancer, &view, flow(7));
+    let seg = segment(flow(7));
+    let inquiry = |step: &Step| carried(step).1;
+    let first = balancer.arrival(&view, Millis(10), &seg);
+    assert_eq!(inquiry(&first), Inquiry::None);
+    let again = balancer.arrival(&view, Millis(210), &seg);
+    assert_eq!(inquiry(&again), Inquiry::Owner);
+    let others = asked(balancer.overdue(&view, Millis(280), &seg).unwrap());
+    assert_eq!(others.len(), 3);
+
+    let owner = others.into_iter().find(|agent| *agent != wrong).unwrap();
+    balancer.owned(Millis(290), owner, &frame(FrameKind::Owned, flow(7)));
+    let step = balancer.arrival(&view, Millis(300), &seg);
+    assert_eq!(carried(&step).0, owner);
+}
+
+#[test]
+fn a_confirmation_that_is_given_again_ends_the_doubt() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &view, flow(7));
+    let seg = segment(flow(7));
+    balancer.arrival(&view, Millis(10), &seg);
+    balancer.arrival(&view, Millis(210), &seg);
+    balancer.owned(Millis(214), owner, &frame(FrameKind::Owned, flow(7)));
+    assert_eq!(balancer.overdue(&view, Millis(280), &seg), None);
+    let next = ramp_protocol::packet::Segment { seq: 1100, ..seg };
+    let step = balancer.arrival(&view, Millis(290), &next);
+    assert_eq!(carried(&step), (owner, Inquiry::None));
+}
+
+// Guards against an owner that gets the name of its flow again and again, but
+// never the packet, because its answers are lost.
+#[test]
+fn an_agent_that_is_silent_to_its_name_gets_the_packet() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    for last in 1..=3 {
+        balancer.present(Millis(0), ip(last), &told);
+    }
+    let seg = segment(flow(7));
+    let (first, others) = bounced_by_the_first(&mut balancer, &view, &seg);
+    denied(&mut balancer, &view, 2, others[0], flow(7));
+    let Step::Ask(question) = balancer.arrival(&view, Millis(210), &seg) else {
+        panic!("nobody was asked")
+    };
+    assert_eq!(question.copies, [others[1]], "{first} bounced it");
+}
+
+// Guards against the same by an agent that knows its flows but not this one's
+// state: its server has not answered yet.
+#[test]
+fn a_complete_agent_that_is_unsure_gets_the_packet() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    for last in 1..=3 {
+        balancer.present(Millis(0), ip(last), &told);
+    }
+    let seg = segment(flow(7));
+    let (_, others) = bounced_by_the_first(&mut balancer, &view, &seg);
+    told.flow = flow(7);
+    balancer.unsure(Millis(2), others[0], &told);
+    let Step::Ask(question) = balancer.arrival(&view, Millis(3), &seg) else {
+        panic!("nobody was asked")
+    };
+    assert_eq!(question.copies, [others[0]]);
+}
+
+// Guards against a search at a large service that floods it with copies while
+// many agents are silent: each packet goes to a few, and in turn to all.
+#[test]
+fn many_silent_agents_get_the_packets_in_turn() {
+    let all: Vec<u8> = (1..=60).collect();
+    let view = view(&all);
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    for last in &all {
+        balancer.present(Millis(0), ip(*last), &told);
+    }
+    let seg = segment(flow(7));
+    bounced_by_the_first(&mut balancer, &view, &seg);
+    let mut reached = std::collections::HashSet::new();
+    for now in (0..8).map(|turn| 300 + turn * 200) {
+        let Step::Ask(question) = balancer.arrival(&view, Millis(now), &seg) else {
+            panic!("nobody was asked at {now}")
+        };
+        assert!(question.copies.len() <= 8);
+        assert_eq!(question.agent_count(), 59);
+        reached.extend(question.copies);
+    }
+    assert_eq!(reached.len(), 59);
+}
--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -8,6 +8,7 @@
 use metrics::histogram;
 use ramp_coordination::passthrough::balancer::Learned;
 use ramp_coordination::passthrough::balancer::Reset;
+use ramp_coordination::passthrough::balancer::Silent;
 use ramp_coordination::passthrough::balancer::Step;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::hop::Frame;
@@ -27,6 +28,7 @@
     placed: Counter,
     inquired: Counter,
     asked: Counter,
+    unanswered: Counter,
     send_failed: Counter,
     opening_s: Histogram,
 }
@@ -39,6 +41,7 @@
             placed: counter!("passthrough_balancer_placed_total"),
             inquired: counter!("passthrough_balancer_inquired_total"),
             asked: counter!("passthrough_balancer_asked_total"),
+            unanswered: counter!("passthrough_balancer_unanswered_total"),
             send_failed: counter!("passthrough_balancer_send_failed_total"),
             opening_s: histogram!("passthrough_balancer_opening_seconds"),
         }
@@ -95,6 +98,9 @@
                     revision = view.newest.0;
                     "owner of a flow asked for"
                 );
+                if let Some(silent) = question.silent {
+                    self.unanswered(seg, silent);
+                }
             }
             // Told where it is sent.
             Step::Reset(_) => {}
@@ -111,6 +117,17 @@
         }
     }
 
+    fn unanswered(&self, seg: &Segment, silent: Silent) {
+        self.unanswered.increment(1);
+        log::info!(
+            caller:% = seg.key.caller,
+            agent:% = silent.agent,
+            confirmed = silent.confirmed,
+            waited_ms = silent.waited.as_millis() as u64;
+            "agent has not answered for a flow"
+        );
+    }
+
     /// An agent sent a packet back.
     pub fn returned(&self, from: Ipv4Addr, refusal: Refusal, frame: &Frame) {
         let reason = refusal_name(refusal);
--- a/crates/transport/src/passthrough/asking.rs
+++ b/crates/transport/src/passthrough/asking.rs
@@ -23,23 +23,29 @@
 }
 
 impl Asking {
-    /// Asks `agents` for a flow; its packet waits for the owner.
-    pub fn name(&mut self, flow: FlowKey, agents: &[Ipv4Addr], packet: &[u8]) {
-        if agents.is_empty() {
-            return;
-        }
+    /// Asks `agents` for a flow.
+    pub fn name(&mut self, flow: FlowKey, agents: &[Ipv4Addr]) {
         for agent in agents {
             self.lists.entry(*agent).or_default().push(Listed {
                 flow,
                 knowledge: Knowledge::Unsure,
             });
         }
+    }
+
+    /// Keeps a packet of a flow that is asked for until its owner is known.
+    pub fn hold(&mut self, flow: FlowKey, packet: &[u8]) {
         self.waiting.insert(flow, packet.to_vec());
         if self.waiting.len() > WAITING_PACKETS {
             self.waiting.shift_remove_index(0);
         }
     }
 
+    /// The packet that waits for the owner of a flow.
+    pub fn held(&self, flow: &FlowKey) -> Option<Vec<u8>> {
+        self.waiting.get(flow).cloned()
+    }
+
     /// The lists gathered since the last call.
     pub fn take_lists(&mut self) -> IndexMap<Ipv4Addr, Vec<Listed>> {
         std::mem::take(&mut self.lists)
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -49,9 +49,13 @@
 /// Time kept back from the grace time for the end itself.
 const END_MARGIN: Duration = Duration::from_millis(1000);
 
-/// Shortest wait for packets while an opening is nearly overdue.
+/// Shortest wait for packets while an answer is nearly overdue.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
+/// Packets of open flows that are kept for the case of no answer; callers send
+/// beyond that again themselves.
+const INQUIRIES_KEPT: usize = 256;
+
 /// Stands for no flow in frames that are about none.
 const NO_FLOW: FlowKey = FlowKey {
     caller: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
@@ -74,8 +78,8 @@
     pub events: Sender<Event>,
 }
 
-/// An opening packet that waits to be confirmed.
-struct Opening {
+/// A packet that was sent with a question.
+struct Inquired {
     due: Millis,
     packet: Vec<u8>,
 }
@@ -88,8 +92,8 @@
     reach: Reach,
     reaches: bool,
     asking: Asking,
-    /// Opening packets that may have to be placed again, the oldest first.
-    openings: VecDeque<Opening>,
+    /// Packets whose questions may stay unanswered, the oldest first.
+    inquired: VecDeque<Inquired>,
     leaving_since: Option<Millis>,
     last_packet: Millis,
     account: Account,
@@ -112,7 +116,7 @@
             reach: Reach::default(),
             reaches: true,
             asking: Asking::default(),
-            openings: VecDeque::new(),
+            inquired: VecDeque::new(),
             leaving_since: None,
             last_packet: Millis(0),
             account: Account::default(),
@@ -171,7 +175,7 @@
         if data {
             self.read_data(buf)?;
         }
-        self.place_overdue();
+        self.handle_overdue();
         self.send_questions();
         self.watch_reach();
         self.tell_heard();
@@ -210,9 +214,26 @@
         };
         let now = self.traffic.clock.now();
         let step = self.balancer.arrival(&view, now, &passing.segment);
+        self.expect_answer(&passing.segment, &step, packet);
         self.carry_out(&view, &passing.segment, step, packet);
     }
 
+    /// Keeps a packet that is sent with a question until the answer is due.
+    fn expect_answer(&mut self, seg: &Segment, step: &Step, packet: &[u8]) {
+        let asks = match step {
+            Step::Carry { inquiry, .. } => *inquiry != Inquiry::None,
+            Step::Ask(_) => true,
+            Step::Reset(_) | Step::Drop(_) => false,
+        };
+        if !asks || (!seg.opens && self.inquired.len() >= INQUIRIES_KEPT) {
+            return;
+        }
+        self.inquired.push_back(Inquired {
+            due: self.traffic.clock.now() + CONFIRM_LIMIT,
+            packet: packet.to_vec(),
+        });
+    }
+
     fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
         self.account.step(view, seg, &step);
         let flow = seg.key;
@@ -222,12 +243,6 @@
                 inquiry,
                 service,
             } => {
-                if seg.opens {
-                    self.openings.push_back(Opening {
-                        due: self.traffic.clock.now() + CONFIRM_LIMIT,
-                        packet: packet.to_vec(),
-                    });
-                }
                 if inquiry != Inquiry::None {
                     self.reach.asked(self.traffic.clock.now());
                 }
@@ -239,7 +254,10 @@
                 for agent in question.copies {
                     self.send(view, flow, agent, kind, ServiceId(0), packet);
                 }
-                self.asking.name(flow, &question.named, packet);
+                self.asking.name(flow, &question.named);
+                if !question.named.is_empty() {
+                    self.asking.hold(flow, packet);
+                }
             }
             Step::Reset(reset) => self.reset(reset),
             Step::Drop(_) => {}
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -70,7 +70,6 @@
         frame: &Frame,
         list: &[u8],
     ) {
-        let now = self.traffic.clock.now();
         for listed in read_list(list) {
             let of_one = Frame {
                 flow: listed.flow,
@@ -79,11 +78,22 @@
             match listed.knowledge {
                 Knowledge::Has => self.handle_owned(view, from, &of_one),
                 Knowledge::HasNot => self.handle_denied(view, from, &of_one),
-                Knowledge::Unsure => self.balancer.unsure(now, from, &of_one),
+                Knowledge::Unsure => self.handle_unsure(view, from, &of_one),
             }
         }
     }
 
+    /// An agent that does not know gets the packet, so that its server can tell.
+    fn handle_unsure(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
+        let now = self.traffic.clock.now();
+        self.balancer.unsure(now, from, frame);
+        let Some(packet) = self.asking.held(&frame.flow) else {
+            return;
+        };
+        let kind = FrameKind::Carry(Inquiry::OwnerOfCopy);
+        self.send(view, frame.flow, from, kind, ServiceId(0), &packet);
+    }
+
     /// Sends the lists of flows that were gathered in this turn.
     pub(super) fn send_questions(&mut self) {
         let Some(view) = self.view.clone() else {
@@ -116,6 +126,7 @@
         let step = self
             .balancer
             .returned(view, now, from, refusal, frame, &segment);
+        self.expect_answer(&segment, &step, packet);
         self.carry_out(view, &segment, step, packet);
     }
 }
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -1,4 +1,4 @@
-//! What a balancer does without a packet: openings that are overdue, and its reach.
+//! What a balancer does without a packet: answers that are overdue, and its reach.
 
 use std::time::Duration;
 
@@ -15,27 +15,33 @@
 impl<F: PacketFormat> Worker<F> {
     /// Time until something must be done without a packet.
     pub(super) fn time_to_next(&self) -> Duration {
-        let Some(opening) = self.openings.front() else {
+        let Some(inquired) = self.inquired.front() else {
             return udp::IDLE_TURN;
         };
-        let left = opening.due.since(self.traffic.clock.now());
+        let left = inquired.due.since(self.traffic.clock.now());
         left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
     }
 
-    /// Places flows again that no agent has confirmed in time.
-    pub(super) fn place_overdue(&mut self) {
+    /// Handles packets again whose questions were not answered in time.
+    pub(super) fn handle_overdue(&mut self) {
         let now = self.traffic.clock.now();
-        while self.openings.front().is_some_and(|o| now >= o.due) {
-            let Some(opening) = self.openings.pop_front() else {
+        while self.inquired.front().is_some_and(|i| now >= i.due) {
+            let Some(inquired) = self.inquired.pop_front() else {
                 return;
             };
-            let (Some(view), Some(passing)) = (self.view.clone(), F::read(&opening.packet)) else {
+            let packet = &inquired.packet;
+            let (Some(view), Some(passing)) = (self.view.clone(), F::read(packet)) else {
                 continue;
             };
             let seg = passing.segment;
-            if let Some(step) = self.balancer.overdue(&view, now, &seg) {
-                self.carry_out(&view, &seg, step, &opening.packet);
+            let Some(step) = self.balancer.overdue(&view, now, &seg) else {
+                continue;
+            };
+            // An open flow's next packet asks again; an opening has none.
+            if seg.opens {
+                self.expect_answer(&seg, &step, packet);
             }
+            self.carry_out(&view, &seg, step, packet);
         }
     }
 
