Reset no opening whose flow may be open elsewhere

Callers could be reset on a flow that their server had: a new flow is tried at several agents and its opening may come through several balancers, but a balancer took one agent's refusal, or what it alone knew, for the last word.

- An agent that gave up on an opening after 0.8 s, or refused it late, had the caller reset (overloaded) or the flow placed again, though another agent had confirmed it meanwhile.
- A balancer whose agent gave up reset the caller, though a copy of the opening had come through another balancer and the flow was open.
- A member that had not confirmed in 70 ms counted as one that refused; when all others refused, the caller was reset (no_member), though the silent one may have answered it.

Now a refusal from an agent that the flow is no longer placed at changes nothing; a silent member is not a refusal, and the caller's next copy tries it again; where a copy may have gone elsewhere, all holders are asked by name before the caller is refused, and the refusal follows their last denial within milliseconds. Such denials are forgotten once the flow is open. The first copy of an opening that every member refuses is still refused at once.

Evidence: a_member_that_gives_up_late_resets_no_flow_that_is_open_elsewhere, an_opening_that_is_given_up_on_resets_no_flow_that_any_member_has, an_opening_that_a_silent_member_may_have_is_not_refused and a_copy_of_an_opening_is_refused_only_when_nobody_has_its_flow gave resets before. denials_of_an_opening_do_not_count_for_the_open_flow holds the new behaviour.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -117,19 +117,8 @@
         if refusal == Refusal::Silent {
             self.suspects.add(from, now);
         }
-        if refusal == Refusal::Overloaded {
-            self.flows.swap_remove(&seg.key);
-            self.placings.swap_remove(&seg.key);
-            return reset_or_drop(seg, ResetReason::Overloaded);
-        }
         if seg.opens {
-            let placing = self.placing(now, seg.key);
-            if refusal == Refusal::Busy {
-                placing.busy.push(from);
-            } else {
-                placing.refused.push(from);
-            }
-            return self.place(view, now, seg);
+            return self.returned_opening(view, now, from, refusal, seg);
         }
         let flow = self.flows.get(&seg.key).copied();
         if let Some(flow) = flow.filter(|f| f.agent != from && f.confirmed) {
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -57,6 +57,7 @@
     }
 
     pub(super) fn open_flow(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        self.forget_refusal(&seg.key);
         let Some(flow) = self.flows.get_mut(&seg.key) else {
             if self.searches.contains_key(&seg.key) {
                 return self.ask(view, now, seg);
@@ -123,7 +124,7 @@
     /// the agent that most likely has it gets its packets all the same.
     pub(super) fn ask(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
         let search = self.searches.entry(seg.key);
-        let search = search.or_insert_with(|| Search::new(now, seg));
+        let search = search.or_insert_with(|| Search::new(now, seg, ResetReason::Unowned));
         search.note(now, seg);
         if let step @ Step::Reset(_) = self.conclude(view, now, seg.key) {
             return step;
@@ -180,19 +181,23 @@
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
         }
-        // A holder that this view does not have yet may own the flow.
-        let behind = self.newest_heard > view.cursor;
-        if behind || !view.is_settled(now) || self.may_have_missed_an_outage(view, now) {
+        if !self.knows_all_holders(view, now, search) {
             return Step::Drop(DropReason::Unsettled);
         }
-        let seq = search.seq;
+        let (seq, reason) = (search.seq, search.reason);
         self.searches.swap_remove(&flow);
         self.flows.swap_remove(&flow);
-        Step::Reset(Reset {
-            flow,
-            seq,
-            reason: ResetReason::Unowned,
-        })
+        Step::Reset(Reset { flow, seq, reason })
+    }
+
+    /// Whether no holder that this view does not have may own the flow.
+    fn knows_all_holders(&self, view: &View, now: Millis, search: &Search) -> bool {
+        if self.newest_heard > view.cursor {
+            return false;
+        }
+        // A new flow was placed by a view as old as this one.
+        let opening = search.reason != ResetReason::Unowned;
+        opening || (view.is_settled(now) && !self.may_have_missed_an_outage(view, now))
     }
 
     /// Whether this balancer may have started just after an outage, so that it
@@ -217,9 +222,18 @@
         view.member(holder).is_none() && !self.loads.has_told_since(holder, since)
     }
 
+    /// Forgets what was asked for an opening: denials from then say nothing of
+    /// the flow that is open now.
+    fn forget_refusal(&mut self, flow: &FlowKey) {
+        let of_opening = |s: &Search| s.reason != ResetReason::Unowned;
+        if self.searches.get(flow).is_some_and(of_opening) {
+            self.searches.swap_remove(flow);
+        }
+    }
+
     pub(super) fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
         let search = self.searches.entry(seg.key);
-        let search = search.or_insert_with(|| Search::new(now, seg));
+        let search = search.or_insert_with(|| Search::new(now, seg, ResetReason::Unowned));
         search.note(now, seg);
         search.note_denial(agent);
     }
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -4,11 +4,14 @@
 
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
 
 use super::Balancer;
+use super::search::Search;
+use super::step::DropReason;
 use super::step::ResetReason;
 use super::step::Step;
 use crate::passthrough::choice::Choice;
@@ -18,15 +21,55 @@
 /// Looking for a member that takes a new flow.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Placing {
-    /// Members that refused it, or did not confirm it in time. Such a member
-    /// may have the flow all the same.
-    pub(super) refused: Vec<Ipv4Addr>,
+    /// Members that refused it.
+    refused: Vec<Ipv4Addr>,
+    /// Members that did not answer in time, and may have the flow all the same.
+    silent: Vec<Ipv4Addr>,
     /// Members that refused because they are busy, and may be asked again.
-    pub(super) busy: Vec<Ipv4Addr>,
+    busy: Vec<Ipv4Addr>,
     pub(super) seen_at: Millis,
 }
 
+impl Placing {
+    fn may_try(&self, member: &Member) -> bool {
+        let tried = [&self.refused, &self.silent];
+        member.takes_new() && !tried.iter().any(|list| list.contains(&member.address))
+    }
+}
+
 impl Balancer {
+    /// A new flow waits at an agent, which will say what becomes of it.
+    pub fn waits(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+        if let Some(flow) = self.flows.get_mut(&frame.flow)
+            && flow.agent == from
+        {
+            flow.confirm();
+        }
+    }
+
+    pub(super) fn opening(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        let Some(flow) = self.flows.get_mut(&seg.key) else {
+            // The caller still waits, so those that were silent get this copy.
+            if let Some(placing) = self.placings.get_mut(&seg.key) {
+                placing.silent.clear();
+            }
+            return self.place(view, now, seg);
+        };
+        if flow.confirmed || !flow.is_unanswered(now) {
+            flow.note(now, seg);
+            return Step::Carry {
+                agent: flow.agent,
+                inquiry: Inquiry::Owner,
+                service: flow.service,
+            };
+        }
+        let agent = flow.agent;
+        self.suspects.add(agent, now);
+        self.placing(now, seg.key).silent.push(agent);
+        self.place(view, now, seg)
+    }
+
     /// A new flow was placed [`CONFIRM_LIMIT`] ago; gives what to do with its
     /// opening packet if no agent has confirmed it yet.
     ///
@@ -42,30 +85,27 @@
         late.then(|| self.opening(view, now, seg))
     }
 
-    /// A new flow waits at an agent, which will say what becomes of it.
-    pub fn waits(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
-        self.hear(now, from, frame);
-        if let Some(flow) = self.flows.get_mut(&frame.flow)
-            && flow.agent == from
-        {
-            flow.confirm();
+    /// An agent did not take a new flow.
+    pub(super) fn returned_opening(
+        &mut self,
+        view: &View,
+        now: Millis,
+        from: Ipv4Addr,
+        refusal: Refusal,
+        seg: &Segment,
+    ) -> Step {
+        let placing = self.placing(now, seg.key);
+        if refusal == Refusal::Busy {
+            placing.busy.push(from);
+        } else {
+            placing.refused.push(from);
         }
-    }
-
-    pub(super) fn opening(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
-        if let Some(flow) = self.flows.get_mut(&seg.key) {
-            let late = !flow.confirmed && flow.is_unanswered(now);
-            if !late {
-                flow.note(now, seg);
-                return Step::Carry {
-                    agent: flow.agent,
-                    inquiry: Inquiry::Owner,
-                    service: flow.service,
-                };
-            }
-            let agent = flow.agent;
-            self.suspects.add(agent, now);
-            self.placing(now, seg.key).refused.push(agent);
+        let elsewhere = |f: &super::Flow| f.agent != from;
+        if self.flows.get(&seg.key).is_some_and(elsewhere) {
+            return Step::Drop(DropReason::PlacedElsewhere);
+        }
+        if refusal == Refusal::Overloaded {
+            return self.refuse(view, now, seg, ResetReason::Overloaded);
         }
         self.place(view, now, seg)
     }
@@ -78,25 +118,23 @@
         let Some(service) = service else {
             return self.reset_unless_behind(view, seg, ResetReason::NoRoute);
         };
-        let (refused, busy) = match self.placings.get(&seg.key) {
-            Some(placing) => (placing.refused.as_slice(), placing.busy.as_slice()),
-            None => Default::default(),
-        };
-        let able = |m: &&Member| m.takes_new() && !refused.contains(&m.address);
-        let able: Vec<&Member> = view.servers_of(service, now).filter(able).collect();
+        let none = Placing::default();
+        let placing = self.placings.get(&seg.key).unwrap_or(&none);
+        let members = view.servers_of(service, now);
+        let able: Vec<&Member> = members.filter(|m| placing.may_try(m)).collect();
         let choice = Choice {
             flow: &seg.key,
             able: &able,
-            busy,
+            busy: &placing.busy,
             suspects: &self.suspects,
             loads: &self.loads,
             now,
         };
         let Some(chosen) = choice.choose() else {
-            self.flows.swap_remove(&seg.key);
-            self.placings.swap_remove(&seg.key);
-            return self.reset_unless_behind(view, seg, ResetReason::NoMember);
+            return self.refuse_unless_silent(view, now, seg);
         };
+        // Whatever was asked for before this placing is moot.
+        self.searches.swap_remove(&seg.key);
         self.loads.sent(chosen.agent);
         self.remember(now, seg, chosen.agent, service);
         Step::Carry {
@@ -106,6 +144,30 @@
         }
     }
 
+    /// Refuses a new flow that no member takes, unless one that has not
+    /// answered may have it.
+    fn refuse_unless_silent(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        let placing = self.placings.get(&seg.key);
+        if placing.is_some_and(|p| !p.silent.is_empty()) {
+            self.flows.swap_remove(&seg.key);
+            return Step::Drop(DropReason::Unanswered);
+        }
+        self.refuse(view, now, seg, ResetReason::NoMember)
+    }
+
+    /// Refuses a new flow. Where another copy of its opening may have come
+    /// through another balancer, the holders are asked first: the flow may be
+    /// open by now.
+    fn refuse(&mut self, view: &View, now: Millis, seg: &Segment, reason: ResetReason) -> Step {
+        self.flows.swap_remove(&seg.key);
+        self.placings.swap_remove(&seg.key);
+        if reason == ResetReason::NoMember && seg.opening_age.is_zero() {
+            return self.reset_unless_behind(view, seg, reason);
+        }
+        self.searches.insert(seg.key, Search::new(now, seg, reason));
+        self.ask(view, now, seg)
+    }
+
     pub(super) fn placing(&mut self, now: Millis, flow: FlowKey) -> &mut Placing {
         let placing = self.placings.entry(flow).or_default();
         placing.seen_at = now;
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -13,6 +13,7 @@
 use ramp_state::time::Millis;
 
 use super::step::Question;
+use super::step::ResetReason;
 use crate::passthrough::view::rank;
 
 /// Time between two copies of a packet to all holders of one flow.
@@ -38,6 +39,8 @@
     pub(super) denied: Vec<Ipv4Addr>,
     /// Agents that can't tell without their servers.
     unsure: Vec<Ipv4Addr>,
+    /// What the caller is told when nobody has it.
+    pub(super) reason: ResetReason,
     /// Whether the next packet goes out at once.
     urgent: bool,
     /// When the holders were asked last.
@@ -61,10 +64,11 @@
 }
 
 impl Search {
-    pub(super) fn new(now: Millis, seg: &Segment) -> Search {
+    pub(super) fn new(now: Millis, seg: &Segment, reason: ResetReason) -> Search {
         Search {
             denied: Vec::new(),
             unsure: Vec::new(),
+            reason,
             urgent: false,
             asked_at: None,
             first_asked_at: None,
@@ -107,7 +111,8 @@
         pause_over || few_left || self.urgent
     }
 
-    /// Whom to ask with this packet.
+    /// Whom to ask with this packet; an opening packet goes to nobody, as it
+    /// would open the flow.
     pub(super) fn question(
         &mut self,
         now: Millis,
@@ -119,7 +124,9 @@
         for candidate in candidates {
             let agent = candidate.agent;
             let by_packet = candidate.likely || !candidate.complete || self.unsure.contains(&agent);
-            if by_packet {
+            if seg.opens {
+                question.named.push(agent);
+            } else if by_packet {
                 question.copies.push(agent);
             } else if self.is_long(now, NAMED_LIMIT) {
                 silent.push(agent);
--- a/crates/coordination/src/passthrough/balancer/step.rs
+++ b/crates/coordination/src/passthrough/balancer/step.rs
@@ -92,6 +92,10 @@
     AlreadyEnded,
     /// A copy that came back after the owner was found.
     OwnerFound,
+    /// A member that has not answered may have the flow.
+    Unanswered,
+    /// A new flow came back late: it was placed elsewhere meanwhile.
+    PlacedElsewhere,
     /// Such a packet never comes from a caller.
     Forged,
 }
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -668,3 +668,105 @@
     }
     assert_eq!(reached.len(), 59);
 }
+
+// Guards against a reset of a flow that is open at another member: the first
+// one gave up on its opening late.
+#[test]
+fn a_member_that_gives_up_late_resets_no_flow_that_is_open_elsewhere() {
+    let view = view(&[1, 2, 3]);
+    for refusal in [Refusal::Overloaded, Refusal::Busy, Refusal::Cold] {
+        let mut balancer = Balancer::new();
+        let seg = opening(flow(7), 0);
+        let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+        let step = balancer.overdue(&view, Millis(70), &seg).unwrap();
+        let (second, _) = carried(&step);
+        balancer.owned(Millis(75), second, &frame(FrameKind::Owned, flow(7)));
+        let step = returned(&mut balancer, &view, 800, first, refusal, &seg);
+        assert_eq!(step, Step::Drop(DropReason::PlacedElsewhere), "{refusal:?}");
+        let step = balancer.arrival(&view, Millis(810), &segment(flow(7)));
+        assert_eq!(carried(&step).0, second, "{refusal:?}");
+    }
+}
+
+// Guards against a reset of a flow that another balancer has opened by a copy
+// of its opening, after this one's members gave up on it.
+#[test]
+fn an_opening_that_is_given_up_on_resets_no_flow_that_any_member_has() {
+    let view = view(&[1, 2, 3]);
+    let place = || {
+        let mut balancer = Balancer::new();
+        let seg = opening(flow(7), 0);
+        let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+        balancer.waits(Millis(1), first, &frame(FrameKind::Waits, flow(7)));
+        let step = returned(&mut balancer, &view, 801, first, Refusal::Overloaded, &seg);
+        let Step::Ask(question) = step else {
+            panic!("nobody was asked: {step:?}")
+        };
+        assert!(question.copies.is_empty(), "a copy would open the flow");
+        assert_eq!(question.named.len(), 3);
+        balancer
+    };
+    let mut balancer = place();
+    for last in [1, 2] {
+        let step = denied(&mut balancer, &view, 803, ip(last), flow(7));
+        assert_eq!(reset_reason(&step), None);
+    }
+    let step = denied(&mut balancer, &view, 803, ip(3), flow(7));
+    assert_eq!(reset_reason(&step), Some(ResetReason::Overloaded));
+
+    let mut balancer = place();
+    denied(&mut balancer, &view, 803, ip(1), flow(7));
+    balancer.owned(Millis(803), ip(2), &frame(FrameKind::Owned, flow(7)));
+    let step = denied(&mut balancer, &view, 803, ip(3), flow(7));
+    assert_eq!(reset_reason(&step), None);
+    let step = balancer.arrival(&view, Millis(900), &segment(flow(7)));
+    assert_eq!(carried(&step).0, ip(2));
+}
+
+// Guards against denials of a flow that was not open yet: they say nothing of
+// it once it is.
+#[test]
+fn denials_of_an_opening_do_not_count_for_the_open_flow() {
+    let view = view(&[1, 2]);
+    let mut balancer = Balancer::new();
+    let seg = opening(flow(7), 0);
+    let (first, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    balancer.waits(Millis(1), first, &frame(FrameKind::Waits, flow(7)));
+    returned(&mut balancer, &view, 801, first, Refusal::Overloaded, &seg);
+    denied(&mut balancer, &view, 803, ip(1), flow(7));
+    let data = segment(flow(7));
+    let (guess, _) = carried(&balancer.arrival(&view, Millis(900), &data));
+    let step = returned(&mut balancer, &view, 901, guess, Refusal::Bounced, &data);
+    assert_eq!(asked(step).len(), 1, "the other one may have it by now");
+}
+
+// Guards against a reset of a flow that a member has whose confirmation was
+// lost, because all others refused its opening.
+#[test]
+fn an_opening_that_a_silent_member_may_have_is_not_refused() {
+    let view = view(&[1, 2]);
+    let mut balancer = Balancer::new();
+    let seg = opening(flow(7), 0);
+    let (silent, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let step = balancer.overdue(&view, Millis(70), &seg).unwrap();
+    let (other, _) = carried(&step);
+    let step = returned(&mut balancer, &view, 72, other, Refusal::Cold, &seg);
+    assert_eq!(step, Step::Drop(DropReason::Unanswered));
+    let step = balancer.arrival(&view, Millis(200), &opening(flow(7), 200));
+    assert_eq!(carried(&step).0, silent, "the caller's copy tries it again");
+}
+
+// Guards against a reset by the copy of an opening whose flow another balancer
+// has opened meanwhile, because no member takes new flows now.
+#[test]
+fn a_copy_of_an_opening_is_refused_only_when_nobody_has_its_flow() {
+    let mut catalog = catalog(&[1, 3]);
+    catalog.apply(Millis(1), written(101, Record::Evacuation(EAST)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut balancer = Balancer::new();
+    let copy = opening(flow(1), 200);
+    assert_eq!(asked(balancer.arrival(&view, Millis(2), &copy)).len(), 2);
+    denied(&mut balancer, &view, 4, ip(1), flow(1));
+    let step = denied(&mut balancer, &view, 5, ip(3), flow(1));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoMember));
+}
--- a/crates/transport/src/passthrough/account/mod.rs
+++ b/crates/transport/src/passthrough/account/mod.rs
@@ -41,6 +41,8 @@
         DropReason::Unsettled => "unsettled",
         DropReason::AlreadyEnded => "already_ended",
         DropReason::OwnerFound => "owner_found",
+        DropReason::Unanswered => "unanswered",
+        DropReason::PlacedElsewhere => "placed_elsewhere",
         DropReason::Forged => "forged",
     }
 }
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -255,7 +255,7 @@
                     self.send(view, flow, agent, kind, ServiceId(0), packet);
                 }
                 self.asking.name(flow, &question.named);
-                if !question.named.is_empty() {
+                if !seg.opens && !question.named.is_empty() {
                     self.asking.hold(flow, packet);
                 }
             }
