Take no holder for gone by its missing record alone

A balancer reset an open flow at once when its server had not been listed for 2.5 s, without asking. A record lapses also where the server lives and only its way to the platform is cut, or where the platform drops it.

Now a holder without a record is asked like all others, and counts as gone when it is silent: to one question for 70 ms if its record has been missing for 2.5 s, else to two questions over 300 ms as before, the last of them 70 ms old so that an answer that waits at the socket still counts.

Callers of a server that is really gone are told with their next packet, some 0.2 s later than before.

Evidence: an_owner_without_a_record_is_asked_before_its_flow_is_reset gave a reset before.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -65,13 +65,12 @@
             return self.guess(view, now, seg);
         };
         flow.note(now, seg);
-        let flow = *flow;
-        if view.is_gone(flow.agent, now) {
-            // Gone by this view only: should it be listed again, it is asked.
-            self.flows.swap_remove(&seg.key);
-            return self.ask(view, now, seg);
+        let gone = view.is_gone(flow.agent, now) && self.loads.is_silent(flow.agent, now);
+        if gone {
+            flow.ask(now);
         }
-        if flow.is_unanswered(now) {
+        let flow = *flow;
+        if gone || flow.is_unanswered(now) {
             return self.ask(view, now, seg);
         }
         Step::Carry {
@@ -173,11 +172,8 @@
         if search.denied.len() < view.members().len() {
             return Step::Drop(DropReason::Asked);
         }
-        let denied = |h: Ipv4Addr| {
-            search.denied.contains(&h)
-                || view.is_gone(h, now)
-                || self.is_silent_and_unlisted(view, now, search, h)
-        };
+        let denied =
+            |h: Ipv4Addr| search.denied.contains(&h) || self.counts_as_gone(view, now, search, h);
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
         }
@@ -207,19 +203,16 @@
         view.is_young(now) && (nobody_told || self.loads.tell_of_missing_servers(now))
     }
 
-    /// Whether a holder has reported neither to the platform nor to this
-    /// balancer for so long that its flows can't be served in any case.
-    fn is_silent_and_unlisted(
-        &self,
-        view: &View,
-        now: Millis,
-        search: &Search,
-        holder: Ipv4Addr,
-    ) -> bool {
-        let Some(since) = search.unanswered_since(now) else {
+    /// Whether a holder has no record and stays silent, so that its flows can't
+    /// be served in any case. A missing record alone says nothing: it lapses
+    /// also when its server lives and is cut off from the platform.
+    fn counts_as_gone(&self, view: &View, now: Millis, search: &Search, holder: Ipv4Addr) -> bool {
+        if view.member(holder).is_some() {
             return false;
-        };
-        view.member(holder).is_none() && !self.loads.has_told_since(holder, since)
+        }
+        let known_gone = view.is_gone(holder, now);
+        let since = search.unanswered_since(now, known_gone);
+        since.is_some_and(|since| !self.loads.has_told_since(holder, since))
     }
 
     /// Forgets what was asked for an opening: denials from then say nothing of
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -32,6 +32,9 @@
 /// is not listed counts as gone.
 const SILENT_LIMIT: Duration = Duration::from_millis(300);
 
+/// Time that a question must be left unanswered to count.
+const ANSWER_LIMIT: Duration = Duration::from_millis(70);
+
 /// Looking for the owner of a flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
@@ -148,11 +151,13 @@
         question
     }
 
-    /// Since when holders that stay silent have not answered; none while they
-    /// still may.
-    pub(super) fn unanswered_since(&self, now: Millis) -> Option<Millis> {
+    /// Since when a holder that is not listed has been silent, if for so long
+    /// that it counts as gone. `known_gone`: its record is missing for long.
+    pub(super) fn unanswered_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
+        let since = self.first_asked_at?;
+        let overdue = now.since(self.asked_at?) >= ANSWER_LIMIT;
         let silent = self.questions > 1 && self.is_long(now, SILENT_LIMIT);
-        self.first_asked_at.filter(|_| silent)
+        (overdue && (known_gone || silent)).then_some(since)
     }
 
     fn is_long(&self, now: Millis, limit: Duration) -> bool {
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -91,6 +91,12 @@
         self.0.get(&agent).is_some_and(|load| load.told_at >= since)
     }
 
+    /// Whether an agent has said nothing for so long that its load is unknown.
+    pub(super) fn is_silent(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        let fresh = |load: &Load| now.since(load.told_at) < LOAD_KEPT;
+        !self.0.get(&agent).is_some_and(fresh)
+    }
+
     /// Whether an agent has told lately that living servers may not be listed.
     pub(super) fn tell_of_missing_servers(&self, now: Millis) -> bool {
         let lately = |load: &&Load| now.since(load.told_at) < RETURN_LIMIT;
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -770,3 +770,41 @@
     let step = denied(&mut balancer, &view, 5, ip(3), flow(1));
     assert_eq!(reset_reason(&step), Some(ResetReason::NoMember));
 }
+
+// Guards against a reset by a missing record alone: the server lives, and its
+// agent answers.
+#[test]
+fn an_owner_without_a_record_is_asked_before_its_flow_is_reset() {
+    let mut catalog = catalog(&[1, 2]);
+    let before = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let owner = open(&mut balancer, &before, flow(7));
+    let last = owner.octets()[3];
+    let other = ip(3 - last);
+    let gone = Change::Removed(RecordKey::Server(id(last)));
+    catalog.apply(Millis(10), changes(101, vec![gone]));
+    let view = catalog.view(Millis(3000)).unwrap();
+    let seg = segment(flow(7));
+    assert!(asked(balancer.arrival(&view, Millis(3000), &seg)).contains(&owner));
+    let step = denied(&mut balancer, &view, 3002, other, flow(7));
+    assert_eq!(reset_reason(&step), None);
+
+    let step = balancer.arrival(&view, Millis(3200), &seg);
+    assert_eq!(
+        reset_reason(&step),
+        Some(ResetReason::Unowned),
+        "it is silent"
+    );
+
+    let owner = open(&mut balancer, &before, flow(8));
+    let seg = segment(flow(8));
+    balancer.arrival(&view, Millis(3300), &seg);
+    balancer.owned(Millis(3301), owner, &frame(FrameKind::Owned, flow(8)));
+    for member in [1, 2].map(ip).into_iter().filter(|m| *m != owner) {
+        let step = denied(&mut balancer, &view, 3302, member, flow(8));
+        assert_eq!(reset_reason(&step), None);
+    }
+    let next = ramp_protocol::packet::Segment { seq: 1100, ..seg };
+    let step = balancer.arrival(&view, Millis(3500), &next);
+    assert_eq!(carried(&step), (owner, Inquiry::None), "it answers");
+}
