--- a/crates/coordination/tests/passthrough/simulation/network.rs
+++ b/crates/coordination/tests/passthrough/simulation/network.rs
@@ -19,6 +19,15 @@
 pub struct Network {
     /// By the data centres that a way leads from and to.
     faults: IndexMap<(usize, usize), Fault>,
+    /// Frames that say that an opening waits.
+    pub waits: WaitsFault,
+}
+
+/// What is wrong with the frames that say that an opening waits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WaitsFault {
+    pub lost_percent: u64,
+    pub late_ms: u64,
 }
 
 /// The data centre of a balancer or an agent.
@@ -45,6 +54,13 @@
         }
     }
 
+    /// As [`Network::delay_ms`], for frames that say that an opening waits.
+    pub fn waits_delay_ms(&self, rng: &mut Random, from: usize, to: usize) -> Option<u64> {
+        let delay = self.delay_ms(rng, from, to)?;
+        let lost = rng.below(100) < self.waits.lost_percent;
+        (!lost).then_some(delay + self.waits.late_ms)
+    }
+
     /// As [`Network::delay_ms`], for packets of callers: no way of theirs is
     /// cut.
     pub fn caller_delay_ms(rng: &mut Random) -> Option<u64> {
