Simulation: frozen processes and slow ways

Processes always handled what came at once, and answers were 4 ms late at most, so no old answer ever met a newer question, and no limit ran out but by loss.

A balancer or an agent may now stand still for a while: its clock stops, and all that came meanwhile is handled at once, in its order. Messages from one data centre to another may be late by 50 to 400 ms.

--- /dev/null
+++ b/crates/coordination/tests/passthrough/simulation/freezes.rs
@@ -0,0 +1,45 @@
+//! Processes that handle nothing for a while. Their clocks stand still
+//! meanwhile.
+
+use indexmap::IndexMap;
+
+#[derive(Debug, Default)]
+struct Freeze {
+    until: u64,
+    stood_still_ms: u64,
+}
+
+/// What each process has been through since its start.
+#[derive(Debug, Default)]
+pub struct Freezes(IndexMap<usize, Freeze>);
+
+impl Freezes {
+    pub fn freeze(&mut self, process: usize, now: u64, for_ms: u64) {
+        let freeze = self.0.entry(process).or_default();
+        let begin = now.max(freeze.until);
+        let end = begin.max(now + for_ms);
+        freeze.stood_still_ms += end - begin;
+        freeze.until = end;
+    }
+
+    /// The process was started anew.
+    pub fn restart(&mut self, process: usize) {
+        self.0.swap_remove(&process);
+    }
+
+    /// End of a freeze; none: the process runs.
+    pub fn until(&self, process: usize, now: u64) -> Option<u64> {
+        let freeze = self.0.get(&process)?;
+        (now < freeze.until).then_some(freeze.until)
+    }
+
+    /// End of the last freeze; zero: there was none.
+    pub fn end(&self, process: usize) -> u64 {
+        self.0.get(&process).map_or(0, |f| f.until)
+    }
+
+    /// How far the clock of a process is behind.
+    pub fn stood_still_ms(&self, process: usize) -> u64 {
+        self.0.get(&process).map_or(0, |f| f.stood_still_ms)
+    }
+}
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -3,6 +3,7 @@
 //! none should go. Seeded; counts only.
 
 mod fleet;
+mod freezes;
 mod judge;
 mod network;
 mod server;
@@ -204,3 +205,96 @@
     };
     play_all(|_| full_servers(waits));
 }
+
+// A balancer that was frozen handles old packets, answers and news at once.
+#[test]
+fn frozen_balancers_reset_no_open_flow_and_find_its_owner() {
+    play_all(|seed| {
+        let for_ms = 300 + seed * 30;
+        let acts = vec![
+            (1500, Act::FreezeBalancer { at: 0, for_ms }),
+            (1700, Act::SwapRotation),
+            (3000, Act::RestartBalancer(1)),
+            (3600, Act::FreezeBalancer { at: 1, for_ms }),
+            (4000, Act::SwapRotation),
+            (6000, Act::RestartBalancer(2)),
+            (6300, Act::SwapRotation),
+            (6500, Act::FreezeBalancer { at: 2, for_ms }),
+            (7500, Act::SwapRotation),
+        ];
+        Day {
+            acts,
+            ..Day::default()
+        }
+    });
+}
+
+// The owner's agent was frozen while all others denied the flow, or while its
+// opening was placed again.
+#[test]
+fn frozen_agents_lose_no_flow() {
+    play_all(|seed| {
+        let for_ms = 300 + seed * 30;
+        let acts = vec![
+            (1500, Act::FreezeAgent { last: 1, for_ms }),
+            (1700, Act::SwapRotation),
+            (2000, Act::RestartBalancer(0)),
+            (3000, Act::FreezeAgent { last: 2, for_ms }),
+            (3500, Act::RestartBalancer(1)),
+            (4000, Act::SwapRotation),
+            (5000, Act::FreezeAgent { last: 4, for_ms }),
+            (5100, Act::RestartBalancer(2)),
+            (6000, Act::SwapRotation),
+        ];
+        Day {
+            acts,
+            ..Day::default()
+        }
+    });
+}
+
+// Answers came later than the limit of an opening, and than the pause between
+// two questions.
+#[test]
+fn slow_ways_lose_no_flow() {
+    play_all(|seed| {
+        let (from, to) = cut_of(seed);
+        let acts = vec![
+            (500, Act::SlowOneWay { from, to }),
+            (2500, Act::RestartBalancer(0)),
+            (3500, Act::SwapRotation),
+            (4000, Act::SlowOneWay { from: to, to: from }),
+            (4500, Act::RestartBalancer(1)),
+            (5500, Act::SwapRotation),
+            (6500, Act::RestartBalancer(2)),
+            (7500, Act::SwapRotation),
+            (9000, Act::Heal),
+        ];
+        Day {
+            acts,
+            ..Day::default()
+        }
+    });
+}
+
+// As above, beside servers that let openings wait.
+#[test]
+fn slow_ways_and_freezes_beside_full_servers_reset_no_open_flow() {
+    play_all(|seed| {
+        let (from, to) = cut_of(seed);
+        let for_ms = 300 + seed * 10;
+        let mut acts = vec![
+            (500, Act::SlowOneWay { from, to }),
+            (3000, Act::FreezeAgent { last: 3, for_ms }),
+            (4000, Act::FreezeBalancer { at: 0, for_ms }),
+            (5000, Act::RestartBalancer(1)),
+            (6000, Act::FreezeAgent { last: 4, for_ms }),
+        ];
+        acts.extend(swaps());
+        Day {
+            acts,
+            work_ms: SLOW_WORK_MS,
+            ..Day::default()
+        }
+    });
+}
--- a/crates/coordination/tests/passthrough/simulation/network.rs
+++ b/crates/coordination/tests/passthrough/simulation/network.rs
@@ -1,5 +1,5 @@
 //! Ways between processes: what they lose, how late they are, and what is cut
-//! between data centres, one way at a time.
+//! or slow between data centres, one way at a time.
 
 use indexmap::IndexMap;
 use ramp_coordination::random::Random;
@@ -7,11 +7,16 @@
 const DATA_CENTRES: usize = 3;
 const LOSS_PERCENT: u64 = 2;
 const LATEST_MS: u64 = 4;
+/// Shortest delay of a slow way.
+const SLOW_MS: u64 = 50;
+/// Range of its delays.
+const SLOW_RANGE_MS: u64 = 350;
 
 /// What is wrong with a way from one data centre to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     Cut,
+    Slow,
 }
 
 /// Ways between the data centres.
@@ -41,6 +46,11 @@
         self.faults.insert((from, to), Fault::Cut);
     }
 
+    /// Messages from one data centre to another are late.
+    pub fn slow(&mut self, from: usize, to: usize) {
+        self.faults.insert((from, to), Fault::Slow);
+    }
+
     pub fn heal(&mut self) {
         self.faults.clear();
     }
@@ -50,6 +60,7 @@
         let delay = Network::caller_delay_ms(rng)?;
         match self.fault(from, to) {
             Some(Fault::Cut) => None,
+            Some(Fault::Slow) => Some(delay + SLOW_MS + rng.below(SLOW_RANGE_MS)),
             None => Some(delay),
         }
     }
