Simulation: a restarted process hears no news of an earlier one

News under way to a process that was then restarted reached the new one, and were applied over the newer listing that it had read: a record that had come back could vanish again there for good. With records that vanish and return while balancers restart this gave resets that no real process would send. A connection ends with its process, so such news are now dropped.

--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -355,7 +355,9 @@
     }
 
     fn run(&mut self) {
-        self.at(0, Event::Tick);
+        if self.day.work_ms > 0 {
+            self.at(0, Event::Tick);
+        }
         for port in 1..=FLOWS {
             self.callers.insert(port, Caller::default());
             let start = self.rng.below(LENGTH_MS / 2);
@@ -447,6 +449,10 @@
         let Some(catalog) = self.catalogs.get_mut(&process) else {
             return;
         };
+        // What an earlier process of the same name was to hear.
+        if changes.cursor <= catalog.cursor() {
+            return;
+        }
         // News come in their order, as from one connection.
         if changes.cursor.0 > catalog.cursor().0 + 1 {
             return self.at(NEWS_AGAIN_MS, Event::News { process, changes });
