--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -10,6 +10,7 @@
 mod traffic;
 
 use std::env;
+use std::ops::Range;
 
 use self::fleet::Act;
 use self::fleet::Day;
@@ -18,9 +19,9 @@
 use self::network::WaitsFault;
 
 const SEEDS: u64 = 100;
-/// Seeds of each longer day, unless the environment names more.
+/// Seeds of each longer day, unless the environment names others.
 const DAY_SEEDS: u64 = 40;
-/// Variable that names them.
+/// Variable that names them, as in `0..200`.
 const DAY_SEEDS_VAR: &str = "SIMULATION_SEEDS";
 /// Time that slow servers need for a request.
 const SLOW_WORK_MS: u64 = 100;
@@ -37,9 +38,11 @@
 }
 
 /// Seeds of each longer day.
-fn day_seeds() -> u64 {
+fn day_seeds() -> Range<u64> {
     let named = env::var(DAY_SEEDS_VAR).ok();
-    named.and_then(|n| n.parse().ok()).unwrap_or(DAY_SEEDS)
+    let parts = named.as_deref().and_then(|n| n.split_once(".."));
+    let range = parts.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    range.unwrap_or(0..DAY_SEEDS)
 }
 
 /// A time between two others, by the seed.
@@ -49,16 +52,28 @@
 
 /// Plays a day with all seeds, and names all of those that break a rule.
 fn play_all(day: impl Fn(u64) -> Day) -> Vec<Outcome> {
-    let count = day_seeds();
-    let outcomes = (0..count).map(|seed| Fleet::play(seed, day(seed)));
+    let seeds = day_seeds();
+    let outcomes = seeds.clone().map(|seed| Fleet::play(seed, day(seed)));
     let outcomes: Vec<Outcome> = outcomes.collect();
-    let broken = |seed: &u64| !outcomes[*seed as usize].violations.is_empty();
-    let seeds: Vec<u64> = (0..count).filter(broken).collect();
-    let Some(first) = seeds.first() else {
+    let firsts = seeds.zip(&outcomes).filter_map(|(seed, outcome)| {
+        let first = outcome.violations.first()?;
+        Some((seed, first))
+    });
+    let firsts: Vec<(u64, &String)> = firsts.collect();
+    let Some((seed, violation)) = firsts.first() else {
         return outcomes;
     };
-    let violation = &outcomes[*first as usize].violations[0];
-    panic!("seeds {seeds:?} of {count}; seed {first}, {violation}");
+    let line = |(seed, violation): &(u64, &String)| {
+        let what = violation.lines().next().unwrap_or_default();
+        format!("seed {seed}: {what}")
+    };
+    let lines: Vec<String> = firsts.iter().map(line).collect();
+    panic!(
+        "{} of {} seeds broke a rule\n{}\nseed {seed}, {violation}",
+        firsts.len(),
+        outcomes.len(),
+        lines.join("\n")
+    );
 }
 
 #[test]
