--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -145,6 +145,8 @@
 pub struct Outcome {
     pub resets: usize,
     pub answered: usize,
+    /// Packets that were answered late or not by the end.
+    pub late: usize,
     /// Callers that gave up since nobody answered their openings.
     pub unanswered: usize,
     /// Callers that were reset after a server had answered their openings and
@@ -301,6 +303,7 @@
             fleet.at(at, Event::Operator(act));
         }
         fleet.run();
+        fleet.note_waiting_callers();
         fleet.outcome
     }
 
--- a/crates/coordination/tests/passthrough/simulation/judge.rs
+++ b/crates/coordination/tests/passthrough/simulation/judge.rs
@@ -16,6 +16,8 @@
 const STRAY_LIMIT_MS: u64 = 2_000;
 /// Packets that must go astray in that time.
 const STRAYS: u32 = 3;
+/// Time after which an answer is of little use to a caller.
+const LATE_MS: u64 = 1_500;
 /// Shortest pause of a caller between two requests.
 const PAUSE_MS: u64 = 20;
 /// Range of these pauses.
@@ -30,6 +32,8 @@
     pub opened: bool,
     pub packet: u32,
     pub tries: u32,
+    /// When the packet was sent first.
+    pub sent_at: u64,
     /// First packet since the owner last got one, and others' since.
     missed: Option<(u64, u32)>,
 }
@@ -103,6 +107,13 @@
         }
     }
 
+    /// Callers that still wait at the end of the day.
+    pub(super) fn note_waiting_callers(&mut self) {
+        let now = self.now;
+        let waits = |c: &&Caller| !c.ended && c.tries > 0 && now - c.sent_at > LATE_MS;
+        self.outcome.late += self.callers.values().filter(waits).count();
+    }
+
     fn violated(&mut self, port: u16, what: &str) {
         let mut violation = format!("flow {port} at {}: {what}", self.now);
         // One history is enough to read.
@@ -129,6 +140,7 @@
             return;
         }
         self.outcome.answered += 1;
+        self.outcome.late += usize::from(self.now - caller.sent_at > LATE_MS);
         caller.packet += 1;
         caller.tries = 0;
         let packet = caller.packet;
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -50,11 +50,26 @@
     from + (to - from) * (seed % DAY_SEEDS) / DAY_SEEDS
 }
 
+/// Shown with a failure, or with `--nocapture`: what callers got, broken rules
+/// or not.
+fn tell_sums(outcomes: &[Outcome]) {
+    let sum = |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>();
+    println!(
+        "answered {}, late {}, never opened {}, reset {}, of these before the first data {}",
+        sum(|o| o.answered),
+        sum(|o| o.late),
+        sum(|o| o.unanswered),
+        sum(|o| o.resets),
+        sum(|o| o.refused_late),
+    );
+}
+
 /// Plays a day with all seeds, and names all of those that break a rule.
 fn play_all(day: impl Fn(u64) -> Day) -> Vec<Outcome> {
     let seeds = day_seeds();
     let outcomes = seeds.clone().map(|seed| Fleet::play(seed, day(seed)));
     let outcomes: Vec<Outcome> = outcomes.collect();
+    tell_sums(&outcomes);
     let firsts = seeds.zip(&outcomes).filter_map(|(seed, outcome)| {
         let first = outcome.violations.first()?;
         Some((seed, first))
--- a/crates/coordination/tests/passthrough/simulation/server.rs
+++ b/crates/coordination/tests/passthrough/simulation/server.rs
@@ -45,11 +45,11 @@
     /// Begins a request as soon as a slot is free and gives the time at which
     /// it is done; none: it has begun before.
     pub fn begin(&mut self, now: u64, seg: &Segment, work_ms: u64) -> Option<u64> {
-        let newest = self.newest.insert(seg.key, seg.seq);
-        if newest.is_some_and(|newest| newest >= seg.seq) {
-            self.newest.extend(newest.map(|newest| (seg.key, newest)));
+        let newest = self.newest.entry(seg.key).or_default();
+        if *newest >= seg.seq {
             return None;
         }
+        *newest = seg.seq;
         let slot = self.free_at.iter_mut().min()?;
         *slot = now.max(*slot) + work_ms;
         Some(*slot)
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -49,6 +49,9 @@
             return;
         }
         let again = copy_pause_ms(caller.tries);
+        if caller.tries == 0 {
+            caller.sent_at = self.now;
+        }
         let age_ms = (0..caller.tries).map(copy_pause_ms).sum();
         caller.tries += 1;
         let seg = if packet == 0 {
