Simulate what the transport does with answers that are overdue

The simulation called the balancer's time limit for openings only, and kept packets from agents that are not sure. Now it does both as the transport does.

--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -71,12 +71,13 @@
     pub(super) fn balancer_gets(&mut self, at: usize, seg: &Segment) {
         let now = self.clock(at);
         let step = self.balancers[at].arrival(&self.views[&at], now, seg);
+        self.note_due(at, &step, seg);
         self.carry_out(at, seg, step);
     }
 
-    /// As the transport does: only openings have a time limit.
+    /// As the transport does when an answer is due.
     pub(super) fn balancer_checks(&mut self, at: usize, start: u32, due: Millis, seg: &Segment) {
-        if !seg.opens || self.starts[at] != start {
+        if self.starts[at] != start {
             return;
         }
         let now = self.clock(at);
@@ -85,9 +86,13 @@
             let left = due.since(now).as_millis() as u64;
             return self.check_later(at, start, due, left, seg);
         }
-        if let Some(step) = self.balancers[at].overdue(&self.views[&at], now, seg) {
-            self.carry_out(at, seg, step);
+        let Some(step) = self.balancers[at].overdue(&self.views[&at], now, seg) else {
+            return;
+        };
+        if seg.opens {
+            self.note_due(at, &step, seg);
         }
+        self.carry_out(at, seg, step);
     }
 
     pub(super) fn balancer_hears(
@@ -104,7 +109,10 @@
                 balancer.owned(now, from, frame);
                 return self.send_held(to, from, frame.flow);
             }
-            FrameKind::Answer => return balancer.unsure(now, from, frame),
+            FrameKind::Answer => {
+                balancer.unsure(now, from, frame);
+                return self.copy_held(to, from, frame.flow);
+            }
             FrameKind::Denied => balancer.denied(&self.views[&to], now, from, frame),
             FrameKind::Returned(refusal) => {
                 balancer.returned(&self.views[&to], now, from, refusal, frame, seg)
@@ -112,6 +120,9 @@
             FrameKind::Waits => return balancer.waits(now, from, frame),
             FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe | FrameKind::Present => return,
         };
+        if matches!(frame.kind, FrameKind::Returned(_)) {
+            self.note_due(to, &step, seg);
+        }
         self.carry_out(to, seg, step);
     }
 
@@ -123,12 +134,16 @@
         self.carry(at, owner, Inquiry::None, &seg);
     }
 
+    /// Sends a copy of that packet to an agent that can't tell by itself.
+    fn copy_held(&mut self, at: usize, agent: Ipv4Addr, flow: FlowKey) {
+        if let Some(seg) = self.held.get(&(at, flow)).copied() {
+            self.carry(at, agent, Inquiry::OwnerOfCopy, &seg);
+        }
+    }
+
     pub(super) fn carry_out(&mut self, from: usize, seg: &Segment, step: Step) {
         match step {
-            Step::Carry { agent, inquiry, .. } => {
-                self.carry(from, agent, inquiry, seg);
-                self.note_due(from, inquiry, seg);
-            }
+            Step::Carry { agent, inquiry, .. } => self.carry(from, agent, inquiry, seg),
             Step::Ask(question) => self.ask(from, question, seg),
             Step::Reset(reset) => self.caller_is_reset(from, reset),
             Step::Drop(_) => {}
@@ -136,8 +151,13 @@
     }
 
     /// A packet with an inquiry should be answered by [`CONFIRM_LIMIT`].
-    fn note_due(&mut self, at: usize, inquiry: Inquiry, seg: &Segment) {
-        if inquiry == Inquiry::None {
+    fn note_due(&mut self, at: usize, step: &Step, seg: &Segment) {
+        let asks = match step {
+            Step::Carry { inquiry, .. } => *inquiry != Inquiry::None,
+            Step::Ask(_) => true,
+            Step::Reset(_) | Step::Drop(_) => false,
+        };
+        if !asks {
             return;
         }
         let due = self.clock(at) + CONFIRM_LIMIT;
@@ -166,7 +186,7 @@
     }
 
     fn ask(&mut self, from: usize, question: Question, seg: &Segment) {
-        if !question.named.is_empty() {
+        if !seg.opens && !question.named.is_empty() {
             self.held.insert((from, seg.key), *seg);
         }
         for at in question.named {
