Place no opening again whose flow is open by now

- A packet of the caller beside its opening shows that some server has answered; the opening was placed again all the same when the first agent's word was lost, and the flow's packets followed it to servers that don't have it.
- A balancer that hears nobody placed an opening at one member after the other, 60 at the grown size, until long after its caller had given up.
Three silent members are enough for one copy of the caller.
- An opening that comes back to a process that has not placed it had its caller reset at once, though a later copy may have opened the flow.
It is dropped.

--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -10,6 +10,7 @@
 use ramp_state::time::Millis;
 
 use super::Balancer;
+use super::flow::Flow;
 use super::search::Search;
 use super::step::DropReason;
 use super::step::ResetReason;
@@ -18,6 +19,9 @@
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
+/// Members that may be silent before the caller's next copy is waited for.
+const SILENT_TRIES: usize = 3;
+
 /// Looking for a member that takes a new flow.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Placing {
@@ -56,7 +60,7 @@
             }
             return self.place(view, now, seg);
         };
-        if flow.confirmed || !flow.is_unanswered(now) {
+        if flow.confirmed || flow.opened || !flow.is_unanswered(now) {
             flow.note(now, seg);
             return Step::Carry {
                 agent: flow.agent,
@@ -81,7 +85,8 @@
         seg: &Segment,
     ) -> Option<Step> {
         let flow = self.flows.get(&seg.key)?;
-        let late = !flow.confirmed && flow.is_unanswered(now);
+        let placed = flow.confirmed || flow.opened;
+        let late = !placed && flow.is_unanswered(now);
         late.then(|| self.opening(view, now, seg))
     }
 
@@ -94,13 +99,18 @@
         refusal: Refusal,
         seg: &Segment,
     ) -> Step {
+        let here = self.flows.contains_key(&seg.key) || self.placings.contains_key(&seg.key);
+        if !here {
+            // Placed before this process started, or given up on since.
+            return Step::Drop(DropReason::PlacedElsewhere);
+        }
         let placing = self.placing(now, seg.key);
         if refusal == Refusal::Busy {
             placing.busy.push(from);
         } else {
             placing.refused.push(from);
         }
-        let elsewhere = |f: &super::Flow| f.agent != from;
+        let elsewhere = |f: &Flow| f.agent != from || f.opened;
         if self.flows.get(&seg.key).is_some_and(elsewhere) {
             return Step::Drop(DropReason::PlacedElsewhere);
         }
@@ -120,6 +130,10 @@
         };
         let none = Placing::default();
         let placing = self.placings.get(&seg.key).unwrap_or(&none);
+        if placing.silent.len() >= SILENT_TRIES {
+            self.flows.swap_remove(&seg.key);
+            return Step::Drop(DropReason::Unanswered);
+        }
         let members = view.servers_of(service, now);
         let able: Vec<&Member> = members.filter(|m| placing.may_try(m)).collect();
         let choice = Choice {
