Let each agent that may own a flow get its packet in time

- Copies to silent agents went in turns over a list that changes, so the owner could be passed over for 3 s.
Now those that got fewest copies come first, from 100 ms after the first question.
- One lost question or answer left a flow to its caller's next packet, up to 1.6 s later.
While few agents are left, two repeats now go without it.
- A caller that only acknowledges, and repeats that, raised no doubt.
- Denials of a new flow counted for its refusal for as long as the search was kept, though a copy of the opening may have opened it since: 100 ms now.
- The refusal of a copy skipped the checks of an old or young view.
- One lost answer was enough to reset the flow of a server without a record: two questions now, or one that is 2.5 s old.
- Many silent agents and many searches together sent copies without a bound: 400 a second and balancer at most; the rest is asked by name.
- On a processor with a cap, answers that waited at the socket counted as overdue: now all that has come is read first, also before a new view's conclusions.

--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -22,10 +22,15 @@
     pub(super) service: ServiceId,
     /// Whether the agent has said that its server has the flow.
     pub(super) confirmed: bool,
+    /// Whether the caller has sent more than its opening: a server has answered
+    /// that, whoever it was.
+    pub(super) opened: bool,
     /// Since when the agent has owed an answer.
     asked_since: Option<Millis>,
     /// Sequence number behind the newest data of the caller.
     next_seq: Option<u32>,
+    /// Numbers of the last packet without data.
+    last_ack: Option<(u32, u32)>,
     pub(super) seen_at: Millis,
     pub(super) finished: bool,
 }
@@ -37,8 +42,10 @@
             agent,
             service,
             confirmed: false,
+            opened: false,
             asked_since: Some(now),
             next_seq: None,
+            last_ack: None,
             seen_at: now,
             finished: false,
         };
@@ -52,37 +59,50 @@
             agent,
             service,
             confirmed: true,
+            opened: false,
             asked_since: None,
             next_seq: None,
+            last_ack: None,
             seen_at: now,
             finished: false,
         }
     }
 
-    /// Takes note of a packet of the caller. Data that comes again was not
-    /// acknowledged, so the agent must say that its server has the flow.
+    /// Takes note of a packet of the caller. One that comes again was not
+    /// answered, so the agent must say that its server has the flow.
     pub(super) fn note(&mut self, now: Millis, seg: &Segment) {
         self.seen_at = now;
         self.finished |= seg.fin || seg.rst;
-        if seg.opens || (seg.len == 0 && !seg.fin) {
+        if seg.opens {
             return;
         }
+        self.opened = true;
+        if self.is_repeated(seg) {
+            self.doubt(now);
+        }
+    }
+
+    fn is_repeated(&mut self, seg: &Segment) -> bool {
+        if seg.len == 0 && !seg.fin {
+            let ack = Some((seg.seq, seg.ack));
+            return std::mem::replace(&mut self.last_ack, ack) == ack;
+        }
         let end = seg.seq.wrapping_add(seg.len);
         let end = end.wrapping_add(u32::from(seg.fin));
-        let is_new = |next: u32| end.wrapping_sub(next) as i32 > 0;
-        if self.next_seq.is_none_or(is_new) {
+        let is_old = |next: u32| end.wrapping_sub(next) as i32 <= 0;
+        let repeated = self.next_seq.is_some_and(is_old);
+        if !repeated {
             self.next_seq = Some(end);
-        } else {
-            self.ask(now);
         }
+        repeated
     }
 
     /// The agent owes an answer from now on.
-    pub(super) fn ask(&mut self, now: Millis) {
+    pub(super) fn doubt(&mut self, now: Millis) {
         self.asked_since.get_or_insert(now);
     }
 
-    /// The agent has said that a new flow is in its hands.
+    /// The agent has said that it has the flow.
     pub(super) fn confirm(&mut self) {
         self.confirmed = true;
         self.asked_since = None;
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -8,8 +8,9 @@
 //! Only when all holders have denied the flow is the caller reset, and then at
 //! once.
 //!
-//! Messages may be lost one way only, so no step waits for one answer: it has a
-//! time limit, behind which the packet goes to everyone who may have the flow.
+//! Messages may be lost one way only, so no step waits for one answer. Behind its
+//! time limit all who may have the flow are asked, by name first, then with the
+//! packet itself.
 
 mod flow;
 mod owner;
@@ -35,17 +36,19 @@
 use self::step::reset_or_drop;
 use super::choice::Loads;
 use super::published::Revision;
+use super::quota::Quota;
 use super::suspects::Suspects;
 use super::sweep::Sweep;
 use super::view::View;
 
 pub use self::flow::CONFIRM_LIMIT;
+pub use self::search::ASK_AGAIN;
 pub use self::step::DropReason;
 pub use self::step::Learned;
+pub use self::step::Overdue;
 pub use self::step::Question;
 pub use self::step::Reset;
 pub use self::step::ResetReason;
-pub use self::step::Silent;
 pub use self::step::Step;
 
 /// Flows looked at for their age with each packet.
@@ -65,6 +68,8 @@
     searches: IndexMap<FlowKey, Search>,
     suspects: Suspects,
     loads: Loads,
+    /// Copies of packets to silent agents.
+    copies: Quota,
     swept_flows: Sweep,
     swept_placings: Sweep,
     swept_searches: Sweep,
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -13,14 +13,18 @@
 use super::search::Candidate;
 use super::search::Search;
 use super::step::DropReason;
+use super::step::Overdue;
 use super::step::Reset;
 use super::step::ResetReason;
-use super::step::Silent;
 use super::step::Step;
 use crate::passthrough::choice::first_ranked;
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
+/// Copies of packets to silent agents that a balancer sends at most: after a
+/// data centre is lost, each of its flows is searched for there.
+const SILENT_COPIES_PER_S: usize = 400;
+
 impl Balancer {
     /// An agent's server does not have the flow.
     pub fn denied(&mut self, view: &View, now: Millis, from: Ipv4Addr, frame: &Frame) -> Step {
@@ -67,7 +71,7 @@
         flow.note(now, seg);
         let gone = view.is_gone(flow.agent, now) && self.loads.is_silent(flow.agent, now);
         if gone {
-            flow.ask(now);
+            flow.doubt(now);
         }
         let flow = *flow;
         if gone || flow.is_unanswered(now) {
@@ -92,10 +96,16 @@
     ) -> Option<Step> {
         let flow = self.flows.get(&seg.key);
         let unanswered = flow.is_some_and(|f| f.is_unanswered(now));
-        if !unanswered && !self.searches.contains_key(&seg.key) {
+        let search = self.searches.get(&seg.key);
+        if !unanswered && search.is_none() {
+            return None;
+        }
+        let left = self.candidates(view, &seg.key);
+        if search.is_some_and(|s| !s.is_to_repeat(&left)) {
             return None;
         }
         let step = self.ask(view, now, seg);
+        // The agent that most likely has it got this packet already.
         matches!(step, Step::Ask(_) | Step::Reset(_)).then_some(step)
     }
 
@@ -133,11 +143,13 @@
         let Some(search) = self.searches.get_mut(&seg.key) else {
             return Step::Drop(DropReason::OwnerFound);
         };
-        if !search.is_due(now, candidates.len()) {
+        if !search.is_due(now, &candidates) {
             return carry_or_wait(likely);
         }
-        let mut question = search.question(now, seg, &candidates);
-        question.silent = likely.filter(|f| f.is_unanswered(now)).map(|f| Silent {
+        let copies = &mut self.copies;
+        let may_copy = || copies.take(now, SILENT_COPIES_PER_S);
+        let mut question = search.question(now, seg, &candidates, may_copy);
+        question.overdue = likely.filter(|f| f.is_unanswered(now)).map(|f| Overdue {
             agent: f.agent,
             confirmed: f.confirmed,
             waited: f.waited(now),
@@ -158,6 +170,7 @@
             .map(|agent| Candidate {
                 agent,
                 likely: likely == Some(agent),
+                listed: view.member(agent).is_some(),
                 complete: self.loads.is_complete(agent),
             })
             .collect()
@@ -168,6 +181,10 @@
         let Some(search) = self.searches.get(&flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
+        if search.is_stale(now) {
+            self.searches.swap_remove(&flow);
+            return Step::Drop(DropReason::Unanswered);
+        }
         // Listed members are never gone, so each must have denied it.
         if search.denied.len() < view.members().len() {
             return Step::Drop(DropReason::Asked);
@@ -177,7 +194,9 @@
         if !view.holders().all(denied) {
             return Step::Drop(DropReason::Asked);
         }
-        if !self.knows_all_holders(view, now, search) {
+        // A holder that this view does not have yet may own the flow.
+        let behind = self.newest_heard > view.cursor;
+        if behind || !view.is_settled(now) || self.may_have_missed_an_outage(view, now) {
             return Step::Drop(DropReason::Unsettled);
         }
         let (seq, reason) = (search.seq, search.reason);
@@ -186,16 +205,6 @@
         Step::Reset(Reset { flow, seq, reason })
     }
 
-    /// Whether no holder that this view does not have may own the flow.
-    fn knows_all_holders(&self, view: &View, now: Millis, search: &Search) -> bool {
-        if self.newest_heard > view.cursor {
-            return false;
-        }
-        // A new flow was placed by a view as old as this one.
-        let opening = search.reason != ResetReason::Unowned;
-        opening || (view.is_settled(now) && !self.may_have_missed_an_outage(view, now))
-    }
-
     /// Whether this balancer may have started just after an outage, so that it
     /// has never seen the records of servers that live.
     fn may_have_missed_an_outage(&self, view: &View, now: Millis) -> bool {
@@ -218,8 +227,7 @@
     /// Forgets what was asked for an opening: denials from then say nothing of
     /// the flow that is open now.
     fn forget_refusal(&mut self, flow: &FlowKey) {
-        let of_opening = |s: &Search| s.reason != ResetReason::Unowned;
-        if self.searches.get(flow).is_some_and(of_opening) {
+        if self.searches.get(flow).is_some_and(Search::is_of_opening) {
             self.searches.swap_remove(flow);
         }
     }
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -9,31 +9,35 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use ramp_protocol::packet::Segment;
 use ramp_state::time::Millis;
 
+use super::flow::CONFIRM_LIMIT;
 use super::step::Question;
 use super::step::ResetReason;
+use crate::passthrough::published::RETURN_LIMIT;
 use crate::passthrough::view::rank;
 
-/// Time between two copies of a packet to all holders of one flow.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// Time between two questions to all holders of one flow.
+pub const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 /// Silence of an agent that was asked by name after which it gets the packet.
-const NAMED_LIMIT: Duration = Duration::from_millis(200);
+const NAMED_LIMIT: Duration = Duration::from_millis(100);
 
 /// Silent agents that get a copy of one packet.
 const SILENT_COPIES: usize = 8;
 
-/// Silent holders up to which each packet is copied to all of them.
+/// Holders left in a search up to which each packet is copied to all of them.
 const FEW_HOLDERS: usize = 4;
 
 /// Silence after the first of at least two questions from which a holder that
 /// is not listed counts as gone.
 const SILENT_LIMIT: Duration = Duration::from_millis(300);
 
-/// Time that a question must be left unanswered to count.
-const ANSWER_LIMIT: Duration = Duration::from_millis(70);
+/// Time after which denials of a new flow are too old to refuse it: a copy of
+/// its opening may have opened it since.
+const OPENING_LIMIT: Duration = Duration::from_millis(100);
 
 /// Looking for the owner of a flow.
 #[derive(Clone, Debug)]
@@ -42,6 +46,8 @@
     pub(super) denied: Vec<Ipv4Addr>,
     /// Agents that can't tell without their servers.
     unsure: Vec<Ipv4Addr>,
+    /// Copies of packets that each silent agent got.
+    copied: IndexMap<Ipv4Addr, u32>,
     /// What the caller is told when nobody has it.
     pub(super) reason: ResetReason,
     /// Whether the next packet goes out at once.
@@ -62,6 +68,8 @@
     pub(super) agent: Ipv4Addr,
     /// Whether it gets the flow's packets in any case.
     pub(super) likely: bool,
+    /// Whether its server is listed.
+    pub(super) listed: bool,
     /// Whether it knows every flow of its server.
     pub(super) complete: bool,
 }
@@ -71,6 +79,7 @@
         Search {
             denied: Vec::new(),
             unsure: Vec::new(),
+            copied: IndexMap::new(),
             reason,
             urgent: false,
             asked_at: None,
@@ -106,58 +115,96 @@
         self.first_asked_at.is_some()
     }
 
-    /// Whether the holders are to be asked again, of whom `left` may have the
-    /// flow.
-    pub(super) fn is_due(&self, now: Millis, left: usize) -> bool {
+    /// Whether the caller of a new flow may no longer be refused by what the
+    /// holders have answered.
+    pub(super) fn is_stale(&self, now: Millis) -> bool {
+        self.is_of_opening() && self.is_long(now, OPENING_LIMIT)
+    }
+
+    /// Whether the flow is a new one that is about to be refused.
+    pub(super) fn is_of_opening(&self) -> bool {
+        self.reason != ResetReason::Unowned
+    }
+
+    /// Whether the holders that are left are to be asked again without another
+    /// packet of the caller: where many stay silent, that would cost too much.
+    pub(super) fn is_to_repeat(&self, left: &[Candidate]) -> bool {
+        !self.is_asked() || is_few(left)
+    }
+
+    /// Whether the holders that are left are to be asked again.
+    pub(super) fn is_due(&self, now: Millis, left: &[Candidate]) -> bool {
         let pause_over = self.asked_at.is_none_or(|at| now.since(at) >= ASK_AGAIN);
-        let few_left = left <= FEW_HOLDERS && self.is_long(now, SILENT_LIMIT);
+        let few_left = is_few(left) && self.is_long(now, SILENT_LIMIT);
         pause_over || few_left || self.urgent
     }
 
-    /// Whom to ask with this packet; an opening packet goes to nobody, as it
-    /// would open the flow.
+    /// Whom to ask with this packet. `may_copy` bounds the copies to agents that
+    /// were silent; it is asked for each.
     pub(super) fn question(
         &mut self,
         now: Millis,
         seg: &Segment,
-        candidates: &[Candidate],
+        left: &[Candidate],
+        may_copy: impl FnMut() -> bool,
     ) -> Question {
         let mut question = Question::default();
         let mut silent = Vec::new();
-        for candidate in candidates {
+        for candidate in left {
             let agent = candidate.agent;
             let by_packet = candidate.likely || !candidate.complete || self.unsure.contains(&agent);
             if seg.opens {
+                // A copy would open the flow.
                 question.named.push(agent);
             } else if by_packet {
                 question.copies.push(agent);
             } else if self.is_long(now, NAMED_LIMIT) {
-                silent.push(agent);
+                silent.push(*candidate);
             } else {
                 question.named.push(agent);
             }
         }
-        silent.sort_by_key(|agent| Reverse(rank(&seg.key, *agent)));
-        let groups = silent.len().div_ceil(SILENT_COPIES).max(1);
-        let turn = self.questions as usize % groups;
-        for (index, agent) in silent.into_iter().enumerate() {
-            if index / SILENT_COPIES == turn {
+        self.ask_silent(seg, silent, may_copy, &mut question);
+        self.note_question(now);
+        question
+    }
+
+    /// Copies a packet to a few silent agents: those that got fewest, the
+    /// listed ones and the flow's home first.
+    fn ask_silent(
+        &mut self,
+        seg: &Segment,
+        mut silent: Vec<Candidate>,
+        mut may_copy: impl FnMut() -> bool,
+        question: &mut Question,
+    ) {
+        silent.sort_by_key(|c| {
+            let copies = self.copied.get(&c.agent).copied();
+            let rank = rank(&seg.key, c.agent);
+            (copies.unwrap_or(0), !c.listed, Reverse(rank))
+        });
+        for (index, candidate) in silent.into_iter().enumerate() {
+            let agent = candidate.agent;
+            if index < SILENT_COPIES && may_copy() {
+                *self.copied.entry(agent).or_insert(0) += 1;
                 question.copies.push(agent);
             } else {
                 question.named.push(agent);
             }
         }
-        self.note_question(now);
-        question
     }
 
     /// Since when a holder that is not listed has been silent, if for so long
     /// that it counts as gone. `known_gone`: its record is missing for long.
+    /// One answer may be lost, so one question proves nothing but after as long
+    /// as a record may be missing.
     pub(super) fn unanswered_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
         let since = self.first_asked_at?;
-        let overdue = now.since(self.asked_at?) >= ANSWER_LIMIT;
-        let silent = self.questions > 1 && self.is_long(now, SILENT_LIMIT);
-        (overdue && (known_gone || silent)).then_some(since)
+        let overdue = now.since(self.asked_at?) >= CONFIRM_LIMIT;
+        let silent = known_gone || self.is_long(now, SILENT_LIMIT);
+        let twice = self.questions > 1 && overdue && silent;
+        let once = known_gone && self.is_long(now, RETURN_LIMIT);
+        (twice || once).then_some(since)
     }
 
     fn is_long(&self, now: Millis, limit: Duration) -> bool {
@@ -171,3 +218,8 @@
         self.questions += 1;
     }
 }
+
+/// Whether few enough listed holders are left to ask them with each packet.
+fn is_few(left: &[Candidate]) -> bool {
+    left.iter().filter(|c| c.listed).count() <= FEW_HOLDERS
+}
--- a/crates/coordination/src/passthrough/balancer/step.rs
+++ b/crates/coordination/src/passthrough/balancer/step.rs
@@ -36,12 +36,12 @@
     /// Agents that know by themselves: the name of the flow is enough.
     pub named: Vec<Ipv4Addr>,
     /// The agent that was asked before and has not answered in time, if any.
-    pub silent: Option<Silent>,
+    pub overdue: Option<Overdue>,
 }
 
-/// An agent that owes an answer about a flow.
+/// An answer about a flow that did not come in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Silent {
+pub struct Overdue {
     /// The agent.
     pub agent: Ipv4Addr,
     /// Whether it had said before that its server has the flow.
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -790,6 +790,8 @@
     assert_eq!(reset_reason(&step), None);
 
     let step = balancer.arrival(&view, Millis(3200), &seg);
+    assert!(asked(step).contains(&owner), "one answer may be lost");
+    let step = balancer.arrival(&view, Millis(3400), &seg);
     assert_eq!(
         reset_reason(&step),
         Some(ResetReason::Unowned),
--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -43,6 +43,19 @@
 /// Start of an agent that was restarted while its server lived.
 const RESTARTED_MS: u64 = 5_000;
 
+/// When a balancer looks at a packet again that it sent with an inquiry.
+#[derive(Clone, Debug)]
+pub struct Check {
+    pub at: usize,
+    /// Which process of this balancer sent it.
+    pub start: u32,
+    /// By the clock of the balancer.
+    pub due: Millis,
+    /// How often its question was repeated.
+    pub repeats: u32,
+    pub seg: Segment,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The caller sends, or sends again; the number tells its tries apart.
@@ -74,14 +87,7 @@
         seg: Segment,
     },
     /// A packet that a balancer sent with an inquiry may be overdue.
-    Overdue {
-        at: usize,
-        /// Which process of this balancer sent it.
-        start: u32,
-        /// By the clock of the balancer.
-        due: Millis,
-        seg: Segment,
-    },
+    Overdue(Check),
     /// A server is done with a request.
     Done {
         at: Ipv4Addr,
@@ -200,7 +206,7 @@
     /// The process that handles it; none for callers and the operator.
     fn process(&self) -> Option<usize> {
         match self {
-            Event::ToBalancer { at, .. } | Event::Overdue { at, .. } => Some(*at),
+            Event::ToBalancer { at, .. } | Event::Overdue(Check { at, .. }) => Some(*at),
             Event::FromAgent { to, .. } => Some(*to),
             Event::ToAgent { at, .. } | Event::Ask { at, .. } | Event::Done { at, .. } => {
                 Some(process_of(*at))
@@ -219,7 +225,7 @@
             | Event::FromAgent { seg, .. }
             | Event::Done { seg, .. } => Some(seg.key.caller.port()),
             Event::Send { .. }
-            | Event::Overdue { .. }
+            | Event::Overdue(_)
             | Event::Tick
             | Event::News { .. }
             | Event::Operator(_) => None,
@@ -247,7 +253,7 @@
             } => format!("{from} to balancer {to}, {:?}, {}", frame.kind, name(seg)),
             Event::Done { at, seg } => format!("{at} is done, {}", name(seg)),
             Event::Send { .. }
-            | Event::Overdue { .. }
+            | Event::Overdue(_)
             | Event::Tick
             | Event::News { .. }
             | Event::Operator(_) => format!("{self:?}"),
@@ -415,12 +421,7 @@
                 frame,
                 seg,
             } => self.balancer_hears(to, from, &frame, &seg),
-            Event::Overdue {
-                at,
-                start,
-                due,
-                seg,
-            } => self.balancer_checks(at, start, due, &seg),
+            Event::Overdue(check) => self.balancer_checks(&check),
             Event::Done { at, seg } => self.server_answers(at, &seg),
             Event::Tick => {
                 self.release_all();
@@ -437,7 +438,7 @@
             // The packets show which balancers the routers pick.
             Event::Operator(act) => !matches!(act, Act::SwapRotation),
             // Most of these are copies that were answered in time.
-            Event::Send { .. } | Event::Overdue { .. } => false,
+            Event::Send { .. } | Event::Overdue(_) => false,
             _ => event.port() == Some(port),
         };
         let lines = self.history.iter().filter_map(|(at, index, fate)| {
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -1,10 +1,12 @@
 //! The way of packets and frames through callers, balancers, agents, servers.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use ramp_coordination::passthrough::agent::Bounce;
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::agent::Release;
+use ramp_coordination::passthrough::balancer::ASK_AGAIN;
 use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
 use ramp_coordination::passthrough::balancer::Question;
 use ramp_coordination::passthrough::balancer::Step;
@@ -16,8 +18,8 @@
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
-use ramp_state::time::Millis;
 
+use super::fleet::Check;
 use super::fleet::Event;
 use super::fleet::Fleet;
 use super::fleet::process_of;
@@ -26,6 +28,8 @@
 
 /// Copies of an opening after which a caller gives up.
 const OPENINGS: u32 = 3;
+/// How often a question is repeated without another packet, as in the transport.
+const REPEATS: u32 = 2;
 /// Pause before the first copy of a packet; it doubles.
 const COPY_MS: u64 = 200;
 /// How often it doubles.
@@ -71,28 +75,26 @@
     pub(super) fn balancer_gets(&mut self, at: usize, seg: &Segment) {
         let now = self.clock(at);
         let step = self.balancers[at].arrival(&self.views[&at], now, seg);
-        self.note_due(at, &step, seg);
+        self.note_due(at, &step, seg, 0);
         self.carry_out(at, seg, step);
     }
 
     /// As the transport does when an answer is due.
-    pub(super) fn balancer_checks(&mut self, at: usize, start: u32, due: Millis, seg: &Segment) {
-        if self.starts[at] != start {
+    pub(super) fn balancer_checks(&mut self, check: &Check) {
+        let Check { at, seg, .. } = *check;
+        if self.starts[at] != check.start {
             return;
         }
         let now = self.clock(at);
-        if now < due {
+        if now < check.due {
             // Its clock stood still.
-            let left = due.since(now).as_millis() as u64;
-            return self.check_later(at, start, due, left, seg);
+            return self.check_later(check.due.since(now), check.clone());
         }
-        let Some(step) = self.balancers[at].overdue(&self.views[&at], now, seg) else {
+        let Some(step) = self.balancers[at].overdue(&self.views[&at], now, &seg) else {
             return;
         };
-        if seg.opens {
-            self.note_due(at, &step, seg);
-        }
-        self.carry_out(at, seg, step);
+        self.note_due(at, &step, &seg, check.repeats + 1);
+        self.carry_out(at, &seg, step);
     }
 
     pub(super) fn balancer_hears(
@@ -121,7 +123,7 @@
             FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe | FrameKind::Present => return,
         };
         if matches!(frame.kind, FrameKind::Returned(_)) {
-            self.note_due(to, &step, seg);
+            self.note_due(to, &step, seg, 0);
         }
         self.carry_out(to, seg, step);
     }
@@ -150,29 +152,28 @@
         }
     }
 
-    /// A packet with an inquiry should be answered by [`CONFIRM_LIMIT`].
-    fn note_due(&mut self, at: usize, step: &Step, seg: &Segment) {
-        let asks = match step {
-            Step::Carry { inquiry, .. } => *inquiry != Inquiry::None,
-            Step::Ask(_) => true,
-            Step::Reset(_) | Step::Drop(_) => false,
+    /// A question should be answered by its time limit.
+    fn note_due(&mut self, at: usize, step: &Step, seg: &Segment, repeats: u32) {
+        let limit = match step {
+            Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
+            Step::Ask(_) => ASK_AGAIN,
+            _ => return,
         };
-        if !asks {
+        if !seg.opens && repeats > REPEATS {
             return;
         }
-        let due = self.clock(at) + CONFIRM_LIMIT;
-        let left = CONFIRM_LIMIT.as_millis() as u64;
-        self.check_later(at, self.starts[at], due, left, seg);
-    }
-
-    fn check_later(&mut self, at: usize, start: u32, due: Millis, left: u64, seg: &Segment) {
-        let event = Event::Overdue {
+        let check = Check {
             at,
-            start,
-            due,
+            start: self.starts[at],
+            due: self.clock(at) + limit,
+            repeats,
             seg: *seg,
         };
-        self.at(left, event);
+        self.check_later(limit, check);
+    }
+
+    fn check_later(&mut self, left: Duration, check: Check) {
+        self.at(left.as_millis() as u64, Event::Overdue(check));
     }
 
     fn carry(&mut self, from: usize, at: Ipv4Addr, inquiry: Inquiry, seg: &Segment) {
--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -7,8 +7,8 @@
 use metrics::counter;
 use metrics::histogram;
 use ramp_coordination::passthrough::balancer::Learned;
+use ramp_coordination::passthrough::balancer::Overdue;
 use ramp_coordination::passthrough::balancer::Reset;
-use ramp_coordination::passthrough::balancer::Silent;
 use ramp_coordination::passthrough::balancer::Step;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::hop::Frame;
@@ -98,8 +98,8 @@
                     revision = view.newest.0;
                     "owner of a flow asked for"
                 );
-                if let Some(silent) = question.silent {
-                    self.unanswered(seg, silent);
+                if let Some(overdue) = question.overdue {
+                    self.unanswered(seg, overdue);
                 }
             }
             // Told where it is sent.
@@ -117,13 +117,13 @@
         }
     }
 
-    fn unanswered(&self, seg: &Segment, silent: Silent) {
+    fn unanswered(&self, seg: &Segment, overdue: Overdue) {
         self.unanswered.increment(1);
         log::info!(
             caller:% = seg.key.caller,
-            agent:% = silent.agent,
-            confirmed = silent.confirmed,
-            waited_ms = silent.waited.as_millis() as u64;
+            agent:% = overdue.agent,
+            confirmed = overdue.confirmed,
+            waited_ms = overdue.waited.as_millis() as u64;
             "agent has not answered for a flow"
         );
     }
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -15,6 +15,7 @@
 use flume::Receiver;
 use flume::Sender;
 use flume::TryRecvError;
+use ramp_coordination::passthrough::balancer::ASK_AGAIN;
 use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
 use ramp_coordination::passthrough::balancer::Reset;
@@ -54,7 +55,13 @@
 
 /// Packets of open flows that are kept for the case of no answer; callers send
 /// beyond that again themselves.
-const INQUIRIES_KEPT: usize = 256;
+const PENDING_PACKETS: usize = 256;
+
+/// How often a question is repeated without another packet of the caller.
+const REPEATS: u32 = 2;
+
+/// Batches of peers' datagrams that are read before anything counts as overdue.
+const PEER_BATCHES: usize = 4;
 
 /// Stands for no flow in frames that are about none.
 const NO_FLOW: FlowKey = FlowKey {
@@ -78,10 +85,12 @@
     pub events: Sender<Event>,
 }
 
-/// A packet that was sent with a question.
-struct Inquired {
+/// A packet whose question may stay unanswered.
+struct PendingPacket {
     due: Millis,
     packet: Vec<u8>,
+    /// How often its question was repeated.
+    repeats: u32,
 }
 
 struct Worker<F> {
@@ -92,8 +101,10 @@
     reach: Reach,
     reaches: bool,
     asking: Asking,
-    /// Packets whose questions may stay unanswered, the oldest first.
-    inquired: VecDeque<Inquired>,
+    /// Packets whose questions may stay unanswered.
+    pending: VecDeque<PendingPacket>,
+    /// Whether the view is newer than what was last concluded from it.
+    view_is_new: bool,
     leaving_since: Option<Millis>,
     last_packet: Millis,
     account: Account,
@@ -116,7 +127,8 @@
             reach: Reach::default(),
             reaches: true,
             asking: Asking::default(),
-            inquired: VecDeque::new(),
+            pending: VecDeque::new(),
+            view_is_new: false,
             leaving_since: None,
             last_packet: Millis(0),
             account: Account::default(),
@@ -146,11 +158,19 @@
     }
 
     fn take_view(&mut self, view: Arc<View>) {
-        let now = self.traffic.clock.now();
         beliefs::tell_changes(self.view.as_deref(), &view);
-        let concluded = self.balancer.concluded(&view, now);
         self.view = Some(view);
-        for reset in concluded {
+        self.view_is_new = true;
+    }
+
+    /// Resets callers whose flows nobody owns by a new view.
+    fn conclude(&mut self) {
+        let Some(view) = self.view.clone().filter(|_| self.view_is_new) else {
+            return;
+        };
+        self.view_is_new = false;
+        let now = self.traffic.clock.now();
+        for reset in self.balancer.concluded(&view, now) {
             self.reset(reset);
         }
     }
@@ -169,13 +189,15 @@
     fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let both = [&self.traffic.data, &self.traffic.peers];
         let [data, peers] = sockets::wait(both, self.time_to_next())?;
-        if peers {
-            self.read_peers(buf)?;
-        }
+        // An answer that waits at the socket is not overdue.
+        let all_heard = !peers || self.read_peers(buf)?;
         if data {
             self.read_data(buf)?;
         }
-        self.handle_overdue();
+        if all_heard {
+            self.conclude();
+            self.handle_overdue();
+        }
         self.send_questions();
         self.watch_reach();
         self.tell_heard();
@@ -193,14 +215,15 @@
         Ok(())
     }
 
-    fn read_peers(&mut self, buf: &mut [u8]) -> io::Result<()> {
-        for _ in 0..sockets::BATCH_DATAGRAMS {
+    /// Whether everything that had come was read.
+    fn read_peers(&mut self, buf: &mut [u8]) -> io::Result<bool> {
+        for _ in 0..sockets::BATCH_DATAGRAMS * PEER_BATCHES {
             let Some((len, from)) = sockets::receive(&self.traffic.peers, buf)? else {
-                return Ok(());
+                return Ok(true);
             };
             self.handle_frame(&mut buf[..len], from);
         }
-        Ok(())
+        Ok(false)
     }
 
     fn handle_packet(&mut self, packet: &mut [u8]) {
@@ -214,24 +237,29 @@
         };
         let now = self.traffic.clock.now();
         let step = self.balancer.arrival(&view, now, &passing.segment);
-        self.expect_answer(&passing.segment, &step, packet);
+        self.expect_answer(&passing.segment, &step, packet, 0);
         self.carry_out(&view, &passing.segment, step, packet);
     }
 
     /// Keeps a packet that is sent with a question until the answer is due.
-    fn expect_answer(&mut self, seg: &Segment, step: &Step, packet: &[u8]) {
-        let asks = match step {
-            Step::Carry { inquiry, .. } => *inquiry != Inquiry::None,
-            Step::Ask(_) => true,
-            Step::Reset(_) | Step::Drop(_) => false,
+    fn expect_answer(&mut self, seg: &Segment, step: &Step, packet: &[u8], repeats: u32) {
+        let limit = match step {
+            Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
+            Step::Ask(_) => ASK_AGAIN,
+            _ => return,
         };
-        if !asks || (!seg.opens && self.inquired.len() >= INQUIRIES_KEPT) {
+        let full = self.pending.len() >= PENDING_PACKETS || repeats > REPEATS;
+        if full && !seg.opens {
             return;
         }
-        self.inquired.push_back(Inquired {
-            due: self.traffic.clock.now() + CONFIRM_LIMIT,
+        let due = self.traffic.clock.now() + limit;
+        let at = self.pending.partition_point(|p| p.due <= due);
+        let pending = PendingPacket {
+            due,
             packet: packet.to_vec(),
-        });
+            repeats,
+        };
+        self.pending.insert(at, pending);
     }
 
     fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -126,7 +126,7 @@
         let step = self
             .balancer
             .returned(view, now, from, refusal, frame, &segment);
-        self.expect_answer(&segment, &step, packet);
+        self.expect_answer(&segment, &step, packet, 0);
         self.carry_out(view, &segment, step, packet);
     }
 }
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -15,21 +15,21 @@
 impl<F: PacketFormat> Worker<F> {
     /// Time until something must be done without a packet.
     pub(super) fn time_to_next(&self) -> Duration {
-        let Some(inquired) = self.inquired.front() else {
+        let Some(pending) = self.pending.front() else {
             return udp::IDLE_TURN;
         };
-        let left = inquired.due.since(self.traffic.clock.now());
+        let left = pending.due.since(self.traffic.clock.now());
         left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
     }
 
     /// Handles packets again whose questions were not answered in time.
     pub(super) fn handle_overdue(&mut self) {
         let now = self.traffic.clock.now();
-        while self.inquired.front().is_some_and(|i| now >= i.due) {
-            let Some(inquired) = self.inquired.pop_front() else {
+        while self.pending.front().is_some_and(|p| now >= p.due) {
+            let Some(pending) = self.pending.pop_front() else {
                 return;
             };
-            let packet = &inquired.packet;
+            let packet = &pending.packet;
             let (Some(view), Some(passing)) = (self.view.clone(), F::read(packet)) else {
                 continue;
             };
@@ -37,10 +37,7 @@
             let Some(step) = self.balancer.overdue(&view, now, &seg) else {
                 continue;
             };
-            // An open flow's next packet asks again; an opening has none.
-            if seg.opens {
-                self.expect_answer(&seg, &step, packet);
-            }
+            self.expect_answer(&seg, &step, packet, pending.repeats + 1);
             self.carry_out(&view, &seg, step, packet);
         }
     }
