Tell of a server that vanished without leaving

Cause: a record may be revoked while the platform answers everyone. A balancer that starts before the server is listed again has never seen it, all holders that it knows deny the server's flow, and it resets the caller. Agents told of missing servers only after failed calls, so nothing held the reset.

Change: a view tells of missing servers also for 2.5 s after a ready server vanished, as long as its record may come back.

Ruled out: servers that drained before (they leave by plan, one after the other in each release); servers that vanish in the first 2.5 s of a process, whose records are most likely left from before a loss of power: their flows would be held up everywhere. So with all processes new nothing is held up, as before.

Evidence: catalog::a_server_that_vanished_without_leaving_is_told_of_until_it_ counts_as_gone failed before (misses_servers was false at the moment of the loss) and passes now; two tests guard the limits (left by plan, just started).

--- a/crates/coordination/src/passthrough/listed.rs
+++ b/crates/coordination/src/passthrough/listed.rs
@@ -69,11 +69,16 @@
     /// A server has vanished from the listing.
     pub(super) fn missed(&mut self, now: Millis, id: ServerId, listed: Listed) {
         let address = listed.address();
+        let was_ready = listed.server.state == ServerState::Ready;
         self.departed.retain(|d| d.address != address);
-        self.departed.push(Departed { address, at: now });
+        self.departed.push(Departed {
+            address,
+            at: now,
+            was_ready,
+        });
         let failed = |at: Millis| now.since(at) < RETURN_LIMIT;
         let by_failure = self.failed_at.is_some_and(failed);
-        if by_failure && listed.server.state == ServerState::Ready {
+        if by_failure && was_ready {
             let until = now + LAPSED_KEPT;
             self.lapses.push(Lapse { id, listed, until });
         }
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -71,6 +71,15 @@
     pub address: Ipv4Addr,
     /// When it was missed first.
     pub at: Millis,
+    /// Whether it was ready, and so did not leave by plan.
+    pub was_ready: bool,
+}
+
+impl Departed {
+    /// Whether it has not had the time to be listed again.
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < RETURN_LIMIT
+    }
 }
 
 /// A server whose record lapsed while the platform was away. It most likely
@@ -211,13 +220,17 @@
             return false;
         }
         let departed = self.departed.iter().find(|d| d.address == address);
-        departed.is_none_or(|d| now.since(d.at) >= RETURN_LIMIT)
+        departed.is_none_or(|d| !d.is_recent(now))
     }
 
     /// Whether living servers may be missing from the listing: the platform was
-    /// away a moment ago.
+    /// away a moment ago, or a server vanished without leaving. What vanishes
+    /// just after the start is most likely left from before a loss of power.
     pub fn misses_servers(&self, now: Millis) -> bool {
-        !self.is_settled(now) || self.lapsed_at(now).next().is_some()
+        let may_return = |d: &Departed| d.was_ready && d.is_recent(now) && !self.is_young(d.at);
+        !self.is_settled(now)
+            || self.lapsed_at(now).next().is_some()
+            || self.departed.iter().any(may_return)
     }
 
     /// Whether this process has known anything for so short a time that it may
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -108,6 +108,46 @@
     assert!(view.member_or_lapsed(ip(2), Millis(6101)).is_none(), "left");
 }
 
+/// The pattern of a record that is revoked while no call fails: an instance
+/// that starts meanwhile can't know of the server, and must not reset its flows.
+#[test]
+fn a_server_that_vanished_without_leaving_is_told_of_until_it_counts_as_gone() {
+    let mut catalog = catalog(&[1, 2]);
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(5000), changes(101, vec![removed]));
+    let view = catalog.view(Millis(5000)).unwrap();
+    assert!(view.misses_servers(Millis(5000)));
+    assert!(view.misses_servers(Millis(7400)));
+    assert!(!view.misses_servers(Millis(7500)), "gone");
+
+    catalog.apply(Millis(5200), written(102, record(2, FEEDS)));
+    let view = catalog.view(Millis(5200)).unwrap();
+    assert!(!view.misses_servers(Millis(5200)), "listed again");
+}
+
+/// The pattern of a loss of power: records of servers that are no more lapse
+/// after everything has started, and must not hold up the resets of their flows.
+#[test]
+fn a_server_that_vanishes_just_after_the_start_is_not_told_of() {
+    let mut catalog = catalog(&[1, 2]);
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(2000), changes(101, vec![removed]));
+    let view = catalog.view(Millis(2000)).unwrap();
+    assert!(!view.misses_servers(Millis(2000)));
+}
+
+#[test]
+fn a_server_that_left_is_not_told_of_as_missing() {
+    let mut catalog = catalog(&[1, 2]);
+    let mut draining = server(2, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(100), written(101, Record::Server(id(2), draining)));
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(5000), changes(102, vec![removed]));
+    let view = catalog.view(Millis(5000)).unwrap();
+    assert!(!view.misses_servers(Millis(5000)));
+}
+
 #[test]
 fn nobody_is_gone_while_the_platform_is_away_and_shortly_after() {
     let mut catalog = catalog(&[1, 2]);
