Send a sign of life only behind the news that it counts

Cause: a reader's sign of life told the newest revision that the reader knows, even while news up to it still waited to be sent. A follower that lost the reader in between took itself for current: the next reader, at the same revision, sent it no listing, and what was missing (a server, a route) stayed missing until its record changed again. By such a view a living server counts as gone after 2.5 s, is no longer asked after 20 s, and its flows are reset.

Ruled out: a gap between the listing and the news after it (nothing else runs between subscribing and reading the listing).

Evidence: feed::a_sign_of_life_does_not_overtake_news failed before (sign of life at revision 103 behind news of 101) and passes now.

--- a/crates/transport/src/passthrough/feed.rs
+++ b/crates/transport/src/passthrough/feed.rs
@@ -133,7 +133,10 @@
             send(&mut write, &line(&News::Listing(listing))?).await?;
         }
         loop {
-            send(&mut write, &line(&self.alive())?).await?;
+            // A sign of life tells the revision that everything before it shows.
+            if news.is_empty() {
+                send(&mut write, &line(&self.alive())?).await?;
+            }
             tokio::select! {
                 // A follower says nothing more: this is its end.
                 _ = lines.next_line() => return Ok(()),
--- /dev/null
+++ b/crates/transport/tests/feed.rs
@@ -0,0 +1,68 @@
+//! What a reader of the platform tells its followers.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use ramp_coordination::passthrough::published::Changes;
+use ramp_coordination::passthrough::published::Listing;
+use ramp_coordination::passthrough::published::News;
+use ramp_coordination::passthrough::published::Revision;
+use ramp_state::time::Millis;
+use ramp_transport::clock::Clock;
+use ramp_transport::passthrough::feed::Feed;
+use ramp_transport::passthrough::feed::Following;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+const FIRST: Revision = Revision(100);
+
+/// A reader that has read up to [`FIRST`], and its address.
+async fn reader() -> (Rc<Feed>, SocketAddrV4) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let feed = Rc::new(Feed::new(Clock::start()));
+    let listing = Listing {
+        cursor: FIRST,
+        ..Listing::default()
+    };
+    feed.note_answer(true);
+    feed.catalog.borrow_mut().replace(Millis(1), listing);
+    spawn_local(Rc::clone(&feed).serve(listener));
+    (feed, SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+}
+
+fn learn(feed: &Feed, cursor: Revision) {
+    let changes = Changes {
+        cursor,
+        ..Changes::default()
+    };
+    feed.tell(&News::Changes(changes.clone()));
+    feed.catalog.borrow_mut().apply(Millis(2), changes);
+}
+
+/// A follower that loses its reader before the news behind such a sign of life
+/// would never get them: the next reader takes it for one that has them.
+#[tokio::test]
+async fn a_sign_of_life_does_not_overtake_news() {
+    let run = async {
+        let (feed, address) = reader().await;
+        let mut following = Following::start(address, FIRST).await.unwrap();
+        let first = following.next().await.unwrap();
+        assert!(matches!(first, News::Alive { cursor: FIRST, .. }));
+        let newest = Revision(FIRST.0 + 3);
+        for revision in FIRST.0 + 1..=newest.0 {
+            learn(&feed, Revision(revision));
+        }
+        let mut has = FIRST;
+        while has < newest {
+            match following.next().await.unwrap() {
+                News::Changes(changes) => has = changes.cursor,
+                News::Alive { cursor, .. } => assert_eq!(cursor, has),
+                News::Listing(_) => panic!("the follower had everything"),
+            }
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
