Ignore changes that are older than what is known

Cause: a process that moves to a reader which is behind got that reader's changes, and applied them over newer ones. A server that had been removed and listed again was removed once more. If the reader was lost before it caught up, the process stayed so: its revision was the newest, so the next reader sent it no listing. After 20 s that server was not asked any more, and a flow of it was reset. Old news also counted as an answer of the platform and settled the view after an outage.

Ruled out: changes that begin before the known revision and end behind it; they contain everything in between, so what they lead to is right.

--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -1,8 +1,9 @@
 //! Everything that the platform has published, as one process knows it.
 //!
-//! A listing replaces what was known, changes add to it. The version of the
-//! configuration never falls. A server that vanishes is remembered for a
-//! while: it may live on and have flows although its record lapsed.
+//! A listing replaces what was known, changes add to it; news that are older
+//! than what is known change nothing. The version of the configuration never
+//! falls. A server that vanishes is remembered for a while: it may live on and
+//! have flows although its record lapsed.
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -83,12 +84,12 @@
         self.failed_first |= self.cursor == Revision(0);
     }
 
-    /// Replaces everything by a listing.
+    /// Replaces everything by a listing, unless it is older.
     pub fn replace(&mut self, now: Millis, listing: Listing) {
-        self.answered(now);
         if listing.cursor < self.cursor {
             return;
         }
+        self.answered(now);
         let old = std::mem::take(&mut self.servers);
         let evacuated = std::mem::take(&mut self.evacuated);
         for record in listing.records {
@@ -108,8 +109,12 @@
         self.newest = self.newest.max(listing.newest);
     }
 
-    /// Adds changes.
+    /// Adds changes. Those up to an older revision are known already, and what
+    /// came after them must not be undone.
     pub fn apply(&mut self, now: Millis, changes: Changes) {
+        if changes.cursor < self.cursor {
+            return;
+        }
         self.answered(now);
         let none = IndexMap::new();
         for change in changes.changes {
@@ -118,7 +123,7 @@
                 Change::Removed(key) => self.remove(now, key),
             }
         }
-        self.cursor = self.cursor.max(changes.cursor);
+        self.cursor = changes.cursor;
         self.newest = self.newest.max(changes.newest);
     }
 
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -32,6 +32,38 @@
     assert_eq!(catalog.cursor(), Revision(200));
 }
 
+/// The pattern of a process that follows a reader which is behind and is then
+/// lost: nobody tells the process again what the old changes have undone.
+#[test]
+fn changes_from_the_past_undo_nothing() {
+    let mut catalog = catalog(&[1, 2]);
+    catalog.apply(Millis(1000), written(120, record(2, FEEDS)));
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(1100), changes(110, vec![removed.clone()]));
+    let view = catalog.view(Millis(1100)).unwrap();
+    assert_eq!(view.members().len(), 2);
+    assert_eq!(catalog.cursor(), Revision(120));
+
+    let again = vec![removed, Change::Written(record(2, FEEDS))];
+    catalog.apply(Millis(1200), changes(130, again));
+    assert_eq!(catalog.view(Millis(1200)).unwrap().members().len(), 2);
+}
+
+/// News that are older than what is known don't show that the platform
+/// answers now, so nobody is gone by them.
+#[test]
+fn news_from_the_past_settle_nothing() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1000), written(120, record(2, FEEDS)));
+    catalog.platform_failed();
+    catalog.replace(Millis(2000), listing(&[1]));
+    assert!(!catalog.is_well());
+    catalog.apply(Millis(2000), changes(110, Vec::new()));
+    assert!(!catalog.is_well());
+    catalog.apply(Millis(2000), changes(120, Vec::new()));
+    assert!(catalog.is_well());
+}
+
 #[test]
 fn a_removed_configuration_stays_in_force() {
     let mut catalog = catalog(&[1]);
