Don't take an old view for the present one

Cause: a process counted its view as settled until two calls of its own had failed. By the time limits in the code, with answers lost on the way back, that takes a reader 4.1 s from the last answer (0.2 s pause, watch 1.9 s, retry 0.05 s, watch 1.9 s), and a follower cut off from all readers about 5.5 s, since a lost reader counts as no failed call (1.2 s silence, then rounds of 0.5 s for each of three readers between two failed calls). A process that was frozen went on by the view from before. Meanwhile it denied flows of servers that it did not know yet, and counted lapsed ones as gone.

Change: a view whose last answer is 1.6 s old is not settled, whatever the calls wait for; 1.6 s is also the age from which a reader is not followed. The next answer settles it at once, since nothing has failed. It is logged.

Ruled out: treating the gap as an outage (a single lost answer would hold up resets for 2.5 s more; the history after the gap tells what lapsed in it).

Evidence: control::a_view_is_not_settled_while_a_watch_hangs failed before (no view within 3 s of a hanging watch) and passes now, as does catalog::what_was_heard_long_ago_settles_nothing_until_the_next_answer, whose method is new.

--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -7,6 +7,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -30,6 +31,9 @@
 use super::view::Member;
 use super::view::View;
 
+/// Age of the newest answer from which a listing says nothing of the present.
+const FRESH_LIMIT: Duration = Duration::from_millis(1600);
+
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -45,6 +49,10 @@
     well_since: Option<Millis>,
     /// When the platform first answered.
     known_since: Option<Millis>,
+    /// When the platform or a reader answered last.
+    answered_at: Millis,
+    /// Whether that was too long ago.
+    is_old: bool,
     /// Whether the platform failed before it first answered.
     failed_first: bool,
 }
@@ -60,9 +68,9 @@
         self.cursor
     }
 
-    /// Whether the platform has answered without a gap.
+    /// Whether the platform has answered without a gap, the last time just now.
     pub fn is_well(&self) -> bool {
-        self.well_since.is_some()
+        self.well_since.is_some() && !self.is_old
     }
 
     /// Whether a configuration is known.
@@ -84,6 +92,15 @@
         self.failed_first |= self.cursor == Revision(0);
     }
 
+    /// Takes note of the time, while nothing may be heard; true when everything
+    /// that is known has just become too old to tell who is gone. Nothing has
+    /// failed, so the next answer ends this.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let expired = self.is_well() && now.since(self.answered_at) >= FRESH_LIMIT;
+        self.is_old |= expired;
+        expired
+    }
+
     /// Replaces everything by a listing, unless it is older.
     pub fn replace(&mut self, now: Millis, listing: Listing) {
         if listing.cursor < self.cursor {
@@ -177,7 +194,7 @@
 
     /// Moment from which a server that is not listed counts as gone.
     fn settled_at(&self) -> Option<Millis> {
-        let since = self.well_since?;
+        let since = self.well_since.filter(|_| !self.is_old)?;
         if self.failed_first {
             return Some(since + RETURN_LIMIT);
         }
@@ -185,6 +202,8 @@
     }
 
     fn answered(&mut self, now: Millis) {
+        self.answered_at = now;
+        self.is_old = false;
         if self.well_since.is_none() {
             if self.cursor > Revision(0) {
                 self.failed_first = true;
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -64,6 +64,23 @@
     assert!(catalog.is_well());
 }
 
+/// The pattern of a one-way cut: nothing fails, and nothing new is heard.
+#[test]
+fn what_was_heard_long_ago_settles_nothing_until_the_next_answer() {
+    let mut catalog = catalog(&[1]);
+    assert!(!catalog.expire(Millis(1500)));
+    assert!(catalog.view(Millis(1500)).unwrap().is_settled(Millis(1500)));
+    assert!(catalog.expire(Millis(1600)));
+    assert!(!catalog.expire(Millis(1800)), "told once");
+    assert!(!catalog.view(Millis(1800)).unwrap().is_settled(Millis(1800)));
+    assert!(!catalog.is_well());
+
+    catalog.apply(Millis(2000), changes(100, Vec::new()));
+    assert!(catalog.is_well());
+    let view = catalog.view(Millis(2000)).unwrap();
+    assert!(view.is_settled(Millis(2000)), "nothing had failed");
+}
+
 #[test]
 fn a_removed_configuration_stays_in_force() {
     let mut catalog = catalog(&[1]);
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -16,6 +16,7 @@
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::source::Source;
 use ramp_coordination::passthrough::source::SourceError;
+use ramp_state::time::Millis;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -43,6 +44,9 @@
 /// Longest pause of everyone else.
 const RETRY_LONGEST_FOLLOWER: Duration = Duration::from_millis(1000);
 
+/// Time between two looks at how old the view is.
+const EXPIRE_EVERY: Duration = Duration::from_millis(200);
+
 /// Failed calls in a row from which the platform counts as away.
 const AWAY_AFTER: u32 = 2;
 
@@ -84,6 +88,15 @@
 impl<S: Source> Control<S> {
     /// Runs until the traffic thread has finished.
     pub async fn run(mut self) {
+        let feed = Rc::clone(&self.feed);
+        let expiring = expire(feed, self.clock, self.updates.clone());
+        tokio::select! {
+            () = self.follow_platform() => {}
+            () = expiring => {}
+        }
+    }
+
+    async fn follow_platform(&mut self) {
         let mut failures = 0;
         let mut list = true;
         loop {
@@ -247,12 +260,9 @@
     }
 
     fn publish(&self, catalog: &Catalog) {
-        let Some(view) = catalog.view(self.clock.now()) else {
-            return;
-        };
-        self.readiness.begin();
-        // The traffic thread is gone only when the process ends.
-        let _ = self.updates.send(Update::View(Arc::new(view)));
+        if send_view(catalog, self.clock.now(), &self.updates) {
+            self.readiness.begin();
+        }
     }
 
     fn cursor(&self) -> Revision {
@@ -298,6 +308,30 @@
     }
 }
 
+/// Tells the traffic thread once what it goes by has become too old, however
+/// the calls or readers hang.
+async fn expire(feed: Rc<Feed>, clock: Clock, updates: Sender<Update>) {
+    loop {
+        sleep(EXPIRE_EVERY).await;
+        let now = clock.now();
+        let mut catalog = feed.catalog.borrow_mut();
+        if catalog.expire(now) {
+            log::warn!("no news for too long: no server counts as gone now");
+            send_view(&catalog, now, &updates);
+        }
+    }
+}
+
+/// Hands over the view of this moment; false when nothing is known yet.
+fn send_view(catalog: &Catalog, now: Millis, updates: &Sender<Update>) -> bool {
+    let Some(view) = catalog.view(now) else {
+        return false;
+    };
+    // The traffic thread is gone only when the process ends.
+    let _ = updates.send(Update::View(Arc::new(view)));
+    true
+}
+
 /// Why waiting for news ended early.
 enum Behind {
     /// A peer knows more than this process.
