Read the platform after every round of lost readers

Cause: a reader that was lost is passed over for 1.5 s. Where finding out takes longer (two readers that accept connections and stay silent take 1.2 s each, as frozen ones do), the first may be tried again before the last is lost, and so on without end: the follower never read the platform, which it could reach, and never counted it as away.

Change: when all readers are lost, all are passed over from that moment, so the platform is read next. A reader that was followed since is not lost.

Evidence: feeds::after_a_slow_round_of_lost_readers_the_platform_is_read failed before (the first reader was picked again) and passes now.

--- a/crates/coordination/src/passthrough/feeds.rs
+++ b/crates/coordination/src/passthrough/feeds.rs
@@ -25,6 +25,8 @@
 struct Feed {
     address: SocketAddrV4,
     again_at: Millis,
+    /// Whether it could not be followed when it was tried last.
+    lost: bool,
 }
 
 /// The readers as one process sees them.
@@ -44,6 +46,7 @@
             .map(|address| Feed {
                 address: *address,
                 again_at: Millis(0),
+                lost: false,
             })
             .collect();
         feeds.sort_by_key(|f| mix(me.0 ^ u64::from(u32::from(*f.address.ip()))));
@@ -70,10 +73,30 @@
         self.reader.then_some(READER_FOLLOWS)
     }
 
-    /// Takes note that a reader can't be followed now.
+    /// Takes note that a reader is followed.
+    pub fn followed(&mut self, address: SocketAddrV4) {
+        for feed in self.feeds.iter_mut().filter(|f| f.address == address) {
+            feed.lost = false;
+        }
+    }
+
+    /// Takes note that a reader can't be followed now. When all are lost, the
+    /// platform is read before any of them is tried again, however long it
+    /// took to find out.
     pub fn failed(&mut self, address: SocketAddrV4, now: Millis) {
         for feed in self.feeds.iter_mut().filter(|f| f.address == address) {
             feed.again_at = now + FAILED_FOR;
+            feed.lost = true;
+        }
+        if self.feeds.iter().all(|f| f.lost) {
+            self.pass_over_all(now);
+        }
+    }
+
+    fn pass_over_all(&mut self, now: Millis) {
+        for feed in &mut self.feeds {
+            feed.again_at = now + FAILED_FOR;
+            feed.lost = false;
         }
     }
 }
--- a/crates/coordination/tests/passthrough/feeds.rs
+++ b/crates/coordination/tests/passthrough/feeds.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use ramp_coordination::passthrough::feeds::Feeds;
 use ramp_state::key::InstanceId;
@@ -50,6 +51,39 @@
     assert!(feeds.pick(Millis(1500), false).is_some());
 }
 
+/// The pattern of readers that accept connections and stay silent: a round of
+/// them takes so long that the first may be tried again. Nobody would ever read
+/// the platform itself, and the view would stay as it is.
+#[test]
+fn after_a_slow_round_of_lost_readers_the_platform_is_read() {
+    let mut feeds = Feeds::new(InstanceId(1), None, &readers());
+    let mut now = Millis(0);
+    for _ in 0..3 {
+        let reader = feeds.pick(now, false).unwrap();
+        now = now + Duration::from_millis(1200);
+        feeds.failed(reader, now);
+    }
+    assert_eq!(feeds.pick(now, false), None);
+    assert!(
+        feeds
+            .pick(now + Duration::from_millis(1500), false)
+            .is_some()
+    );
+}
+
+#[test]
+fn a_reader_that_was_followed_in_between_is_not_lost() {
+    let mut feeds = Feeds::new(InstanceId(1), None, &readers());
+    let first = feeds.pick(Millis(0), false).unwrap();
+    feeds.failed(first, Millis(0));
+    assert_eq!(feeds.pick(Millis(5000), false), Some(first));
+    feeds.followed(first);
+    for other in readers().into_iter().filter(|r| *r != first) {
+        feeds.failed(other, Millis(9000));
+    }
+    assert_eq!(feeds.pick(Millis(9000), false), Some(first));
+}
+
 #[test]
 fn without_readers_everyone_reads() {
     let feeds = Feeds::new(InstanceId(1), Some(reader(9)), &[]);
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -222,6 +222,7 @@
                 }
                 Ok(news) => {
                     behind = false;
+                    self.feeds.followed(reader);
                     self.learn(news);
                 }
                 Err(err) => return Turn::ReaderLost(err.to_string()),
