Ask a server that vanished for as long as flows last

Cause: a server that is cut off from the platform alone loses its record and goes on with its flows. It was asked for them for 20 s; from then on it counted as gone without a question, and an open flow was reset as soon as all listed servers had denied it.

Change: a server that was ready when it vanished is asked for 60 s, one that was draining for 20 s as before.

Ruled out: addresses that are used again (the new server there is listed and asked in place of the old one; it denies what it does not have), and a server that is listed again under its id at another address (its earlier run is over).

Evidence: catalog::a_server_that_vanished_without_leaving_is_asked_as_long_as_ flows_last failed before (one holder in place of two after 55 s) and passes now.

--- a/crates/coordination/src/passthrough/listed.rs
+++ b/crates/coordination/src/passthrough/listed.rs
@@ -16,9 +16,13 @@
 use super::published::ServerState;
 use super::view::Departed;
 
-/// How long a server that vanished may still be asked for its flows.
+/// How long a server that left is still asked for its flows.
 const DEPARTED_KEPT: Duration = Duration::from_secs(20);
 
+/// How long a server that vanished without leaving is still asked for its
+/// flows: it may live on, cut off from the platform alone.
+const VANISHED_KEPT: Duration = Duration::from_secs(60);
+
 /// Time for which a server whose record lapsed while the platform was away
 /// still gets new flows.
 const LAPSED_KEPT: Duration = Duration::from_millis(2000);
@@ -93,14 +97,14 @@
 
     /// Forgets those that have been missing for long.
     pub(super) fn forget(&mut self, now: Millis) {
-        self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
+        self.departed.retain(|d| may_have_flows(d, now));
         self.lapses.retain(|l| now < l.until);
     }
 
     /// Servers that may still be asked for their flows.
     pub(super) fn departed(&self, now: Millis) -> impl Iterator<Item = Departed> {
         let departed = self.departed.iter().copied();
-        departed.filter(move |d| now.since(d.at) < DEPARTED_KEPT)
+        departed.filter(move |d| may_have_flows(d, now))
     }
 
     /// Servers that still get new flows, and until when.
@@ -109,3 +113,12 @@
         recent.map(|l| (&l.listed, l.until))
     }
 }
+
+fn may_have_flows(departed: &Departed, now: Millis) -> bool {
+    let kept = if departed.was_ready {
+        VANISHED_KEPT
+    } else {
+        DEPARTED_KEPT
+    };
+    now.since(departed.at) < kept
+}
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -1,5 +1,6 @@
 //! What one process knows of the platform.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use ramp_coordination::passthrough::published::Change;
@@ -174,6 +175,26 @@
     assert!(!view.misses_servers(Millis(5200)), "listed again");
 }
 
+/// The pattern of a server that is cut off from the platform alone: it goes on
+/// with its flows, and whoever no longer asked it would reset them.
+#[test]
+fn a_server_that_vanished_without_leaving_is_asked_as_long_as_flows_last() {
+    let mut catalog = catalog(&[1, 2, 3]);
+    let mut draining = server(3, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(100), written(101, Record::Server(id(3), draining)));
+    let removed = [2, 3].map(|last| Change::Removed(RecordKey::Server(id(last))));
+    catalog.apply(Millis(5000), changes(102, removed.to_vec()));
+    catalog.apply(Millis(60_000), changes(103, Vec::new()));
+    let view = catalog.view(Millis(60_000)).unwrap();
+    let holders: Vec<Ipv4Addr> = view.holders().collect();
+    assert_eq!(holders, [ip(1), ip(2)], "the third left by plan");
+
+    catalog.apply(Millis(66_000), changes(104, Vec::new()));
+    let view = catalog.view(Millis(66_000)).unwrap();
+    assert_eq!(view.holders().count(), 1);
+}
+
 /// The pattern of a loss of power: records of servers that are no more lapse
 /// after everything has started, and must not hold up the resets of their flows.
 #[test]
