Keep an outage that a reader without news has interrupted

Cause: a process noted an outage with its second failed call only. During an outage it also asks readers; one that had read a little more sent its listing first and then said that it was not current. The listing counted as an answer, later failed calls did not take that back, and 2.5 s on the view was settled in the middle of the outage, with lapsed records missing from it.

Change: each failed call from the second on notes the outage, unless it is noted already. The listing itself stays of use to a process that has none.

Ruled out: sending the sign of life before the listing (its revision would stand for news that the follower does not have).

--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -86,10 +86,10 @@
         self.failed_first |= self.cursor == Revision(0);
     }
 
-    /// Takes note that the platform is away.
-    pub fn platform_failed(&mut self) {
-        self.well_since = None;
+    /// Takes note that the platform is away; true when it was not before.
+    pub fn platform_failed(&mut self) -> bool {
         self.failed_first |= self.cursor == Revision(0);
+        self.well_since.take().is_some()
     }
 
     /// Takes note of the time, while nothing may be heard; true when everything
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -277,11 +277,8 @@
             log::warn!("{err}; failed calls in a row: {failures}");
         }
         self.feed.note_failure();
-        if failures == AWAY_AFTER {
-            self.feed.note_answer(false);
-            let mut catalog = self.feed.catalog.borrow_mut();
-            catalog.platform_failed();
-            self.publish(&catalog);
+        if failures >= AWAY_AFTER {
+            self.note_away();
         }
         let longest = if self.feeds.is_reader() {
             RETRY_LONGEST
@@ -292,6 +289,16 @@
         self.pause(longer.min(longest)).await
     }
 
+    /// Takes note that the platform is away. A reader that is not current may
+    /// have told something since this was noted last.
+    fn note_away(&self) {
+        self.feed.note_answer(false);
+        let mut catalog = self.feed.catalog.borrow_mut();
+        if catalog.platform_failed() {
+            self.publish(&catalog);
+        }
+    }
+
     /// Waits; true when the process ends.
     async fn pause(&self, span: Duration) -> bool {
         let pause = sleep(span);
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -1,15 +1,20 @@
 //! How control of a process takes a platform that stops answering.
 
 use std::future::pending;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Receiver;
+use flume::Sender;
 use ramp_coordination::passthrough::feeds::Feeds;
 use ramp_coordination::passthrough::published::Changes;
 use ramp_coordination::passthrough::published::Configuration;
 use ramp_coordination::passthrough::published::Listing;
+use ramp_coordination::passthrough::published::News;
+use ramp_coordination::passthrough::published::RETURN_LIMIT;
 use ramp_coordination::passthrough::published::Record;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::source::Source;
@@ -19,8 +24,11 @@
 use ramp_transport::clock::Clock;
 use ramp_transport::passthrough::control::Control;
 use ramp_transport::passthrough::feed::Feed;
+use ramp_transport::passthrough::news::Event;
 use ramp_transport::passthrough::news::Update;
 use ramp_transport::passthrough::ready::Readiness;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -28,27 +36,27 @@
 /// Time in which the next view must come.
 const VIEW_LIMIT: Duration = Duration::from_millis(3000);
 
+/// Time in which one more refused call must tell that the platform is away.
+const AWAY_AGAIN: Duration = Duration::from_millis(1000);
+
 const CURSOR: Revision = Revision(100);
 
-/// Platform that is read up to [`CURSOR`]; whether a watch is answered is told
-/// from outside.
+/// Platform that is read up to [`CURSOR`]; how a watch ends is told from
+/// outside.
 struct Platform {
-    answers: Receiver<()>,
+    answers: Receiver<Result<(), SourceError>>,
 }
 
 impl Source for Platform {
     async fn list(&mut self) -> Result<Listing, SourceError> {
-        Ok(Listing {
-            cursor: CURSOR,
-            newest: CURSOR,
-            records: vec![Record::Configuration(Configuration::default())],
-        })
+        Ok(first_listing())
     }
 
     async fn watch(&mut self, after: Revision, _: Duration) -> Result<Changes, SourceError> {
-        if self.answers.recv_async().await.is_err() {
+        let Ok(answer) = self.answers.recv_async().await else {
             return pending().await;
-        }
+        };
+        answer?;
         Ok(Changes {
             cursor: after,
             ..Changes::default()
@@ -56,6 +64,41 @@
     }
 }
 
+/// What a process under test sends and takes; dropping it ends the process.
+struct Started {
+    updates: Receiver<Update>,
+    _events: Sender<Event>,
+}
+
+fn start<S: Source + 'static>(source: S, feeds: Feeds) -> (Started, Clock) {
+    let clock = Clock::start();
+    let (updates_tx, updates) = flume::unbounded();
+    let (events_tx, events) = flume::unbounded();
+    let control = Control {
+        source,
+        clock,
+        updates: updates_tx,
+        events,
+        readiness: Rc::new(Readiness::default()),
+        feed: Rc::new(Feed::new(clock)),
+        feeds,
+    };
+    spawn_local(control.run());
+    let started = Started {
+        updates,
+        _events: events_tx,
+    };
+    (started, clock)
+}
+
+fn first_listing() -> Listing {
+    Listing {
+        cursor: CURSOR,
+        newest: CURSOR,
+        records: vec![Record::Configuration(Configuration::default())],
+    }
+}
+
 async fn next_view(updates: &Receiver<Update>) -> Arc<View> {
     let update = timeout(VIEW_LIMIT, updates.recv_async()).await;
     let Update::View(view) = update.expect("a view in time").unwrap() else {
@@ -64,32 +107,102 @@
     view
 }
 
+/// Reader that the platform refuses too. Each time it is followed it knows a
+/// little more than before, and says that it is not current.
+async fn serve_refused_reader(listener: TcpListener) {
+    for revision in CURSOR.0 + 1.. {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let cursor = Revision(revision);
+        let listing = News::Listing(Listing {
+            cursor,
+            ..Listing::default()
+        });
+        let alive = News::Alive {
+            cursor,
+            current: false,
+        };
+        for news in [listing, alive] {
+            let line = serde_json::to_string(&news).unwrap() + "\n";
+            stream.write_all(line.as_bytes()).await.unwrap();
+        }
+    }
+}
+
+/// A platform that has answered once, and then refuses every call.
+struct Refusing;
+
+impl Source for Refusing {
+    async fn list(&mut self) -> Result<Listing, SourceError> {
+        Ok(first_listing())
+    }
+
+    async fn watch(&mut self, _: Revision, _: Duration) -> Result<Changes, SourceError> {
+        Err(SourceError::Refused(503))
+    }
+}
+
+/// The pattern of an outage in which readers learn a little more now and then:
+/// what one of them tells that is not current must not end the outage here.
+#[tokio::test]
+async fn a_reader_that_is_not_current_does_not_end_an_outage() {
+    let run = async {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let reader = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        spawn_local(serve_refused_reader(listener));
+        let feeds = Feeds::new(InstanceId(1), None, &[reader]);
+        let (started, clock) = start(Refusing, feeds);
+        let is_away = |view: &View| !view.is_settled(clock.now() + RETURN_LIMIT);
+        while !is_away(&*next_view(&started.updates).await) {}
+        let told = next_view(&started.updates).await;
+        assert_eq!(told.cursor, Revision(CURSOR.0 + 2));
+        let next = timeout(AWAY_AGAIN, next_view(&started.updates)).await;
+        assert!(is_away(&next.expect("a view at once")));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// The pattern of a one-way cut: the connection stays, the answer never comes.
 /// By its old view the process would deny what is new.
 #[tokio::test]
 async fn a_view_is_not_settled_while_a_watch_hangs() {
     let run = async {
-        let clock = Clock::start();
         let (answer, answers) = flume::unbounded();
-        let (updates_tx, updates) = flume::unbounded();
-        let (_events_tx, events) = flume::unbounded();
-        let control = Control {
-            source: Platform { answers },
-            clock,
-            updates: updates_tx,
-            events,
-            readiness: Rc::new(Readiness::default()),
-            feed: Rc::new(Feed::new(clock)),
-            feeds: Feeds::new(InstanceId(1), None, &[]),
-        };
-        spawn_local(control.run());
-        assert!(next_view(&updates).await.is_settled(clock.now()));
-        assert!(!next_view(&updates).await.is_settled(clock.now()), "old");
-        answer.send(()).unwrap();
+        let feeds = Feeds::new(InstanceId(1), None, &[]);
+        let (started, clock) = start(Platform { answers }, feeds);
+        assert!(next_view(&started.updates).await.is_settled(clock.now()));
         assert!(
-            next_view(&updates).await.is_settled(clock.now()),
+            !next_view(&started.updates).await.is_settled(clock.now()),
+            "old"
+        );
+        answer.send(Ok(())).unwrap();
+        assert!(
+            next_view(&started.updates).await.is_settled(clock.now()),
             "answered"
         );
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// A view that has become old before the calls fail must not hide the outage:
+/// records may have lapsed in it.
+#[tokio::test]
+async fn an_outage_that_began_with_a_hanging_watch_is_one() {
+    let run = async {
+        let (answer, answers) = flume::unbounded();
+        let feeds = Feeds::new(InstanceId(1), None, &[]);
+        let (started, clock) = start(Platform { answers }, feeds);
+        next_view(&started.updates).await;
+        assert!(!next_view(&started.updates).await.is_settled(clock.now()));
+        for _ in 0..2 {
+            answer.send(Err(SourceError::Refused(503))).unwrap();
+        }
+        answer.send(Ok(())).unwrap();
+        let away = next_view(&started.updates).await;
+        assert!(!away.is_settled(clock.now() + RETURN_LIMIT));
+        let back = next_view(&started.updates).await;
+        assert!(!back.is_settled(clock.now()));
+        assert!(back.is_settled(clock.now() + RETURN_LIMIT));
+    };
+    LocalSet::new().run_until(run).await;
+}
