Take an idle limit that is not told for a long one

Cause: a configuration without an idle limit was read as one of zero. An agent that was restarted beside its server then took itself for complete at once and denied open flows that it had not seen; a balancer forgot its flows with each packet.

Ruled out, of what depends on the idle limit: a limit that falls (a restarted agent that is complete by it has seen every flow that is not idle by it), a limit that rises (the agent is incomplete again), and a balancer that forgets flows early (it asks for their owner).

Evidence: catalog::without_an_idle_limit_flows_are_not_taken_for_idle failed before (limit of zero) and passes now.

--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -19,6 +19,10 @@
 use super::published::ServicePolicy;
 use super::published::Share;
 
+/// Silence after which a flow may be forgotten where the configuration does not
+/// say.
+const IDLE_LIMIT_UNTOLD: Duration = Duration::from_secs(60);
+
 /// One backend server with its agent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Member {
@@ -135,11 +139,15 @@
         answers: Answers,
     ) -> View {
         let routes = configuration.routes.iter();
+        let idle_limit = match configuration.idle_limit {
+            Duration::ZERO => IDLE_LIMIT_UNTOLD,
+            limit => limit,
+        };
         View {
             newest,
             cursor,
             version: configuration.version,
-            idle_limit: configuration.idle_limit,
+            idle_limit,
             routes: routes.map(|r| (r.address, r.clone())).collect(),
             policies: configuration.services.clone(),
             members,
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -297,6 +297,18 @@
     );
 }
 
+/// An agent that was restarted beside its server would take itself at once for
+/// one that knows all flows, and deny those that it has not seen.
+#[test]
+fn without_an_idle_limit_flows_are_not_taken_for_idle() {
+    let mut untold = configuration(2);
+    untold.idle_limit = Duration::ZERO;
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Configuration(untold)));
+    let view = catalog.view(Millis(1)).unwrap();
+    assert!(view.idle_limit >= Duration::from_secs(60));
+}
+
 #[test]
 fn weights_part_the_new_flows() {
     let mut next = configuration(2);
