--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -1,11 +1,13 @@
 //! Everything that the platform has published, as one process knows it.
 //!
-//! A listing replaces what was known, changes add to it. The version of the
-//! configuration never falls. A server that vanishes is remembered for a
-//! while: it may live on and have flows although its record lapsed.
+//! A listing replaces what was known, changes add to it; news that are older
+//! than what is known change nothing. The version of the configuration never
+//! falls. A server that vanishes is remembered for a while: it may live on and
+//! have flows although its record lapsed.
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -29,6 +31,9 @@
 use super::view::Member;
 use super::view::View;
 
+/// Age of the newest answer from which a listing says nothing of the present.
+const FRESH_LIMIT: Duration = Duration::from_millis(1600);
+
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -44,6 +49,10 @@
     well_since: Option<Millis>,
     /// When the platform first answered.
     known_since: Option<Millis>,
+    /// When the platform or a reader answered last.
+    answered_at: Millis,
+    /// Whether that was too long ago.
+    is_old: bool,
     /// Whether the platform failed before it first answered.
     failed_first: bool,
 }
@@ -59,9 +68,9 @@
         self.cursor
     }
 
-    /// Whether the platform has answered without a gap.
+    /// Whether the platform has answered without a gap, the last time just now.
     pub fn is_well(&self) -> bool {
-        self.well_since.is_some()
+        self.well_since.is_some() && !self.is_old
     }
 
     /// Whether a configuration is known.
@@ -77,18 +86,27 @@
         self.failed_first |= self.cursor == Revision(0);
     }
 
-    /// Takes note that the platform is away.
-    pub fn platform_failed(&mut self) {
-        self.well_since = None;
+    /// Takes note that the platform is away; true when it was not before.
+    pub fn platform_failed(&mut self) -> bool {
         self.failed_first |= self.cursor == Revision(0);
+        self.well_since.take().is_some()
+    }
+
+    /// Takes note of the time, while nothing may be heard; true when everything
+    /// that is known has just become too old to tell who is gone. Nothing has
+    /// failed, so the next answer ends this.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let expired = self.is_well() && now.since(self.answered_at) >= FRESH_LIMIT;
+        self.is_old |= expired;
+        expired
     }
 
-    /// Replaces everything by a listing.
+    /// Replaces everything by a listing, unless it is older.
     pub fn replace(&mut self, now: Millis, listing: Listing) {
-        self.answered(now);
         if listing.cursor < self.cursor {
             return;
         }
+        self.answered(now);
         let old = std::mem::take(&mut self.servers);
         let evacuated = std::mem::take(&mut self.evacuated);
         for record in listing.records {
@@ -108,8 +126,12 @@
         self.newest = self.newest.max(listing.newest);
     }
 
-    /// Adds changes.
+    /// Adds changes. Those up to an older revision are known already, and what
+    /// came after them must not be undone.
     pub fn apply(&mut self, now: Millis, changes: Changes) {
+        if changes.cursor < self.cursor {
+            return;
+        }
         self.answered(now);
         let none = IndexMap::new();
         for change in changes.changes {
@@ -118,7 +140,7 @@
                 Change::Removed(key) => self.remove(now, key),
             }
         }
-        self.cursor = self.cursor.max(changes.cursor);
+        self.cursor = changes.cursor;
         self.newest = self.newest.max(changes.newest);
     }
 
@@ -172,7 +194,7 @@
 
     /// Moment from which a server that is not listed counts as gone.
     fn settled_at(&self) -> Option<Millis> {
-        let since = self.well_since?;
+        let since = self.well_since.filter(|_| !self.is_old)?;
         if self.failed_first {
             return Some(since + RETURN_LIMIT);
         }
@@ -180,6 +202,8 @@
     }
 
     fn answered(&mut self, now: Millis) {
+        self.answered_at = now;
+        self.is_old = false;
         if self.well_since.is_none() {
             if self.cursor > Revision(0) {
                 self.failed_first = true;
--- a/crates/coordination/src/passthrough/listed.rs
+++ b/crates/coordination/src/passthrough/listed.rs
@@ -16,9 +16,13 @@
 use super::published::ServerState;
 use super::view::Departed;
 
-/// How long a server that vanished may still be asked for its flows.
+/// How long a server that left is still asked for its flows.
 const DEPARTED_KEPT: Duration = Duration::from_secs(20);
 
+/// How long a server that vanished without leaving is still asked for its
+/// flows: it may live on, cut off from the platform alone.
+const VANISHED_KEPT: Duration = Duration::from_secs(60);
+
 /// Time for which a server whose record lapsed while the platform was away
 /// still gets new flows.
 const LAPSED_KEPT: Duration = Duration::from_millis(2000);
@@ -69,11 +73,16 @@
     /// A server has vanished from the listing.
     pub(super) fn missed(&mut self, now: Millis, id: ServerId, listed: Listed) {
         let address = listed.address();
+        let was_ready = listed.server.state == ServerState::Ready;
         self.departed.retain(|d| d.address != address);
-        self.departed.push(Departed { address, at: now });
+        self.departed.push(Departed {
+            address,
+            at: now,
+            was_ready,
+        });
         let failed = |at: Millis| now.since(at) < RETURN_LIMIT;
         let by_failure = self.failed_at.is_some_and(failed);
-        if by_failure && listed.server.state == ServerState::Ready {
+        if by_failure && was_ready {
             let until = now + LAPSED_KEPT;
             self.lapses.push(Lapse { id, listed, until });
         }
@@ -88,14 +97,14 @@
 
     /// Forgets those that have been missing for long.
     pub(super) fn forget(&mut self, now: Millis) {
-        self.departed.retain(|d| now.since(d.at) < DEPARTED_KEPT);
+        self.departed.retain(|d| may_have_flows(d, now));
         self.lapses.retain(|l| now < l.until);
     }
 
     /// Servers that may still be asked for their flows.
     pub(super) fn departed(&self, now: Millis) -> impl Iterator<Item = Departed> {
         let departed = self.departed.iter().copied();
-        departed.filter(move |d| now.since(d.at) < DEPARTED_KEPT)
+        departed.filter(move |d| may_have_flows(d, now))
     }
 
     /// Servers that still get new flows, and until when.
@@ -104,3 +113,12 @@
         recent.map(|l| (&l.listed, l.until))
     }
 }
+
+fn may_have_flows(departed: &Departed, now: Millis) -> bool {
+    let kept = if departed.was_ready {
+        VANISHED_KEPT
+    } else {
+        DEPARTED_KEPT
+    };
+    now.since(departed.at) < kept
+}
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -19,6 +19,10 @@
 use super::published::ServicePolicy;
 use super::published::Share;
 
+/// Silence after which a flow may be forgotten where the configuration does not
+/// say.
+const IDLE_LIMIT_UNTOLD: Duration = Duration::from_secs(60);
+
 /// One backend server with its agent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Member {
@@ -71,6 +75,15 @@
     pub address: Ipv4Addr,
     /// When it was missed first.
     pub at: Millis,
+    /// Whether it was ready, and so did not leave by plan.
+    pub was_ready: bool,
+}
+
+impl Departed {
+    /// Whether it has not had the time to be listed again.
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < RETURN_LIMIT
+    }
 }
 
 /// A server whose record lapsed while the platform was away. It most likely
@@ -126,11 +139,15 @@
         answers: Answers,
     ) -> View {
         let routes = configuration.routes.iter();
+        let idle_limit = match configuration.idle_limit {
+            Duration::ZERO => IDLE_LIMIT_UNTOLD,
+            limit => limit,
+        };
         View {
             newest,
             cursor,
             version: configuration.version,
-            idle_limit: configuration.idle_limit,
+            idle_limit,
             routes: routes.map(|r| (r.address, r.clone())).collect(),
             policies: configuration.services.clone(),
             members,
@@ -211,13 +228,17 @@
             return false;
         }
         let departed = self.departed.iter().find(|d| d.address == address);
-        departed.is_none_or(|d| now.since(d.at) >= RETURN_LIMIT)
+        departed.is_none_or(|d| !d.is_recent(now))
     }
 
     /// Whether living servers may be missing from the listing: the platform was
-    /// away a moment ago.
+    /// away a moment ago, or a server vanished without leaving. What vanishes
+    /// just after the start is most likely left from before a loss of power.
     pub fn misses_servers(&self, now: Millis) -> bool {
-        !self.is_settled(now) || self.lapsed_at(now).next().is_some()
+        let may_return = |d: &Departed| d.was_ready && d.is_recent(now) && !self.is_young(d.at);
+        !self.is_settled(now)
+            || self.lapsed_at(now).next().is_some()
+            || self.departed.iter().any(may_return)
     }
 
     /// Whether this process has known anything for so short a time that it may
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -1,5 +1,6 @@
 //! What one process knows of the platform.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use ramp_coordination::passthrough::published::Change;
@@ -32,6 +33,55 @@
     assert_eq!(catalog.cursor(), Revision(200));
 }
 
+/// The pattern of a process that follows a reader which is behind and is then
+/// lost: nobody tells the process again what the old changes have undone.
+#[test]
+fn changes_from_the_past_undo_nothing() {
+    let mut catalog = catalog(&[1, 2]);
+    catalog.apply(Millis(1000), written(120, record(2, FEEDS)));
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(1100), changes(110, vec![removed.clone()]));
+    let view = catalog.view(Millis(1100)).unwrap();
+    assert_eq!(view.members().len(), 2);
+    assert_eq!(catalog.cursor(), Revision(120));
+
+    let again = vec![removed, Change::Written(record(2, FEEDS))];
+    catalog.apply(Millis(1200), changes(130, again));
+    assert_eq!(catalog.view(Millis(1200)).unwrap().members().len(), 2);
+}
+
+/// News that are older than what is known don't show that the platform
+/// answers now, so nobody is gone by them.
+#[test]
+fn news_from_the_past_settle_nothing() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1000), written(120, record(2, FEEDS)));
+    catalog.platform_failed();
+    catalog.replace(Millis(2000), listing(&[1]));
+    assert!(!catalog.is_well());
+    catalog.apply(Millis(2000), changes(110, Vec::new()));
+    assert!(!catalog.is_well());
+    catalog.apply(Millis(2000), changes(120, Vec::new()));
+    assert!(catalog.is_well());
+}
+
+/// The pattern of a one-way cut: nothing fails, and nothing new is heard.
+#[test]
+fn what_was_heard_long_ago_settles_nothing_until_the_next_answer() {
+    let mut catalog = catalog(&[1]);
+    assert!(!catalog.expire(Millis(1500)));
+    assert!(catalog.view(Millis(1500)).unwrap().is_settled(Millis(1500)));
+    assert!(catalog.expire(Millis(1600)));
+    assert!(!catalog.expire(Millis(1800)), "told once");
+    assert!(!catalog.view(Millis(1800)).unwrap().is_settled(Millis(1800)));
+    assert!(!catalog.is_well());
+
+    catalog.apply(Millis(2000), changes(100, Vec::new()));
+    assert!(catalog.is_well());
+    let view = catalog.view(Millis(2000)).unwrap();
+    assert!(view.is_settled(Millis(2000)), "nothing had failed");
+}
+
 #[test]
 fn a_removed_configuration_stays_in_force() {
     let mut catalog = catalog(&[1]);
@@ -108,6 +158,66 @@
     assert!(view.member_or_lapsed(ip(2), Millis(6101)).is_none(), "left");
 }
 
+/// The pattern of a record that is revoked while no call fails: an instance
+/// that starts meanwhile can't know of the server, and must not reset its flows.
+#[test]
+fn a_server_that_vanished_without_leaving_is_told_of_until_it_counts_as_gone() {
+    let mut catalog = catalog(&[1, 2]);
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(5000), changes(101, vec![removed]));
+    let view = catalog.view(Millis(5000)).unwrap();
+    assert!(view.misses_servers(Millis(5000)));
+    assert!(view.misses_servers(Millis(7400)));
+    assert!(!view.misses_servers(Millis(7500)), "gone");
+
+    catalog.apply(Millis(5200), written(102, record(2, FEEDS)));
+    let view = catalog.view(Millis(5200)).unwrap();
+    assert!(!view.misses_servers(Millis(5200)), "listed again");
+}
+
+/// The pattern of a server that is cut off from the platform alone: it goes on
+/// with its flows, and whoever no longer asked it would reset them.
+#[test]
+fn a_server_that_vanished_without_leaving_is_asked_as_long_as_flows_last() {
+    let mut catalog = catalog(&[1, 2, 3]);
+    let mut draining = server(3, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(100), written(101, Record::Server(id(3), draining)));
+    let removed = [2, 3].map(|last| Change::Removed(RecordKey::Server(id(last))));
+    catalog.apply(Millis(5000), changes(102, removed.to_vec()));
+    catalog.apply(Millis(60_000), changes(103, Vec::new()));
+    let view = catalog.view(Millis(60_000)).unwrap();
+    let holders: Vec<Ipv4Addr> = view.holders().collect();
+    assert_eq!(holders, [ip(1), ip(2)], "the third left by plan");
+
+    catalog.apply(Millis(66_000), changes(104, Vec::new()));
+    let view = catalog.view(Millis(66_000)).unwrap();
+    assert_eq!(view.holders().count(), 1);
+}
+
+/// The pattern of a loss of power: records of servers that are no more lapse
+/// after everything has started, and must not hold up the resets of their flows.
+#[test]
+fn a_server_that_vanishes_just_after_the_start_is_not_told_of() {
+    let mut catalog = catalog(&[1, 2]);
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(2000), changes(101, vec![removed]));
+    let view = catalog.view(Millis(2000)).unwrap();
+    assert!(!view.misses_servers(Millis(2000)));
+}
+
+#[test]
+fn a_server_that_left_is_not_told_of_as_missing() {
+    let mut catalog = catalog(&[1, 2]);
+    let mut draining = server(2, FEEDS);
+    draining.state = ServerState::Draining;
+    catalog.apply(Millis(100), written(101, Record::Server(id(2), draining)));
+    let removed = Change::Removed(RecordKey::Server(id(2)));
+    catalog.apply(Millis(5000), changes(102, vec![removed]));
+    let view = catalog.view(Millis(5000)).unwrap();
+    assert!(!view.misses_servers(Millis(5000)));
+}
+
 #[test]
 fn nobody_is_gone_while_the_platform_is_away_and_shortly_after() {
     let mut catalog = catalog(&[1, 2]);
@@ -187,6 +297,18 @@
     );
 }
 
+/// An agent that was restarted beside its server would take itself at once for
+/// one that knows all flows, and deny those that it has not seen.
+#[test]
+fn without_an_idle_limit_flows_are_not_taken_for_idle() {
+    let mut untold = configuration(2);
+    untold.idle_limit = Duration::ZERO;
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Configuration(untold)));
+    let view = catalog.view(Millis(1)).unwrap();
+    assert!(view.idle_limit >= Duration::from_secs(60));
+}
+
 #[test]
 fn weights_part_the_new_flows() {
     let mut next = configuration(2);
