--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -8,4 +8,5 @@
 mod feeds;
 mod fixture;
 mod reach;
+mod review;
 mod simulation;
--- /dev/null
+++ b/crates/coordination/tests/passthrough/review.rs
@@ -0,0 +1,402 @@
+//! Sequences found by the review of the incident FLOW that the code gets wrong.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::published::Change;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::RecordKey;
+use ramp_coordination::passthrough::published::ServerState;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Knowledge;
+use ramp_protocol::hop::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+/// When a caller sends a packet that is not acknowledged.
+const CALLER_SENDS_MS: [u64; 5] = [0, 200, 600, 1400, 3000];
+
+/// Time for which packets may miss their server.
+const STRAY_LIMIT_MS: u64 = 2000;
+
+/// Agents that get the packet itself.
+fn reached(step: &Step) -> Vec<Ipv4Addr> {
+    match step {
+        Step::Carry { agent, .. } => vec![*agent],
+        Step::Ask(question) => question.copies.clone(),
+        _ => Vec::new(),
+    }
+}
+
+fn carried(step: &Step) -> Ipv4Addr {
+    match step {
+        Step::Carry { agent, .. } => *agent,
+        _ => panic!("not carried: {step:?}"),
+    }
+}
+
+/// A balancer that knows of all agents that they know their servers' flows.
+fn balancer_beside(last: impl Iterator<Item = u8>) -> Balancer {
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    for last in last {
+        balancer.present(Millis(0), ip(last), &told);
+    }
+    balancer
+}
+
+/// Plays a flow that is not remembered; `heard` says which agents' answers get
+/// through, and when they deny. Gives the agents with the moment when each got
+/// the packet first.
+fn play(view: &View, all: u8, denies_at: impl Fn(u8) -> Option<u64>) -> Vec<(Ipv4Addr, u64)> {
+    play_flow(7, |_| view, all, denies_at)
+}
+
+/// The same for one of many flows, by the view of each moment.
+fn play_flow<'a>(
+    port: u16,
+    view_at: impl Fn(u64) -> &'a View,
+    all: u8,
+    denies_at: impl Fn(u8) -> Option<u64>,
+) -> Vec<(Ipv4Addr, u64)> {
+    let mut balancer = balancer_beside(1..=all);
+    let seg = segment(flow(port));
+    let mut first = Vec::new();
+    for now in 0..=CALLER_SENDS_MS[4] {
+        let view = view_at(now);
+        let mut steps = Vec::new();
+        if CALLER_SENDS_MS.contains(&now) {
+            steps.push(balancer.arrival(view, Millis(now), &seg));
+        }
+        let due = |sent: &u64| now == sent + CONFIRM_LIMIT.as_millis() as u64;
+        if CALLER_SENDS_MS.iter().any(due) {
+            steps.extend(balancer.overdue(view, Millis(now), &seg));
+        }
+        for agent in steps.iter().flat_map(reached) {
+            if first.iter().all(|(known, _)| *known != agent) {
+                first.push((agent, now));
+            }
+        }
+        for last in (1..=all).filter(|last| denies_at(*last) == Some(now)) {
+            let told = frame(FrameKind::Denied, flow(port));
+            balancer.denied(view, Millis(now), ip(last), &told);
+        }
+    }
+    first
+}
+
+fn assert_all_reached(first: &[(Ipv4Addr, u64)], owners: impl Iterator<Item = u8>) {
+    let missed: Vec<u8> = owners
+        .filter(|last| {
+            let at = first.iter().find(|(agent, _)| *agent == ip(*last));
+            at.is_none_or(|(_, at)| *at > STRAY_LIMIT_MS)
+        })
+        .collect();
+    assert_eq!(missed, [], "would own the flow and get no packet in time");
+}
+
+// One data centre of three whose answers are lost, at 60 servers: the caller
+// sends too seldom for the turns to come round.
+#[test]
+fn each_of_twenty_silent_agents_gets_a_packet_in_time() {
+    let all: Vec<u8> = (1..=60).collect();
+    let first = play(&view(&all), 60, |last| (last > 20).then_some(75));
+    assert_all_reached(&first, 1..=20);
+}
+
+// Eleven holders (ten servers and one that lately departed): one answer that
+// comes late moves the others from one turn to the other.
+#[test]
+fn a_late_denial_takes_no_agents_turn() {
+    let all: Vec<u8> = (1..=11).collect();
+    for late in 1..=11 {
+        let first = play(&view(&all), 11, |last| (last == late).then_some(1000));
+        assert_all_reached(&first, (1..=11).filter(|last| *last != late));
+    }
+}
+
+// A release under a one-way cut, at ten servers: seven have departed lately, and
+// the first of them is forgotten during the search.
+#[test]
+fn departed_holders_take_no_silent_owners_turn() {
+    let gone = |last| Change::Removed(RecordKey::Server(id(last)));
+    let all: Vec<u8> = (1..=17).collect();
+    let mut catalog = catalog(&all);
+    catalog.apply(Millis(0), changes(101, vec![gone(11)]));
+    let rest = (12..=17).map(gone).collect();
+    catalog.apply(Millis(5000), changes(102, rest));
+    let before = catalog.view(Millis(19_000)).unwrap();
+    assert_eq!(before.holders().count(), 17);
+    let after = catalog.view(Millis(21_000)).unwrap();
+    assert_eq!(after.holders().count(), 16);
+    for port in 1..200 {
+        let view_at = |now| if now < 1000 { &before } else { &after };
+        let answers = |last| (4..=10).contains(&last).then_some(75);
+        let first = play_flow(port, view_at, 17, answers);
+        assert_all_reached(&first, 1..=3);
+    }
+}
+
+// The caller's next packet shows that some server has answered the opening. Only
+// the word of its agent was lost.
+#[test]
+fn an_opening_that_the_caller_saw_answered_is_not_placed_again() {
+    let view = view(&[1, 2, 3, 4]);
+    let mut balancer = Balancer::new();
+    let syn = opening(flow(7), 0);
+    let owner = carried(&balancer.arrival(&view, Millis(0), &syn));
+    let data = segment(flow(7));
+    assert_eq!(carried(&balancer.arrival(&view, Millis(10), &data)), owner);
+    let placed = balancer.overdue(&view, Millis(70), &syn);
+    let carried_on = matches!(placed, Some(Step::Carry { agent, .. }) if agent != owner);
+    assert!(!carried_on, "a second server gets the opening");
+}
+
+// The same at a balancer that hears no agent: each timer of the opening takes
+// the open flow to one more server that does not have it.
+#[test]
+fn timers_of_an_opening_lead_no_open_flow_astray() {
+    let all: Vec<u8> = (1..=60).collect();
+    let view = view(&all);
+    let mut balancer = Balancer::new();
+    let syn = opening(flow(7), 0);
+    let owner = carried(&balancer.arrival(&view, Millis(0), &syn));
+    let mut seg = segment(flow(7));
+    let mut owner_got_at = 0;
+    let mut strays = 0;
+    for now in 1..=4000 {
+        if now % 70 == 0 {
+            balancer.overdue(&view, Millis(now), &syn);
+        }
+        if now % 50 == 10 {
+            seg.seq += 100;
+            let got = reached(&balancer.arrival(&view, Millis(now), &seg));
+            if got.contains(&owner) {
+                (owner_got_at, strays) = (now, 0);
+            } else {
+                strays += got.len();
+            }
+        }
+        let missed = now - owner_got_at >= STRAY_LIMIT_MS && strays >= 3;
+        assert!(!missed, "{strays} strays from {owner_got_at} to {now}");
+    }
+}
+
+// A balancer that leaves gives up on an opening, and one member is silent to its
+// question. Meanwhile a copy of the opening opens the flow through another
+// balancer, at a member that has denied it before.
+#[test]
+fn old_denials_of_an_opening_reset_no_flow_that_was_opened_since() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let syn = opening(flow(7), 0);
+    let first = carried(&balancer.arrival(&view, Millis(0), &syn));
+    balancer.waits(Millis(1), first, &frame(FrameKind::Waits, flow(7)));
+    let told = frame(FrameKind::Returned(Refusal::Overloaded), flow(7));
+    balancer.returned(&view, Millis(801), first, Refusal::Overloaded, &told, &syn);
+    let denied = frame(FrameKind::Denied, flow(7));
+    balancer.denied(&view, Millis(803), ip(1), &denied);
+    balancer.denied(&view, Millis(803), ip(2), &denied);
+    let step = balancer.denied(&view, Millis(3000), ip(3), &denied);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// An opening that waits is about to be opened: its agent must not say that its
+// server will not have it.
+#[test]
+fn an_agent_does_not_deny_a_flow_that_waits_beside_it() {
+    let mut small = server(1, FEEDS);
+    small.slots = 1;
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(0), written(101, Record::Server(id(1), small)));
+    let view = catalog.view(Millis(0)).unwrap();
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    let carry = frame(FrameKind::Carry(Inquiry::OwnerThoughBusy), flow(1));
+    let mut add = |port| {
+        agent.inbound(
+            Some(&view),
+            Millis(1),
+            balancer_ip(1),
+            &carry,
+            Inquiry::OwnerThoughBusy,
+            &opening(flow(port), 0),
+        )
+    };
+    assert!(matches!(add(1), Inbound::Pass { .. }));
+    assert_eq!(add(2), Inbound::Wait);
+    let known = agent.knowledge(Some(&view), Millis(2), &flow(2));
+    assert_ne!(known, Knowledge::HasNot);
+}
+
+// The time of day was set back between the start of a server and the restart of
+// its agent, which takes itself for the older one.
+#[test]
+fn an_agent_restarted_after_the_clock_was_set_back_denies_nothing() {
+    let mut sound = server(1, FEEDS);
+    sound.born_ms = 100_000;
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(0), written(101, Record::Server(id(1), sound)));
+    let view = catalog.view(Millis(20_000)).unwrap();
+    // 20 s later, by a clock that was set back by 25 s.
+    let agent = Agent::new(ip(1), FEEDS, 1, 95_000, Millis(20_000));
+    let known = agent.knowledge(Some(&view), Millis(20_001), &flow(7));
+    assert_ne!(known, Knowledge::HasNot);
+}
+
+// Flows may be idle for longer than an agent remembers them.
+#[test]
+fn an_agent_denies_no_flow_that_may_be_idle_for_longer_than_it_remembers() {
+    let mut long = configuration(2);
+    long.idle_limit = Duration::from_secs(50);
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(0), written(101, Record::Configuration(long)));
+    let view = catalog.view(Millis(0)).unwrap();
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    agent.outbound(Some(&view), Millis(1), &segment(flow(7)));
+    agent.take_unanswered(Millis(35_000));
+    let known = agent.knowledge(Some(&view), Millis(35_001), &flow(7));
+    assert_ne!(known, Knowledge::HasNot);
+}
+
+// A frozen agent gives back the original of an opening to a balancer that was
+// restarted. A copy of it has opened the flow through another balancer, and no
+// member takes new flows now.
+#[test]
+fn an_opening_of_an_earlier_process_that_comes_back_late_resets_nothing() {
+    let mut draining = server(2, FEEDS);
+    draining.state = ServerState::Draining;
+    let mut catalog = catalog(&[1, 2]);
+    catalog.apply(Millis(0), written(101, Record::Server(id(2), draining)));
+    let view = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let told = frame(FrameKind::Returned(Refusal::Leaving), flow(7));
+    let syn = opening(flow(7), 0);
+    let step = balancer.returned(&view, Millis(2000), ip(1), Refusal::Leaving, &told, &syn);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// Two servers have answered an opening, the balancer knows the wrong one, and
+// the caller only acknowledges what the right one sends again and again.
+#[test]
+fn a_confirmation_is_doubted_when_the_caller_repeats_an_acknowledgement() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let syn = opening(flow(7), 0);
+    let wrong = carried(&balancer.arrival(&view, Millis(0), &syn));
+    balancer.owned(Millis(1), wrong, &frame(FrameKind::Owned, flow(7)));
+    let ack = Segment {
+        len: 0,
+        ..segment(flow(7))
+    };
+    let mut others = 0;
+    for now in [100, 300, 700, 1500, 3100] {
+        let got = reached(&balancer.arrival(&view, Millis(now), &ack));
+        others += got.iter().filter(|agent| **agent != wrong).count();
+        if let Some(step) = balancer.overdue(&view, Millis(now + 70), &ack) {
+            others += reached(&step).iter().filter(|a| **a != wrong).count();
+        }
+    }
+    assert!(others > 0, "all of them went to the wrong server");
+}
+
+// One lost datagram is no proof that a server without a record is gone.
+#[test]
+fn one_lost_answer_resets_no_flow_of_a_server_without_a_record() {
+    let mut catalog = catalog(&[1, 2]);
+    let before = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let syn = opening(flow(7), 0);
+    let owner = carried(&balancer.arrival(&before, Millis(0), &syn));
+    balancer.owned(Millis(1), owner, &frame(FrameKind::Owned, flow(7)));
+    let last = owner.octets()[3];
+    let removed = Change::Removed(RecordKey::Server(id(last)));
+    catalog.apply(Millis(10), changes(101, vec![removed]));
+    let view = catalog.view(Millis(3000)).unwrap();
+    let seg = segment(flow(7));
+    assert!(reached(&balancer.arrival(&view, Millis(3000), &seg)).contains(&owner));
+    let other = ip(3 - last);
+    balancer.denied(
+        &view,
+        Millis(3002),
+        other,
+        &frame(FrameKind::Denied, flow(7)),
+    );
+    let next = Segment { seq: 1100, ..seg };
+    let step = balancer.arrival(&view, Millis(3080), &next);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// A balancer that started just after an outage does not know the server at which
+// another one has opened the flow, and all that it knows refuse a copy.
+#[test]
+fn an_opening_is_not_refused_by_a_view_that_may_lack_its_server() {
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(1), written(101, Record::Evacuation(EAST)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Denied, flow(7));
+    told.misses_servers = true;
+    let copy = opening(flow(7), 200);
+    assert!(matches!(
+        balancer.arrival(&view, Millis(300), &copy),
+        Step::Ask(_)
+    ));
+    let step = balancer.denied(&view, Millis(302), ip(1), &told);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// Two balancers ask about the same flow before the server answers: both must
+// hear of it, or the first takes a sound agent for a silent one.
+#[test]
+fn every_balancer_that_asked_hears_of_the_owner() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    let carry = frame(FrameKind::Carry(Inquiry::Owner), flow(1));
+    let mut told = Vec::new();
+    for (last, age) in [(1, 0), (2, 200)] {
+        let from = balancer_ip(last);
+        let syn = opening(flow(1), age);
+        let now = Millis(age + 1);
+        agent.inbound(Some(&view), now, from, &carry, Inquiry::Owner, &syn);
+    }
+    for now in [202, 203] {
+        let answer = Segment {
+            syn: true,
+            len: 0,
+            ..segment(flow(1))
+        };
+        told.extend(agent.outbound(Some(&view), Millis(now), &answer).tell);
+    }
+    told.sort();
+    assert_eq!(told, [balancer_ip(1), balancer_ip(2)]);
+}
+
+// A server that answered an opening need not be the one that the caller took:
+// its agent can't vouch for the flow by that answer alone.
+#[test]
+fn an_agent_does_not_vouch_for_a_flow_whose_opening_alone_was_answered() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    let carry = frame(FrameKind::Carry(Inquiry::Owner), flow(1));
+    let from = balancer_ip(1);
+    let syn = opening(flow(1), 0);
+    agent.inbound(Some(&view), Millis(1), from, &carry, Inquiry::Owner, &syn);
+    let answer = Segment {
+        syn: true,
+        len: 0,
+        ..segment(flow(1))
+    };
+    agent.outbound(Some(&view), Millis(2), &answer);
+    let known = agent.knowledge(Some(&view), Millis(3), &flow(1));
+    assert_eq!(known, Knowledge::Unsure);
+}
