--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -8,5 +8,5 @@
 mod feeds;
 mod fixture;
 mod reach;
-mod review;
 mod simulation;
+mod sound_flows;
--- a/crates/coordination/tests/passthrough/review.rs
+++ b/crates/coordination/tests/passthrough/sound_flows.rs
@@ -1,4 +1,4 @@
-//! Sequences found by the review of the incident FLOW that the code gets wrong.
+//! Sequences in which a sound flow could be reset, or miss its server.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
