Claim an open flow only once its caller has taken the server's answer

Cause: two servers may answer one opening. An agent said at once that its server had the flow of any later packet on which the server had sent something, if only its answer to the opening; and it told whoever had asked with a later packet as soon as the server repeated that answer. A balancer that remembered nothing was so sent to the server whose answer the caller had not taken.

Ruled out: holding back the confirmation of an opening until the caller's next packet; openings would be placed again after 70 ms. Waiting for the server's next packet alone; a request in one packet is acknowledged by its response only.

Change: a flow is claimed when the caller's packet acknowledges the answer that this server sent, or when the server has sent more than that answer. The confirmation of an opening is as it was.

Evidence: `a_server_whose_answer_the_caller_did_not_take_is_not_the_owner` and `a_repeated_answer_to_the_opening_tells_nobody_who_asked_later` failed before and pass now; `a_packet_that_acknowledges_the_servers_answer_is_owned_at_once` passes before and after.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -10,6 +10,7 @@
 use ramp_state::time::Millis;
 
 use super::Agent;
+use super::flow::Asker;
 use super::flow::Flow;
 use super::step::Inbound;
 use super::step::Release;
@@ -134,7 +135,10 @@
         }
         self.note_opening(now);
         let mut flow = Flow::new(now, waiter.seq);
-        flow.asked_by = Some(waiter.from);
+        flow.asked_by = Some(Asker {
+            balancer: waiter.from,
+            opening: true,
+        });
         flow.busy_since = Some(now);
         self.busy = self.busy.saturating_add(1);
         self.expected.push_back((now, waiter.flow));
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -28,16 +28,33 @@
 /// starts both.
 const STARTED_TOGETHER: Duration = Duration::from_millis(500);
 
+/// How far the caller's acknowledgements may be past the server's answer to the
+/// opening while they still acknowledge it.
+const ANSWER_WINDOW_BYTES: u32 = 1 << 17;
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
+/// A balancer that waits to hear of a flow's owner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asker {
+    pub(super) balancer: Ipv4Addr,
+    /// Whether it sent the opening: any answer of the server will do.
+    pub(super) opening: bool,
+}
+
 /// A flow at the server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flow {
     /// Balancer that waits to hear of its owner.
-    pub(super) asked_by: Option<Ipv4Addr>,
+    pub(super) asked_by: Option<Asker>,
     /// Whether the server has sent something on it.
     pub(super) open: bool,
+    /// Sequence number of the server's answer to the opening. Another server
+    /// may have answered as well.
+    answer_seq: Option<u32>,
+    /// Whether the caller has taken this server's answer.
+    pub(super) owned: bool,
     /// Since when a request is in progress, or about to come.
     pub(super) busy_since: Option<Millis>,
     /// Whether the request has come; before, it is only expected.
@@ -54,6 +71,8 @@
         Flow {
             asked_by: None,
             open: false,
+            answer_seq: None,
+            owned: false,
             busy_since: None,
             running: false,
             request: None,
@@ -62,6 +81,40 @@
         }
     }
 
+    /// Takes note of a packet of the caller: it acknowledges the answer of the
+    /// server that it took.
+    pub(super) fn caller_sent(&mut self, seg: &Segment) {
+        let Some(answer_seq) = self.answer_seq else {
+            return;
+        };
+        let acked = seg.ack.wrapping_sub(answer_seq);
+        if !seg.opens && seg.has_ack && acked <= ANSWER_WINDOW_BYTES {
+            self.owned = true;
+        }
+    }
+
+    /// Takes note of a packet of the server, which sends nothing but its answer
+    /// on a flow whose caller took another.
+    pub(super) fn server_sent(&mut self, seg: &Segment) {
+        self.open = true;
+        if !seg.syn {
+            self.owned = true;
+            return;
+        }
+        if self.answer_seq.is_some_and(|held| held != seg.seq) {
+            // The caller uses its port again.
+            self.owned = false;
+        }
+        self.answer_seq = Some(seg.seq);
+    }
+
+    /// The balancer that is to be told now that the server has sent a packet.
+    pub(super) fn take_told(&mut self) -> Option<Ipv4Addr> {
+        let owned = self.owned;
+        let told = self.asked_by.take_if(|a| a.opening || owned)?;
+        Some(told.balancer)
+    }
+
     /// Whether a packet of the caller opens the flow or brings new data. The
     /// request of a flow that opens is counted at once: it follows soon, and
     /// openings that come together must not be taken for an idle server's.
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -21,6 +21,7 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use self::flow::Asker;
 use self::flow::Flow;
 use super::mark::Mark;
 use super::mark::Senders;
@@ -118,9 +119,13 @@
             .entry(seg.key)
             .or_insert_with(|| Flow::new(now, seg.seq));
         flow.seen_at = now;
-        let owned = asked && flow.open && !seg.opens;
+        flow.caller_sent(seg);
+        let owned = asked && flow.owned && !seg.opens;
         if asked && !owned {
-            flow.asked_by = Some(from);
+            flow.asked_by = Some(Asker {
+                balancer: from,
+                opening: seg.opens,
+            });
         }
         if flow.begins_request(seg) && flow.busy_since.is_none() {
             if seg.opens {
@@ -148,8 +153,8 @@
             .entry(seg.key)
             .or_insert_with(|| Flow::new(now, seg.ack));
         flow.seen_at = now;
-        flow.open = true;
-        let tell = flow.asked_by.take();
+        flow.server_sent(seg);
+        let tell = flow.take_told();
         if seg.len == 0 && !seg.fin {
             return Outbound {
                 tell,
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -554,6 +554,59 @@
     assert_eq!(know(&agent), Knowledge::HasNot, "its server has lost it");
 }
 
+/// Guards against a claim to a flow that another server answered as well, and
+/// whose caller took the other answer.
+#[test]
+fn a_server_whose_answer_the_caller_did_not_take_is_not_the_owner() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    open(&mut agent, &view, 0, 9);
+    answer(&mut agent, &view, 1, 9);
+    let elsewhere = Segment {
+        ack: 0x9000_0000,
+        ..segment(flow(9))
+    };
+    let from = balancer_ip(2);
+    let inquiry = Inquiry::OwnerOfCopy;
+    let step = agent.inbound(Some(&view), Millis(2), from, &carry(9), inquiry, &elsewhere);
+    assert!(matches!(step, Inbound::Pass { owned: false, .. }));
+}
+
+/// Guards against a doubt about a flow whose server acknowledges late.
+#[test]
+fn a_packet_that_acknowledges_the_servers_answer_is_owned_at_once() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    open(&mut agent, &view, 0, 9);
+    answer(&mut agent, &view, 1, 9);
+    let from = balancer_ip(2);
+    let inquiry = Inquiry::OwnerOfCopy;
+    let request = segment(flow(9));
+    let step = agent.inbound(Some(&view), Millis(2), from, &carry(9), inquiry, &request);
+    assert!(matches!(step, Inbound::Pass { owned: true, .. }));
+}
+
+/// Guards against a claim by a server that only repeats its answer to the
+/// opening, while the flow is open at another.
+#[test]
+fn a_repeated_answer_to_the_opening_tells_nobody_who_asked_later() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    let from = balancer_ip(2);
+    let inquiry = Inquiry::OwnerOfCopy;
+    let request = segment(flow(9));
+    agent.inbound(Some(&view), Millis(1), from, &carry(9), inquiry, &request);
+    let answer = Segment {
+        syn: true,
+        len: 0,
+        ..request
+    };
+    let told = agent.outbound(Some(&view), Millis(2), &answer);
+    assert_eq!(told.tell, None);
+    let told = agent.outbound(Some(&view), Millis(3), &request);
+    assert_eq!(told.tell, Some(from));
+}
+
 #[test]
 fn a_flood_of_unknown_flows_makes_no_server_full() {
     let view = view(&[1]);
