Keep a flow whose server bounced a copy of its opening

Cause: an agent forgot a flow with any packet of it that its server bounced. A server that has the flow may still not take a copy of its opening; an agent that had seen all of its server's flows then denied it, and a caller could be reset.

Ruled out: ignoring all bounced openings; one that the server has not answered must leave neither a flow nor a slot in use.

Evidence: `a_bounced_copy_of_the_opening_says_nothing_of_an_open_flow` failed before (HasNot) and passes now.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -180,7 +180,11 @@
         seg: &Segment,
     ) -> Bounce {
         self.answered(view, now);
-        self.forget(&seg.key);
+        // The server may not take a copy of the opening and still have the flow.
+        let open = self.flows.get(&seg.key).is_some_and(|f| f.open);
+        if !seg.opens || !open {
+            self.forget(&seg.key);
+        }
         let Some((sender, copy)) = self.senders.of(Mark(mark)) else {
             return Bounce::Unknown;
         };
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -607,6 +607,32 @@
     assert_eq!(told.tell, Some(from));
 }
 
+/// Guards against the denial of an open flow whose server did not take a copy
+/// of its opening.
+#[test]
+fn a_bounced_copy_of_the_opening_says_nothing_of_an_open_flow() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    open(&mut agent, &view, 0, 9);
+    let copy = opening(flow(9), 200);
+    answer(&mut agent, &view, 1, 9);
+    ask(&mut agent, &view, 2, 9);
+    agent.bounced(Some(&view), Millis(200), 0, &copy);
+    let know = agent.knowledge(Some(&view), Millis(201), &flow(9));
+    assert_eq!(know, Knowledge::Has);
+}
+
+#[test]
+fn an_opening_that_the_server_did_not_take_leaves_no_flow() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    open(&mut agent, &view, 0, 9);
+    agent.bounced(Some(&view), Millis(1), 0, &opening(flow(9), 0));
+    let know = agent.knowledge(Some(&view), Millis(2), &flow(9));
+    assert_eq!(know, Knowledge::HasNot);
+    assert_eq!(agent.in_progress(), 0);
+}
+
 #[test]
 fn a_flood_of_unknown_flows_makes_no_server_full() {
     let view = view(&[1]);
