Remember a flow at its agent for as long as it may be idle

Cause: an agent forgot a flow after 30 s without a packet, whatever idle limit the configuration sets. With a limit above 30 s it denied open flows that were only idle, and with one close to 30 s those whose packets were lost at the end.

Ruled out: remembering flows until the server bounces them; an ended flow leaves no such sign, so the table would only grow.

Change: the time is the idle limit and 10 s for packets that are sent again, 30 s at least. Not covered: a limit that is raised after flows were forgotten under the lower one.

Evidence: `a_flow_is_remembered_for_as_long_as_it_may_be_idle` failed before (HasNot after 31 s with a limit of 60 s) and passes now.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -13,9 +13,13 @@
 use super::step::Unanswered;
 use crate::passthrough::view::View;
 
-/// Silence after which a flow is forgotten here; its server may still have it.
+/// Shortest silence after which a flow is forgotten here.
 const FLOW_KEPT: Duration = Duration::from_secs(30);
 
+/// Time for which a caller sends a packet again before it gives up. A flow that
+/// is in use may be silent here for so long when its packets are lost.
+const RESEND_LIMIT: Duration = Duration::from_secs(10);
+
 /// Silence after which a request no longer counts as in progress.
 const REQUEST_LIMIT: Duration = Duration::from_secs(2);
 
@@ -175,8 +179,8 @@
 
     /// Requests that were found unanswered since the last call. To be called
     /// now and then, also when no packets come.
-    pub fn take_unanswered(&mut self, now: Millis) -> Vec<Unanswered> {
-        self.sweep(now);
+    pub fn take_unanswered(&mut self, view: Option<&View>, now: Millis) -> Vec<Unanswered> {
+        self.sweep(view, now);
         std::mem::take(&mut self.unanswered)
     }
 
@@ -204,7 +208,9 @@
         }
     }
 
-    pub(super) fn sweep(&mut self, now: Millis) {
+    pub(super) fn sweep(&mut self, view: Option<&View>, now: Millis) {
+        let idle_limit = view.map_or(Duration::ZERO, |v| v.idle_limit);
+        let kept = FLOW_KEPT.max(idle_limit + RESEND_LIMIT);
         let (busy, unanswered) = (&mut self.busy, &mut self.unanswered);
         self.swept
             .forget(&mut self.flows, SWEEP_FLOWS, |key, flow| {
@@ -221,7 +227,7 @@
                         request: flow.request,
                     });
                 }
-                silence > FLOW_KEPT
+                silence > kept
             });
     }
 }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -105,7 +105,7 @@
         inquiry: Inquiry,
         seg: &Segment,
     ) -> Inbound {
-        self.sweep(now);
+        self.sweep(view, now);
         self.expire_expected(now);
         if seg.opens
             && !self.flows.contains_key(&seg.key)
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -1,9 +1,12 @@
 //! Decisions of one agent, which has the last word on new flows.
 
+use std::time::Duration;
+
 use ramp_coordination::passthrough::agent::Agent;
 use ramp_coordination::passthrough::agent::Bounce;
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::agent::Release;
+use ramp_coordination::passthrough::published::Configuration;
 use ramp_coordination::passthrough::published::Record;
 use ramp_coordination::passthrough::published::ServerState;
 use ramp_coordination::passthrough::view::View;
@@ -516,8 +519,8 @@
     let from = balancer_ip(1);
     let seg = segment(flow(2));
     agent.inbound(Some(&view), Millis(2), from, &carry(2), Inquiry::None, &seg);
-    assert!(agent.take_unanswered(Millis(1900)).is_empty());
-    let unanswered = agent.take_unanswered(Millis(3000));
+    assert!(agent.take_unanswered(Some(&view), Millis(1900)).is_empty());
+    let unanswered = agent.take_unanswered(Some(&view), Millis(3000));
     assert_eq!(unanswered.len(), 1);
     assert_eq!(unanswered[0].flow, flow(2));
     assert_eq!(agent.in_progress(), 0, "neither holds a slot for ever");
@@ -633,6 +636,29 @@
     assert_eq!(agent.in_progress(), 0);
 }
 
+/// Guards against the denial of flows that may be idle for longer than an agent
+/// remembered them.
+#[test]
+fn a_flow_is_remembered_for_as_long_as_it_may_be_idle() {
+    let mut catalog = catalog(&[1]);
+    let patient = Configuration {
+        idle_limit: Duration::from_secs(60),
+        ..configuration(2)
+    };
+    catalog.apply(Millis(1), written(101, Record::Configuration(patient)));
+    let view = catalog.view(Millis(1)).unwrap();
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    respond(&mut agent, &view, 0, 9);
+    for now in [31_000, 59_000, 60_000] {
+        agent.take_unanswered(Some(&view), Millis(now));
+        let know = agent.knowledge(Some(&view), Millis(now), &flow(9));
+        assert_eq!(know, Knowledge::Has, "after {now} ms");
+    }
+    agent.take_unanswered(Some(&view), Millis(100_000));
+    let know = agent.knowledge(Some(&view), Millis(100_000), &flow(9));
+    assert_eq!(know, Knowledge::HasNot);
+}
+
 #[test]
 fn a_flood_of_unknown_flows_makes_no_server_full() {
     let view = view(&[1]);
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -146,8 +146,9 @@
         if data {
             self.read_balancers(buf)?;
         }
+        let view = self.view.as_deref();
         let now = self.traffic.clock.now();
-        for unanswered in self.agent.take_unanswered(now) {
+        for unanswered in self.agent.take_unanswered(view, now) {
             self.account.unanswered(&unanswered);
         }
         self.release_waiting();
