Do not compare births by a clock that is shown to be behind

Cause: an agent denies a flow that it has never seen when it started no later than its server, and it told that by the time of day at its start. Restarted on a machine whose clock was set back, it took itself for as old as a server that had open flows, and denied them.

Ruled out: asking for the server's record to come after the agent's first view; after a loss of power it is as often there before. Births of other servers as a bound of the time; one of them in the future would make every agent slow to vouch after a loss of power.

Change: a view that lists the server's birth later than the agent's own time shows that this clock is behind, and the agent vouches only once every flow had the time to show itself. Not covered: a clock that is behind by as much as the server is older, give or take half a second.

Evidence: `an_agent_whose_clock_is_behind_its_servers_birth_does_not_vouch` failed before (HasNot) and passes now; `an_agent_vouches_at_once_for_a_server_that_starts_with_it_or_later` passes before and after.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -36,6 +36,9 @@
 /// opening while they still acknowledge it.
 const ANSWER_WINDOW_BYTES: u32 = 1 << 17;
 
+/// How far the clocks of an agent and its server may be apart.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
@@ -139,6 +142,15 @@
 }
 
 impl Agent {
+    /// Takes note of a new view, as soon as it is there.
+    pub fn learn(&mut self, view: &View, now: Millis) {
+        let running_ms = now.since(self.started_at).as_millis() as u64;
+        let latest_ms = self.started_ms + running_ms + CLOCK_TOLERANCE.as_millis() as u64;
+        let member = view.member_or_lapsed(self.me, now);
+        // Nobody is born in the future.
+        self.clock_behind |= member.is_some_and(|m| m.born_ms > latest_ms);
+    }
+
     /// Whether every flow of the server is known here. The only way to the
     /// server is this process, so that is so when it started no later than the
     /// server, or has seen every flow that is not idle for too long.
@@ -149,6 +161,9 @@
         if now.since(self.started_at) > view.idle_limit {
             return true;
         }
+        if self.clock_behind {
+            return false;
+        }
         let member = view.member_or_lapsed(self.me, now);
         let born_ms = member.map_or(0, |m| m.born_ms);
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -44,6 +44,8 @@
     /// Start of this process, Unix milliseconds and on the driver's clock.
     started_ms: u64,
     started_at: Millis,
+    /// Whether `started_ms` is too early: the time of day was set back.
+    clock_behind: bool,
     leaving: bool,
     flows: IndexMap<FlowKey, Flow>,
     busy: u16,
@@ -70,6 +72,7 @@
             service,
             started_ms,
             started_at: now,
+            clock_behind: false,
             leaving: false,
             flows: IndexMap::new(),
             busy: 0,
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -8,6 +8,7 @@
 use ramp_coordination::passthrough::agent::Release;
 use ramp_coordination::passthrough::published::Configuration;
 use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::Server;
 use ramp_coordination::passthrough::published::ServerState;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::hop::Frame;
@@ -544,6 +545,45 @@
     );
 }
 
+/// View at `now` of a server that started at `born_ms`.
+fn view_of_server_born(now: u64, born_ms: u64) -> View {
+    let mut catalog = catalog(&[]);
+    let born = Server {
+        born_ms,
+        ..server(1, FEEDS)
+    };
+    catalog.apply(Millis(now), written(101, Record::Server(id(1), born)));
+    catalog.view(Millis(now)).unwrap()
+}
+
+/// Guards against the denial of open flows by an agent that was restarted on
+/// a machine whose clock was set back.
+#[test]
+fn an_agent_whose_clock_is_behind_its_servers_birth_does_not_vouch() {
+    // It starts 3 s after its server, by a clock that is 5 s behind.
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 8_000, Millis(0));
+    let view = view_of_server_born(100, 10_000);
+    agent.learn(&view, Millis(100));
+    for now in [100, 6_000, 15_000] {
+        let know = agent.knowledge(Some(&view), Millis(now), &flow(9));
+        assert_eq!(know, Knowledge::Unsure, "after {now} ms");
+    }
+    let know = agent.knowledge(Some(&view), Millis(15_001), &flow(9));
+    assert_eq!(know, Knowledge::HasNot);
+}
+
+/// Guards against a slow return of everything after a loss of power.
+#[test]
+fn an_agent_vouches_at_once_for_a_server_that_starts_with_it_or_later() {
+    for (now, born_ms) in [(60, 10_050), (300, 9_600), (7_000, 16_990)] {
+        let mut agent = Agent::new(ip(1), FEEDS, 1, 10_000, Millis(0));
+        let view = view_of_server_born(now, born_ms);
+        agent.learn(&view, Millis(now));
+        let know = agent.knowledge(Some(&view), Millis(now), &flow(9));
+        assert_eq!(know, Knowledge::HasNot, "born at {born_ms}");
+    }
+}
+
 #[test]
 fn an_agent_knows_the_flows_that_its_server_has_answered() {
     let view = view(&[1]);
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -117,6 +117,7 @@
             match self.traffic.updates.try_recv() {
                 Ok(Update::View(view)) => {
                     beliefs::tell_changes(self.view.as_deref(), &view);
+                    self.agent.learn(&view, self.traffic.clock.now());
                     self.view = Some(view);
                 }
                 Ok(Update::Leave) => {
