Take a server that sends on an older flow for older than its agent

Cause: whether an agent has seen all flows of its server was told by two clocks alone. One that is behind by about the server's age makes the agent take itself for as old as the server, and no birth shows it; it then denied open flows.

Ruled out: vouching late in any case, which would slow the return after a loss of power. Acknowledgements as a sign; a server acknowledges the end of a flow that it has already closed, and the agent may have forgotten that one.

Change: data that the server sends on a flow whose opening was not answered through this process shows that the server is older. A restarted agent beside a busy server so finds out with the first response.

Evidence: `an_agent_whose_server_sends_on_an_older_flow_does_not_vouch` failed before (HasNot) and passes now; `an_agent_whose_flows_opened_or_ended_here_still_vouches` passes before and after.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -115,6 +115,12 @@
         self.answer_seq = Some(seg.seq);
     }
 
+    /// Whether a packet of the server shows that the flow was open before this
+    /// process started. Acknowledgements do not: an ended flow gets them too.
+    pub(super) fn is_older(&self, seg: &Segment) -> bool {
+        seg.len > 0 && self.answer_seq.is_none()
+    }
+
     /// The balancer that is to be told now that the server has sent a packet.
     pub(super) fn take_told(&mut self) -> Option<Ipv4Addr> {
         let owned = self.owned;
@@ -161,7 +167,7 @@
         if now.since(self.started_at) > view.idle_limit {
             return true;
         }
-        if self.clock_behind {
+        if self.clock_behind || self.server_older {
             return false;
         }
         let member = view.member_or_lapsed(self.me, now);
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -46,6 +46,8 @@
     started_at: Millis,
     /// Whether `started_ms` is too early: the time of day was set back.
     clock_behind: bool,
+    /// Whether the server was there before this process, whatever its birth.
+    server_older: bool,
     leaving: bool,
     flows: IndexMap<FlowKey, Flow>,
     busy: u16,
@@ -73,6 +75,7 @@
             started_ms,
             started_at: now,
             clock_behind: false,
+            server_older: false,
             leaving: false,
             flows: IndexMap::new(),
             busy: 0,
@@ -157,6 +160,7 @@
             .or_insert_with(|| Flow::new(now, seg.ack));
         flow.seen_at = now;
         flow.server_sent(seg);
+        self.server_older |= flow.is_older(seg);
         let tell = flow.take_told();
         if seg.len == 0 && !seg.fin {
             return Outbound {
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -572,6 +572,38 @@
     assert_eq!(know, Knowledge::HasNot);
 }
 
+/// Guards against the denial of open flows by an agent that takes itself for as
+/// old as its server by a wrong clock.
+#[test]
+fn an_agent_whose_server_sends_on_an_older_flow_does_not_vouch() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    let know = |agent: &Agent| agent.knowledge(Some(&view), Millis(30), &flow(9));
+    assert_eq!(know(&agent), Knowledge::HasNot);
+    ask(&mut agent, &view, 10, 8);
+    respond(&mut agent, &view, 20, 8);
+    assert_eq!(know(&agent), Knowledge::Unsure);
+}
+
+/// Guards against doubts of an agent that has seen all flows of its server.
+#[test]
+fn an_agent_whose_flows_opened_or_ended_here_still_vouches() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    open(&mut agent, &view, 0, 8);
+    answer(&mut agent, &view, 1, 8);
+    ask(&mut agent, &view, 2, 8);
+    respond(&mut agent, &view, 3, 8);
+    // A flow that ended: the server acknowledges the caller's end once more.
+    let acknowledged = Segment {
+        len: 0,
+        ..segment(flow(7))
+    };
+    agent.outbound(Some(&view), Millis(4), &acknowledged);
+    let know = agent.knowledge(Some(&view), Millis(5), &flow(9));
+    assert_eq!(know, Knowledge::HasNot);
+}
+
 /// Guards against a slow return of everything after a loss of power.
 #[test]
 fn an_agent_vouches_at_once_for_a_server_that_starts_with_it_or_later() {
