Give up no flow that waits here and is open elsewhere

Cause: an opening that waits beside a full server is given up on after 0.8 s, and its balancer then resets the caller. Meanwhile a copy of it may have come to another server through another balancer, or an earlier process of the agent may have given one to this server: the caller has an answer, the flow is open, and it was reset all the same. When a slot came free first, the server got a second opening, and what the agent knew of the flow was forgotten.

Ruled out: telling the balancer something else than that the time is over; only the agent sees here that the flow is open.

Change: once a later packet of the caller or any packet of the server has come, the opening that waits is dropped without a word. Not covered: a flow of which no later packet comes this way; that is for the balancer to decide.

Evidence: `a_flow_that_its_caller_has_opened_no_longer_waits` and `a_flow_that_the_server_has_answered_no_longer_waits` failed before (the flow was given up on) and pass now.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -7,6 +7,7 @@
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::hop::Refusal;
 use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
 
 use super::Agent;
@@ -15,6 +16,7 @@
 use super::step::Inbound;
 use super::step::Release;
 use crate::passthrough::view::View;
+use crate::passthrough::waiting::Waiter;
 
 /// Time a server has to answer the opening of a flow.
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
@@ -119,19 +121,19 @@
             return None;
         }
         if let Some(waiter) = self.waiting.overdue(now) {
-            return Some(Release::Refuse(waiter.flow, waiter.from));
+            return Some(self.give_up(waiter));
         }
         let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
         if self.leaving || member.is_some_and(|m| !m.takes_new()) {
             let waiter = self.waiting.any()?;
-            return Some(Release::Refuse(waiter.flow, waiter.from));
+            return Some(self.give_up(waiter));
         }
         if self.is_full(view, now) || self.admit_silent(now).is_err() {
             return None;
         }
         let waiter = self.waiting.newest()?;
-        if self.admit_cold(view, now).is_err() {
-            return Some(Release::Refuse(waiter.flow, waiter.from));
+        if self.superseded.contains(&waiter.flow) || self.admit_cold(view, now).is_err() {
+            return Some(self.give_up(waiter));
         }
         self.note_opening(now);
         let mut flow = Flow::new(now, waiter.seq);
@@ -148,6 +150,21 @@
         Some(Release::Pass(waiter.flow, mark))
     }
 
+    /// What becomes of a new flow that has waited in vain.
+    fn give_up(&mut self, waiter: Waiter) -> Release {
+        if self.superseded.swap_remove(&waiter.flow) {
+            return Release::Drop(waiter.flow);
+        }
+        Release::Refuse(waiter.flow, waiter.from)
+    }
+
+    /// Takes note that the caller of a flow has an answer to its opening.
+    pub(super) fn supersede(&mut self, flow: &FlowKey) {
+        if self.waiting.contains(flow) {
+            self.superseded.insert(*flow);
+        }
+    }
+
     /// Lets only a few openings through while the server does not answer.
     fn admit_silent(&self, now: Millis) -> Result<(), Refusal> {
         let Some(since) = self.unanswered_since else {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -14,6 +14,7 @@
 use std::net::Ipv4Addr;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::packet::Segment;
@@ -60,6 +61,9 @@
     tried_at: Millis,
     cold_until: Millis,
     waiting: Waiting,
+    /// Flows that wait although their callers have an answer to another copy of
+    /// the opening.
+    superseded: IndexSet<FlowKey>,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
 }
@@ -86,6 +90,7 @@
             tried_at: Millis(0),
             cold_until: Millis(0),
             waiting: Waiting::default(),
+            superseded: IndexSet::new(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
         }
@@ -119,6 +124,9 @@
         {
             return step;
         }
+        if !seg.opens {
+            self.supersede(&seg.key);
+        }
         let asked = inquiry != Inquiry::None;
         let flow = self
             .flows
@@ -147,6 +155,7 @@
     /// A packet that the server sent to a caller.
     pub fn outbound(&mut self, view: Option<&View>, now: Millis, seg: &Segment) -> Outbound {
         self.answered(view, now);
+        self.supersede(&seg.key);
         if seg.rst {
             self.forget(&seg.key);
             return Outbound {
--- a/crates/coordination/src/passthrough/agent/step.rs
+++ b/crates/coordination/src/passthrough/agent/step.rs
@@ -34,6 +34,8 @@
     Pass(FlowKey, Mark),
     /// Send its packet back to this balancer.
     Refuse(FlowKey, Ipv4Addr),
+    /// Forget its packet: the caller has an answer to another copy.
+    Drop(FlowKey),
 }
 
 /// What to do with a packet that the server bounced.
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -366,6 +366,44 @@
     assert_eq!(release, Some(Release::Refuse(flow(11), balancer_ip(1))));
 }
 
+/// Everything that is released until `now` but dropped openings.
+fn released_until(agent: &mut Agent, view: &View, now: u64) -> Vec<Release> {
+    let mut released = Vec::new();
+    for at in 0..=now {
+        while let Some(release) = agent.release(Some(view), Millis(at)) {
+            released.push(release);
+        }
+    }
+    let counts = |r: &Release| matches!(r, Release::Pass(..) | Release::Refuse(..));
+    released.into_iter().filter(counts).collect()
+}
+
+/// Guards against the reset of a flow that waits here for a slot and is open at
+/// another server, where a copy of its opening came.
+#[test]
+fn a_flow_that_its_caller_has_opened_no_longer_waits() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    fill(&mut agent, &view);
+    assert_eq!(open_though_busy(&mut agent, &view, 5, 11), Inbound::Wait);
+    ask(&mut agent, &view, 50, 11);
+    assert_eq!(released_until(&mut agent, &view, 1000), []);
+}
+
+/// Guards against the reset of a flow that the server has answered by way of
+/// an earlier process, while a copy of its opening waits here.
+#[test]
+fn a_flow_that_the_server_has_answered_no_longer_waits() {
+    let view = view(&[1]);
+    let mut agent = agent(1);
+    fill(&mut agent, &view);
+    assert_eq!(open_though_busy(&mut agent, &view, 5, 11), Inbound::Wait);
+    respond(&mut agent, &view, 50, 11);
+    assert_eq!(released_until(&mut agent, &view, 1000), []);
+    let know = agent.knowledge(Some(&view), Millis(1000), &flow(11));
+    assert_eq!(know, Knowledge::Has);
+}
+
 #[test]
 fn waiting_flows_are_given_up_on_when_the_server_drains() {
     let mut catalog = catalog(&[1]);
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -31,6 +31,9 @@
                     let kind = FrameKind::Returned(Refusal::Overloaded);
                     self.tell(to, kind, flow, &packet);
                 }
+                Release::Drop(flow) => {
+                    self.waiting.swap_remove(&flow);
+                }
             }
         }
     }
