Do not count the time for which a restarted agent was frozen

Cause: an agent that was restarted beside a living server counts as having seen all flows once the idle limit has passed since its start. When it was frozen for part of that time, packets were lost at its full socket or not read yet, and it denied flows that had sent them.

Ruled out: adding up the time that it ran; a flow that sends once in each idle limit may do so in two freezes in a row.

Change: after a gap of over a second between two turns the time starts anew, unless it had passed before.

Evidence: `time_that_a_restarted_agent_was_frozen_does_not_count` failed before (HasNot at the end of the freeze) and passes now.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -36,6 +36,9 @@
 /// opening while they still acknowledge it.
 const ANSWER_WINDOW_BYTES: u32 = 1 << 17;
 
+/// Longest time between two ticks of a process that runs.
+const TICK_LIMIT: Duration = Duration::from_secs(1);
+
 /// How far the clocks of an agent and its server may be apart.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
 
@@ -148,6 +151,18 @@
 }
 
 impl Agent {
+    /// Takes note that the process runs. To be called several times a second,
+    /// before packets are read.
+    pub fn tick(&mut self, view: Option<&View>, now: Millis) {
+        let frozen = now.since(self.ticked_at) > TICK_LIMIT;
+        let complete = view.is_some_and(|v| self.has_watched_long(v, self.ticked_at));
+        if frozen && !complete {
+            // What came meanwhile may be lost, or not be read yet.
+            self.watching_since = now;
+        }
+        self.ticked_at = now;
+    }
+
     /// Takes note of a new view, as soon as it is there.
     pub fn learn(&mut self, view: &View, now: Millis) {
         let running_ms = now.since(self.started_at).as_millis() as u64;
@@ -164,7 +179,7 @@
         let Some(view) = view else {
             return false;
         };
-        if now.since(self.started_at) > view.idle_limit {
+        if self.has_watched_long(view, now) {
             return true;
         }
         if self.clock_behind || self.server_older {
@@ -175,6 +190,11 @@
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
+    /// Whether every flow that is not idle for too long has shown itself.
+    fn has_watched_long(&self, view: &View, now: Millis) -> bool {
+        now.since(self.watching_since) > view.idle_limit
+    }
+
     /// What is known of a flow, without asking the server.
     pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
         if self.flows.get(flow).is_some_and(|f| f.open) {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -45,6 +45,9 @@
     /// Start of this process, Unix milliseconds and on the driver's clock.
     started_ms: u64,
     started_at: Millis,
+    /// Since when no packet of the server's flows was missed.
+    watching_since: Millis,
+    ticked_at: Millis,
     /// Whether `started_ms` is too early: the time of day was set back.
     clock_behind: bool,
     /// Whether the server was there before this process, whatever its birth.
@@ -78,6 +81,8 @@
             service,
             started_ms,
             started_at: now,
+            watching_since: now,
+            ticked_at: now,
             clock_behind: false,
             server_older: false,
             leaving: false,
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -654,6 +654,25 @@
     }
 }
 
+/// Guards against the denial of flows whose packets were lost while a restarted
+/// agent was frozen.
+#[test]
+fn time_that_a_restarted_agent_was_frozen_does_not_count() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 2_000, Millis(0));
+    let mut run = |from: u64, to: u64| {
+        for now in (from..=to).step_by(100) {
+            agent.tick(Some(&view), Millis(now));
+        }
+        agent.knowledge(Some(&view), Millis(to), &flow(9))
+    };
+    assert_eq!(run(0, 1_000), Knowledge::Unsure);
+    assert_eq!(run(15_100, 20_100), Knowledge::Unsure, "frozen for 14 s");
+    assert_eq!(run(20_200, 30_100), Knowledge::Unsure);
+    assert_eq!(run(30_200, 30_200), Knowledge::HasNot);
+    assert_eq!(run(40_000, 40_000), Knowledge::HasNot, "it knew them all");
+}
+
 #[test]
 fn an_agent_knows_the_flows_that_its_server_has_answered() {
     let view = view(&[1]);
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -141,6 +141,8 @@
     fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let both = [&self.traffic.data, &self.traffic.outbound];
         let [data, outbound] = sockets::wait(both, udp::IDLE_TURN)?;
+        let now = self.traffic.clock.now();
+        self.agent.tick(self.view.as_deref(), now);
         if outbound {
             self.read_server(buf)?;
         }
