Give a restarted agent the time of lost packets before it denies flows

Cause: an agent that was restarted beside a living server denied flows that it had not seen once the idle limit had passed. A flow in use may be silent here for longer: its caller pauses for nearly the limit, and what it sends then is lost in a cut and sent again.

Change: the time is the idle limit and the 10 s for packets that are sent again, as for forgetting flows. Restarted agents get copies in place of names for 10 s longer; what that costs was not measured.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -190,9 +190,10 @@
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
-    /// Whether every flow that is not idle for too long has shown itself.
+    /// Whether every flow that is in use or not idle for too long has shown
+    /// itself.
     fn has_watched_long(&self, view: &View, now: Millis) -> bool {
-        now.since(self.watching_since) > view.idle_limit
+        now.since(self.watching_since) > view.idle_limit + RESEND_LIMIT
     }
 
     /// What is known of a flow, without asking the server.
