Answer a named question only with what the agent knows

Cause: two servers may answer one opening. An agent said that its server had a flow on which that had sent only its answer to the opening; the last one to say so got the packets. And it denied a flow whose opening waits for a slot; the denial is remembered, and no later packet came that shows that the flow is open elsewhere.

Ruled out: telling by the packet's acknowledgement, as for packets; a question by name has none.

Change: it is unsure of both.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -198,10 +198,11 @@
 
     /// What is known of a flow, without asking the server.
     pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
-        if self.flows.get(flow).is_some_and(|f| f.open) {
+        if self.flows.get(flow).is_some_and(|f| f.owned) {
             return Knowledge::Has;
         }
-        if self.flows.contains_key(flow) || !self.is_complete(view, now) {
+        let undecided = self.flows.contains_key(flow) || self.waiting.contains(flow);
+        if undecided || !self.is_complete(view, now) {
             return Knowledge::Unsure;
         }
         Knowledge::HasNot
