--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -13,9 +13,13 @@
 use super::step::Unanswered;
 use crate::passthrough::view::View;
 
-/// Silence after which a flow is forgotten here; its server may still have it.
+/// Shortest silence after which a flow is forgotten here.
 const FLOW_KEPT: Duration = Duration::from_secs(30);
 
+/// Time for which a caller sends a packet again before it gives up. A flow that
+/// is in use may be silent here for so long when its packets are lost.
+const RESEND_LIMIT: Duration = Duration::from_secs(10);
+
 /// Silence after which a request no longer counts as in progress.
 const REQUEST_LIMIT: Duration = Duration::from_secs(2);
 
@@ -28,16 +32,39 @@
 /// starts both.
 const STARTED_TOGETHER: Duration = Duration::from_millis(500);
 
+/// How far the caller's acknowledgements may be past the server's answer to the
+/// opening while they still acknowledge it.
+const ANSWER_WINDOW_BYTES: u32 = 1 << 17;
+
+/// Longest time between two ticks of a process that runs.
+const TICK_LIMIT: Duration = Duration::from_secs(1);
+
+/// How far the clocks of an agent and its server may be apart.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
+/// A balancer that waits to hear of a flow's owner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asker {
+    pub(super) balancer: Ipv4Addr,
+    /// Whether it sent the opening: any answer of the server will do.
+    pub(super) opening: bool,
+}
+
 /// A flow at the server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flow {
     /// Balancer that waits to hear of its owner.
-    pub(super) asked_by: Option<Ipv4Addr>,
+    pub(super) asked_by: Option<Asker>,
     /// Whether the server has sent something on it.
     pub(super) open: bool,
+    /// Sequence number of the server's answer to the opening. Another server
+    /// may have answered as well.
+    answer_seq: Option<u32>,
+    /// Whether the caller has taken this server's answer.
+    pub(super) owned: bool,
     /// Since when a request is in progress, or about to come.
     pub(super) busy_since: Option<Millis>,
     /// Whether the request has come; before, it is only expected.
@@ -54,6 +81,8 @@
         Flow {
             asked_by: None,
             open: false,
+            answer_seq: None,
+            owned: false,
             busy_since: None,
             running: false,
             request: None,
@@ -62,6 +91,46 @@
         }
     }
 
+    /// Takes note of a packet of the caller: it acknowledges the answer of the
+    /// server that it took.
+    pub(super) fn caller_sent(&mut self, seg: &Segment) {
+        let Some(answer_seq) = self.answer_seq else {
+            return;
+        };
+        let acked = seg.ack.wrapping_sub(answer_seq);
+        if !seg.opens && seg.has_ack && acked <= ANSWER_WINDOW_BYTES {
+            self.owned = true;
+        }
+    }
+
+    /// Takes note of a packet of the server, which sends nothing but its answer
+    /// on a flow whose caller took another.
+    pub(super) fn server_sent(&mut self, seg: &Segment) {
+        self.open = true;
+        if !seg.syn {
+            self.owned = true;
+            return;
+        }
+        if self.answer_seq.is_some_and(|held| held != seg.seq) {
+            // The caller uses its port again.
+            self.owned = false;
+        }
+        self.answer_seq = Some(seg.seq);
+    }
+
+    /// Whether a packet of the server shows that the flow was open before this
+    /// process started. Acknowledgements do not: an ended flow gets them too.
+    pub(super) fn is_older(&self, seg: &Segment) -> bool {
+        seg.len > 0 && self.answer_seq.is_none()
+    }
+
+    /// The balancer that is to be told now that the server has sent a packet.
+    pub(super) fn take_told(&mut self) -> Option<Ipv4Addr> {
+        let owned = self.owned;
+        let told = self.asked_by.take_if(|a| a.opening || owned)?;
+        Some(told.balancer)
+    }
+
     /// Whether a packet of the caller opens the flow or brings new data. The
     /// request of a flow that opens is counted at once: it follows soon, and
     /// openings that come together must not be taken for an idle server's.
@@ -82,6 +151,27 @@
 }
 
 impl Agent {
+    /// Takes note that the process runs. To be called several times a second,
+    /// before packets are read.
+    pub fn tick(&mut self, view: Option<&View>, now: Millis) {
+        let frozen = now.since(self.ticked_at) > TICK_LIMIT;
+        let complete = view.is_some_and(|v| self.has_watched_long(v, self.ticked_at));
+        if frozen && !complete {
+            // What came meanwhile may be lost, or not be read yet.
+            self.watching_since = now;
+        }
+        self.ticked_at = now;
+    }
+
+    /// Takes note of a new view, as soon as it is there.
+    pub fn learn(&mut self, view: &View, now: Millis) {
+        let running_ms = now.since(self.started_at).as_millis() as u64;
+        let latest_ms = self.started_ms + running_ms + CLOCK_TOLERANCE.as_millis() as u64;
+        let member = view.member_or_lapsed(self.me, now);
+        // Nobody is born in the future.
+        self.clock_behind |= member.is_some_and(|m| m.born_ms > latest_ms);
+    }
+
     /// Whether every flow of the server is known here. The only way to the
     /// server is this process, so that is so when it started no later than the
     /// server, or has seen every flow that is not idle for too long.
@@ -89,20 +179,30 @@
         let Some(view) = view else {
             return false;
         };
-        if now.since(self.started_at) > view.idle_limit {
+        if self.has_watched_long(view, now) {
             return true;
         }
+        if self.clock_behind || self.server_older {
+            return false;
+        }
         let member = view.member_or_lapsed(self.me, now);
         let born_ms = member.map_or(0, |m| m.born_ms);
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
+    /// Whether every flow that is in use or not idle for too long has shown
+    /// itself.
+    fn has_watched_long(&self, view: &View, now: Millis) -> bool {
+        now.since(self.watching_since) > view.idle_limit + RESEND_LIMIT
+    }
+
     /// What is known of a flow, without asking the server.
     pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
-        if self.flows.get(flow).is_some_and(|f| f.open) {
+        if self.flows.get(flow).is_some_and(|f| f.owned) {
             return Knowledge::Has;
         }
-        if self.flows.contains_key(flow) || !self.is_complete(view, now) {
+        let undecided = self.flows.contains_key(flow) || self.waiting.contains(flow);
+        if undecided || !self.is_complete(view, now) {
             return Knowledge::Unsure;
         }
         Knowledge::HasNot
@@ -122,8 +222,8 @@
 
     /// Requests that were found unanswered since the last call. To be called
     /// now and then, also when no packets come.
-    pub fn take_unanswered(&mut self, now: Millis) -> Vec<Unanswered> {
-        self.sweep(now);
+    pub fn take_unanswered(&mut self, view: Option<&View>, now: Millis) -> Vec<Unanswered> {
+        self.sweep(view, now);
         std::mem::take(&mut self.unanswered)
     }
 
@@ -151,7 +251,9 @@
         }
     }
 
-    pub(super) fn sweep(&mut self, now: Millis) {
+    pub(super) fn sweep(&mut self, view: Option<&View>, now: Millis) {
+        let idle_limit = view.map_or(Duration::ZERO, |v| v.idle_limit);
+        let kept = FLOW_KEPT.max(idle_limit + RESEND_LIMIT);
         let (busy, unanswered) = (&mut self.busy, &mut self.unanswered);
         self.swept
             .forget(&mut self.flows, SWEEP_FLOWS, |key, flow| {
@@ -168,7 +270,7 @@
                         request: flow.request,
                     });
                 }
-                silence > FLOW_KEPT
+                silence > kept
             });
     }
 }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -14,6 +14,7 @@
 use std::net::Ipv4Addr;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::packet::Segment;
@@ -21,6 +22,7 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use self::flow::Asker;
 use self::flow::Flow;
 use super::mark::Mark;
 use super::mark::Senders;
@@ -43,6 +45,13 @@
     /// Start of this process, Unix milliseconds and on the driver's clock.
     started_ms: u64,
     started_at: Millis,
+    /// Since when no packet of the server's flows was missed.
+    watching_since: Millis,
+    ticked_at: Millis,
+    /// Whether `started_ms` is too early: the time of day was set back.
+    clock_behind: bool,
+    /// Whether the server was there before this process, whatever its birth.
+    server_older: bool,
     leaving: bool,
     flows: IndexMap<FlowKey, Flow>,
     busy: u16,
@@ -55,6 +64,9 @@
     tried_at: Millis,
     cold_until: Millis,
     waiting: Waiting,
+    /// Flows that wait although their callers have an answer to another copy of
+    /// the opening.
+    superseded: IndexSet<FlowKey>,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
 }
@@ -69,6 +81,10 @@
             service,
             started_ms,
             started_at: now,
+            watching_since: now,
+            ticked_at: now,
+            clock_behind: false,
+            server_older: false,
             leaving: false,
             flows: IndexMap::new(),
             busy: 0,
@@ -79,6 +95,7 @@
             tried_at: Millis(0),
             cold_until: Millis(0),
             waiting: Waiting::default(),
+            superseded: IndexSet::new(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
         }
@@ -104,7 +121,7 @@
         inquiry: Inquiry,
         seg: &Segment,
     ) -> Inbound {
-        self.sweep(now);
+        self.sweep(view, now);
         self.expire_expected(now);
         if seg.opens
             && !self.flows.contains_key(&seg.key)
@@ -112,15 +129,22 @@
         {
             return step;
         }
+        if !seg.opens {
+            self.supersede(&seg.key);
+        }
         let asked = inquiry != Inquiry::None;
         let flow = self
             .flows
             .entry(seg.key)
             .or_insert_with(|| Flow::new(now, seg.seq));
         flow.seen_at = now;
-        let owned = asked && flow.open && !seg.opens;
+        flow.caller_sent(seg);
+        let owned = asked && flow.owned && !seg.opens;
         if asked && !owned {
-            flow.asked_by = Some(from);
+            flow.asked_by = Some(Asker {
+                balancer: from,
+                opening: seg.opens,
+            });
         }
         if flow.begins_request(seg) && flow.busy_since.is_none() {
             if seg.opens {
@@ -136,6 +160,7 @@
     /// A packet that the server sent to a caller.
     pub fn outbound(&mut self, view: Option<&View>, now: Millis, seg: &Segment) -> Outbound {
         self.answered(view, now);
+        self.supersede(&seg.key);
         if seg.rst {
             self.forget(&seg.key);
             return Outbound {
@@ -148,8 +173,9 @@
             .entry(seg.key)
             .or_insert_with(|| Flow::new(now, seg.ack));
         flow.seen_at = now;
-        flow.open = true;
-        let tell = flow.asked_by.take();
+        flow.server_sent(seg);
+        self.server_older |= flow.is_older(seg);
+        let tell = flow.take_told();
         if seg.len == 0 && !seg.fin {
             return Outbound {
                 tell,
@@ -175,7 +201,11 @@
         seg: &Segment,
     ) -> Bounce {
         self.answered(view, now);
-        self.forget(&seg.key);
+        // The server may not take a copy of the opening and still have the flow.
+        let open = self.flows.get(&seg.key).is_some_and(|f| f.open);
+        if !seg.opens || !open {
+            self.forget(&seg.key);
+        }
         let Some((sender, copy)) = self.senders.of(Mark(mark)) else {
             return Bounce::Unknown;
         };
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -117,6 +117,7 @@
             match self.traffic.updates.try_recv() {
                 Ok(Update::View(view)) => {
                     beliefs::tell_changes(self.view.as_deref(), &view);
+                    self.agent.learn(&view, self.traffic.clock.now());
                     self.view = Some(view);
                 }
                 Ok(Update::Leave) => {
@@ -140,14 +141,17 @@
     fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let both = [&self.traffic.data, &self.traffic.outbound];
         let [data, outbound] = sockets::wait(both, udp::IDLE_TURN)?;
+        let now = self.traffic.clock.now();
+        self.agent.tick(self.view.as_deref(), now);
         if outbound {
             self.read_server(buf)?;
         }
         if data {
             self.read_balancers(buf)?;
         }
+        let view = self.view.as_deref();
         let now = self.traffic.clock.now();
-        for unanswered in self.agent.take_unanswered(now) {
+        for unanswered in self.agent.take_unanswered(view, now) {
             self.account.unanswered(&unanswered);
         }
         self.release_waiting();
