Tell two balancers that ask for the same flow of its owner

An agent remembered one balancer that waits to hear of a flow. When the routers had turned to another one between two copies of an opening, the first heard nothing, took a sound agent for a silent one and placed the flow again.

Evidence: every_balancer_that_asked_hears_of_the_owner failed before.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -137,7 +137,7 @@
         }
         self.note_opening(now);
         let mut flow = Flow::new(now, waiter.seq);
-        flow.asked_by = Some(Asker {
+        flow.ask(Asker {
             balancer: waiter.from,
             opening: true,
         });
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -56,8 +56,9 @@
 /// A flow at the server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flow {
-    /// Balancer that waits to hear of its owner.
-    pub(super) asked_by: Option<Asker>,
+    /// Balancers that wait to hear of its owner: the routers may have
+    /// turned to another one meanwhile.
+    askers: [Option<Asker>; 2],
     /// Whether the server has sent something on it.
     pub(super) open: bool,
     /// Sequence number of the server's answer to the opening. Another server
@@ -79,7 +80,7 @@
 impl Flow {
     pub(super) fn new(now: Millis, next_seq: u32) -> Flow {
         Flow {
-            asked_by: None,
+            askers: [None; 2],
             open: false,
             answer_seq: None,
             owned: false,
@@ -124,10 +125,22 @@
         seg.len > 0 && self.answer_seq.is_none()
     }
 
-    /// The balancer that is to be told now that the server has sent a packet.
+    /// A balancer waits to hear of the owner; of more than two the last ones do.
+    pub(super) fn ask(&mut self, asker: Asker) {
+        let is_other = |held: &Asker| held.balancer != asker.balancer;
+        let [older, newer] = &mut self.askers;
+        if newer.as_ref().is_some_and(is_other) {
+            *older = *newer;
+        }
+        *older = older.filter(is_other);
+        *newer = Some(asker);
+    }
+
+    /// A balancer that is to be told now that the server has sent a packet.
     pub(super) fn take_told(&mut self) -> Option<Ipv4Addr> {
         let owned = self.owned;
-        let told = self.asked_by.take_if(|a| a.opening || owned)?;
+        let mut askers = self.askers.iter_mut();
+        let told = askers.find_map(|held| held.take_if(|a| a.opening || owned))?;
         Some(told.balancer)
     }
 
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -141,7 +141,7 @@
         flow.caller_sent(seg);
         let owned = asked && flow.owned && !seg.opens;
         if asked && !owned {
-            flow.asked_by = Some(Asker {
+            flow.ask(Asker {
                 balancer: from,
                 opening: seg.opens,
             });
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -369,6 +369,9 @@
                     self.server_gets(at, from, mark.0, &seg);
                 }
             }
+            Release::Drop(flow) => {
+                server.waiting.swap_remove(&flow);
+            }
             Release::Refuse(flow, _) => {
                 if let Some((from, seg)) = server.waiting.swap_remove(&flow) {
                     let kind = FrameKind::Returned(Refusal::Overloaded);
