Hold resets of a balancer that was restarted beside a running fleet

A balancer that starts while the record of a living server is missing never knew of that server: all holders that it knows deny the server's flows, and it reset their callers. It held this only while agents told of failed calls of the platform; a record may also be dropped without any, and the agents may hear of that later than the balancer's own first listing.

Each message of an agent now tells how long it has run. A balancer that has known anything for less than 2.5 s, and hears of an agent that started more than 2 s before it, resets nothing as unowned until then. Where the whole fleet has just started, as after a loss of power, nothing is held up.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -203,6 +203,11 @@
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
+    /// How long this process has run.
+    pub fn running_for(&self, now: Millis) -> Duration {
+        now.since(self.started_at)
+    }
+
     /// Whether every flow that is in use or not idle for too long has shown
     /// itself.
     fn has_watched_long(&self, view: &View, now: Millis) -> bool {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -54,6 +54,9 @@
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 4;
 
+/// Time in which the processes of a fleet start that is restarted as a whole.
+const FLEET_START: Duration = Duration::from_secs(2);
+
 /// Silence after which a finished flow is forgotten.
 const FINISHED_KEPT: Duration = Duration::from_secs(3);
 
@@ -74,6 +77,10 @@
     swept_placings: Sweep,
     swept_searches: Sweep,
     newest_heard: Revision,
+    /// When this process first handled anything.
+    started_at: Option<Millis>,
+    /// Whether an agent started long before this process.
+    fleet_is_older: bool,
 }
 
 impl Balancer {
@@ -94,6 +101,7 @@
 
     /// A packet of a caller.
     pub fn arrival(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
+        self.started_at.get_or_insert(now);
         self.sweep(view, now);
         if seg.syn && seg.has_ack {
             return Step::Drop(DropReason::Forged);
@@ -200,6 +208,8 @@
         self.suspects.clear(from);
         self.loads.told(from, frame, now);
         self.newest_heard = self.newest_heard.max(Revision(frame.revision));
+        let started_at = *self.started_at.get_or_insert(now);
+        self.fleet_is_older |= frame.running_for > now.since(started_at) + FLEET_START;
     }
 
     fn remember(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr, service: ServiceId) {
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -196,7 +196,7 @@
         }
         // A holder that this view does not have yet may own the flow.
         let behind = self.newest_heard > view.cursor;
-        if behind || !view.is_settled(now) || self.may_have_missed_an_outage(view, now) {
+        if behind || !view.is_settled(now) || self.may_have_missed_records(view, now) {
             return Step::Drop(DropReason::Unsettled);
         }
         let (seq, reason) = (search.seq, search.reason);
@@ -205,11 +205,13 @@
         Step::Reset(Reset { flow, seq, reason })
     }
 
-    /// Whether this balancer may have started just after an outage, so that it
-    /// has never seen the records of servers that live.
-    fn may_have_missed_an_outage(&self, view: &View, now: Millis) -> bool {
+    /// Whether this balancer may have started while records of servers that live
+    /// were missing, so that it has never seen them. Where the whole fleet has
+    /// just started, no flow is older than this process.
+    fn may_have_missed_records(&self, view: &View, now: Millis) -> bool {
         let nobody_told = view.members().is_empty();
-        view.is_young(now) && (nobody_told || self.loads.tell_of_missing_servers(now))
+        let may_lack = nobody_told || self.loads.tell_of_missing_servers(now);
+        view.is_young(now) && (may_lack || self.fleet_is_older)
     }
 
     /// Whether a holder has no record and stays silent, so that its flows can't
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -810,3 +810,23 @@
     let step = balancer.arrival(&view, Millis(3500), &next);
     assert_eq!(carried(&step), (owner, Inquiry::None), "it answers");
 }
+
+// Guards against a reset by a balancer that was restarted while the record of a
+// living server was missing, though no call of the platform failed.
+#[test]
+fn a_balancer_restarted_beside_a_running_fleet_resets_nothing_for_a_while() {
+    let view = view(&[1]);
+    let seg = segment(flow(7));
+    let deny = |now, running_ms| {
+        let mut balancer = Balancer::new();
+        balancer.arrival(&view, Millis(now), &seg);
+        let mut told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+        told.running_for = std::time::Duration::from_millis(running_ms);
+        balancer.returned(&view, Millis(now), ip(1), Refusal::Bounced, &told, &seg)
+    };
+    assert_eq!(deny(300, 9000), Step::Drop(DropReason::Unsettled));
+    let all_restarted = deny(300, 1500);
+    assert_eq!(reset_reason(&all_restarted), Some(ResetReason::Unowned));
+    let old_enough = deny(2500, 9000);
+    assert_eq!(reset_reason(&old_enough), Some(ResetReason::Unowned));
+}
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -175,5 +175,6 @@
         in_progress: 0,
         complete: false,
         misses_servers: false,
+        running_for: Duration::ZERO,
     }
 }
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -391,6 +391,7 @@
             in_progress: agent.in_progress(),
             complete: agent.is_complete(Some(view), now),
             misses_servers: view.misses_servers(now),
+            running_for: agent.running_for(now),
             version: Version(1),
             ..frame(kind, seg.key)
         };
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -6,6 +6,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use quick_error::quick_error;
 use zerocopy::FromBytes;
@@ -122,6 +123,8 @@
     /// Whether living servers may be missing from the platform's listing, as
     /// far as the sender knows: it was away a moment ago.
     pub misses_servers: bool,
+    /// How long the agent has run, to a tenth of a second; zero from a balancer.
+    pub running_for: Duration,
 }
 
 /// What an agent knows of a flow.
@@ -209,6 +212,7 @@
     version: U64,
     revision: U64,
     in_progress: U16,
+    running_ds: U16,
 }
 
 const KIND_CARRY: u8 = 1;
@@ -260,20 +264,22 @@
             version: U64::new(self.version.0),
             revision: U64::new(self.revision),
             in_progress: U16::new(self.in_progress),
+            running_ds: U16::new(self.running_ds()),
         };
         buf.clear();
         buf.extend_from_slice(raw.as_bytes());
         buf.extend_from_slice(packet);
     }
 
+    /// Tenths of a second that the sender has run.
+    fn running_ds(&self) -> u16 {
+        let tenths = self.running_for.as_millis() / 100;
+        u16::try_from(tenths).unwrap_or(u16::MAX)
+    }
+
     fn flags(&self) -> u8 {
-        let complete = if self.complete { COMPLETE } else { 0 };
-        let misses = if self.misses_servers {
-            MISSES_SERVERS
-        } else {
-            0
-        };
-        complete | misses
+        let flag = |set: bool, bit: u8| if set { bit } else { 0 };
+        flag(self.complete, COMPLETE) | flag(self.misses_servers, MISSES_SERVERS)
     }
 
     /// Reads the header; what stands behind it is the packet, if any.
@@ -303,6 +309,7 @@
             in_progress: raw.in_progress.get(),
             complete: raw.flags & COMPLETE != 0,
             misses_servers: raw.flags & MISSES_SERVERS != 0,
+            running_for: Duration::from_millis(u64::from(raw.running_ds.get()) * 100),
         })
     }
 }
--- a/crates/protocol/tests/hop.rs
+++ b/crates/protocol/tests/hop.rs
@@ -1,5 +1,7 @@
 //! Frames between balancers and agents.
 
+use std::time::Duration;
+
 use quickcheck::quickcheck;
 use ramp_protocol::hop::FRAME_LEN_BYTES;
 use ramp_protocol::hop::Frame;
@@ -33,6 +35,7 @@
         in_progress: 10,
         complete: true,
         misses_servers: false,
+        running_for: Duration::from_millis(1200),
     }
 }
 
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -204,6 +204,7 @@
             in_progress: self.agent.in_progress(),
             complete: self.agent.is_complete(view, now),
             misses_servers: view.is_some_and(|v| v.misses_servers(now)),
+            running_for: self.agent.running_for(now),
         };
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(to, self.traffic.place.peer_port);
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -310,6 +310,7 @@
             in_progress: 0,
             complete: false,
             misses_servers: false,
+            running_for: Duration::ZERO,
         };
         frame.write(packet, &mut self.out);
         let to = SocketAddrV4::new(agent, self.traffic.place.data_port);
