Let agents whose servers are not listed give signs of life

A balancer that starts while a living server's record is missing knows of the server by nothing else, so it took the server's flows for unowned once its own first seconds were over, or an old search was concluded by a new view.

The agent of a server that its own view does not list now tells the balancers that have sent it packets, four times a second and until 2.5 s after it is listed again; a balancer asks whoever gives signs of life like any listed holder. A balancer beside a running fleet holds resets for 4 s instead of 2.5 s: that is when missing records are back and have been heard of.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -11,6 +11,7 @@
 
 use super::Agent;
 use super::step::Unanswered;
+use crate::passthrough::published::RETURN_LIMIT;
 use crate::passthrough::view::View;
 
 /// Shortest silence after which a flow is forgotten here.
@@ -42,6 +43,9 @@
 /// How far the clocks of an agent and its server may be apart.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
 
+/// Time between two signs of life of an agent whose server is not listed.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(250);
+
 /// Flows looked at for their age with each packet.
 const SWEEP_FLOWS: usize = 2;
 
@@ -203,6 +207,23 @@
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
+    /// Balancers that get a sign of life now: those that have sent packets here,
+    /// while the server is not listed and shortly after. One that has just
+    /// started knows of the server by nothing else.
+    pub fn announce(&mut self, view: Option<&View>, now: Millis) -> Vec<Ipv4Addr> {
+        if view.is_some_and(|v| v.member(self.me).is_none()) {
+            self.unlisted_at = Some(now);
+        }
+        // Balancers may hear later than this agent that it is listed again.
+        let needed = |at: Millis| now.since(at) < RETURN_LIMIT;
+        let due = now.since(self.announced_at) >= ANNOUNCE_EVERY;
+        if self.leaving || !due || !self.unlisted_at.is_some_and(needed) {
+            return Vec::new();
+        }
+        self.announced_at = now;
+        self.senders.all().to_vec()
+    }
+
     /// How long this process has run.
     pub fn running_for(&self, now: Millis) -> Duration {
         now.since(self.started_at)
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -69,6 +69,9 @@
     superseded: IndexSet<FlowKey>,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
+    /// When the server was last not listed.
+    unlisted_at: Option<Millis>,
+    announced_at: Millis,
 }
 
 impl Agent {
@@ -98,6 +101,8 @@
             superseded: IndexSet::new(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
+            unlisted_at: None,
+            announced_at: Millis(0),
         }
     }
 
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -1,6 +1,7 @@
 //! Finding the owner of an open flow, or that it has none.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
@@ -18,9 +19,17 @@
 use super::step::ResetReason;
 use super::step::Step;
 use crate::passthrough::choice::first_ranked;
+use crate::passthrough::published::RETURN_LIMIT;
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
+/// Time for which the sign of life of an agent that is not listed holds.
+const PRESENT_KEPT: Duration = Duration::from_millis(1000);
+
+/// Time after which a process that was started beside a running fleet knows all
+/// of it: missing records are back, and have been heard of.
+const JOIN_LIMIT: Duration = Duration::from_secs(4);
+
 /// Copies of packets to silent agents that a balancer sends at most: after a
 /// data centre is lost, each of its flows is searched for there.
 const SILENT_COPIES_PER_S: usize = 400;
@@ -100,7 +109,7 @@
         if !unanswered && search.is_none() {
             return None;
         }
-        let left = self.candidates(view, &seg.key);
+        let left = self.candidates(view, now, &seg.key);
         if search.is_some_and(|s| !s.is_to_repeat(&left)) {
             return None;
         }
@@ -138,7 +147,7 @@
         if let step @ Step::Reset(_) = self.conclude(view, now, seg.key) {
             return step;
         }
-        let candidates = self.candidates(view, &seg.key);
+        let candidates = self.candidates(view, now, &seg.key);
         let likely = self.flows.get(&seg.key).copied();
         let Some(search) = self.searches.get_mut(&seg.key) else {
             return Step::Drop(DropReason::OwnerFound);
@@ -160,13 +169,22 @@
         Step::Ask(question)
     }
 
+    /// Everyone who may have flows: those that the platform lists or has listed,
+    /// and agents that give signs of life without that.
+    fn holders(&self, view: &View, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let unlisted = self.loads.heard_since(now - PRESENT_KEPT);
+        let unlisted = unlisted.filter(|agent| view.holders().all(|h| h != *agent));
+        view.holders().chain(unlisted)
+    }
+
     /// Holders that have not denied a flow.
-    fn candidates(&self, view: &View, flow: &FlowKey) -> Vec<Candidate> {
+    fn candidates(&self, view: &View, now: Millis, flow: &FlowKey) -> Vec<Candidate> {
         let denied = self.searches.get(flow).map(|s| s.denied.as_slice());
         let denied = denied.unwrap_or_default();
         let likely = self.flows.get(flow).map(|f| f.agent);
-        let holders = view.holders().filter(|h| !denied.contains(h));
+        let holders = self.holders(view, now);
         holders
+            .filter(|h| !denied.contains(h))
             .map(|agent| Candidate {
                 agent,
                 likely: likely == Some(agent),
@@ -191,7 +209,7 @@
         }
         let denied =
             |h: Ipv4Addr| search.denied.contains(&h) || self.counts_as_gone(view, now, search, h);
-        if !view.holders().all(denied) {
+        if !self.holders(view, now).all(denied) {
             return Step::Drop(DropReason::Asked);
         }
         // A holder that this view does not have yet may own the flow.
@@ -211,7 +229,8 @@
     fn may_have_missed_records(&self, view: &View, now: Millis) -> bool {
         let nobody_told = view.members().is_empty();
         let may_lack = nobody_told || self.loads.tell_of_missing_servers(now);
-        view.is_young(now) && (may_lack || self.fleet_is_older)
+        let known_for = view.known_for(now);
+        (may_lack && known_for < RETURN_LIMIT) || (self.fleet_is_older && known_for < JOIN_LIMIT)
     }
 
     /// Whether a holder has no record and stays silent, so that its flows can't
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -97,6 +97,12 @@
         !self.0.get(&agent).is_some_and(fresh)
     }
 
+    /// Agents that have said anything since a moment.
+    pub(super) fn heard_since(&self, since: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let heard = self.0.iter().filter(move |(_, l)| l.told_at >= since);
+        heard.map(|(agent, _)| *agent)
+    }
+
     /// Whether an agent has told lately that living servers may not be listed.
     pub(super) fn tell_of_missing_servers(&self, now: Millis) -> bool {
         let lately = |load: &&Load| now.since(load.told_at) < RETURN_LIMIT;
--- a/crates/coordination/src/passthrough/mark.rs
+++ b/crates/coordination/src/passthrough/mark.rs
@@ -30,6 +30,10 @@
         }
     }
 
+    pub(super) fn all(&self) -> &[Ipv4Addr] {
+        &self.all
+    }
+
     pub(super) fn mark(&mut self, sender: Ipv4Addr, copy: bool) -> Mark {
         let index = match self.all.iter().position(|s| *s == sender) {
             Some(index) => index,
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -235,18 +235,18 @@
     /// away a moment ago, or a server vanished without leaving. What vanishes
     /// just after the start is most likely left from before a loss of power.
     pub fn misses_servers(&self, now: Millis) -> bool {
-        let may_return = |d: &Departed| d.was_ready && d.is_recent(now) && !self.is_young(d.at);
+        let may_return =
+            |d: &Departed| d.was_ready && d.is_recent(now) && self.known_for(d.at) >= RETURN_LIMIT;
         !self.is_settled(now)
             || self.lapsed_at(now).next().is_some()
             || self.departed.iter().any(may_return)
     }
 
-    /// Whether this process has known anything for so short a time that it may
-    /// have missed an outage in which records lapsed.
-    pub fn is_young(&self, now: Millis) -> bool {
+    /// How long this process has known anything.
+    pub fn known_for(&self, now: Millis) -> Duration {
         self.answers
             .first_at
-            .is_none_or(|at| now.since(at) < RETURN_LIMIT)
+            .map_or(Duration::ZERO, |at| now.since(at))
     }
 
     /// Whether a server that is not listed has had the time to come back.
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -878,3 +878,35 @@
     agent.release(Some(&view), Millis(200));
     assert_eq!(agent.in_progress(), 6);
 }
+
+// Guards against a restarted balancer that takes a flow for unowned, because its
+// server's record is missing: nothing else tells it that the server lives.
+#[test]
+fn an_agent_whose_server_is_not_listed_gives_signs_of_life() {
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    let listed = view(&[1, 2]);
+    let carry = frame(FrameKind::Carry(Inquiry::Owner), flow(1));
+    let from = balancer_ip(1);
+    agent.inbound(
+        Some(&listed),
+        Millis(1),
+        from,
+        &carry,
+        Inquiry::Owner,
+        &opening(flow(1), 0),
+    );
+    assert!(agent.announce(Some(&listed), Millis(1000)).is_empty());
+    let unlisted = view(&[2]);
+    assert_eq!(agent.announce(Some(&unlisted), Millis(1001)), [from]);
+    assert!(agent.announce(Some(&unlisted), Millis(1100)).is_empty());
+    assert_eq!(agent.announce(Some(&unlisted), Millis(1300)), [from]);
+    let late = "balancers may hear of its return later";
+    assert_eq!(
+        agent.announce(Some(&listed), Millis(2300)),
+        [from],
+        "{late}"
+    );
+    assert!(agent.announce(Some(&listed), Millis(4000)).is_empty());
+    agent.leave();
+    assert!(agent.announce(Some(&unlisted), Millis(5000)).is_empty());
+}
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -22,6 +22,12 @@
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
 
+/// Stands for no flow in frames that are about none.
+pub const NO_FLOW: FlowKey = FlowKey {
+    caller: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+    service: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+};
+
 /// First byte of a frame.
 const MAGIC: u8 = 0xb7;
 
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -21,6 +21,7 @@
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::NO_FLOW;
 use ramp_state::key::FlowKey;
 use ramp_state::key::Version;
 use ramp_state::time::Millis;
@@ -155,9 +156,18 @@
             self.account.unanswered(&unanswered);
         }
         self.release_waiting();
+        self.announce();
         Ok(())
     }
 
+    /// Gives signs of life while the server is not listed.
+    fn announce(&mut self) {
+        let now = self.traffic.clock.now();
+        for balancer in self.agent.announce(self.view.as_deref(), now) {
+            self.tell(balancer, FrameKind::Present, NO_FLOW, &[]);
+        }
+    }
+
     fn read_balancers(&mut self, buf: &mut [u8]) -> io::Result<()> {
         for _ in 0..sockets::BATCH_DATAGRAMS {
             let Some((len, from)) = sockets::receive(&self.traffic.data, buf)? else {
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -63,12 +63,6 @@
 /// Batches of peers' datagrams that are read before anything counts as overdue.
 const PEER_BATCHES: usize = 4;
 
-/// Stands for no flow in frames that are about none.
-const NO_FLOW: FlowKey = FlowKey {
-    caller: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
-    service: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
-};
-
 /// What the traffic thread is started with.
 pub struct Traffic {
     /// Where the process runs.
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -11,12 +11,12 @@
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::hop::Knowledge;
 use ramp_protocol::hop::LIST_LIMIT_FLOWS;
+use ramp_protocol::hop::NO_FLOW;
 use ramp_protocol::hop::Refusal;
 use ramp_protocol::hop::read_list;
 use ramp_protocol::hop::write_list;
 use ramp_state::key::ServiceId;
 
-use super::NO_FLOW;
 use super::Worker;
 
 impl<F: PacketFormat> Worker<F> {
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -4,9 +4,9 @@
 
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::NO_FLOW;
 use ramp_state::key::ServiceId;
 
-use super::NO_FLOW;
 use super::SHORTEST_WAIT;
 use super::Worker;
 use crate::passthrough::news::Event;
