Repeat questions about a flow for as long as a caller's longest pause

With planned work alone, agents restarted one after the other, an open flow's packets reached other servers for 3 s and its own none: each packet of the caller, 1.6 s apart, came while the owner's agent was away for half a second, and the two repeats within 0.2 s did too. Three repeats with pauses that double last for 0.7 s beside the caller's packets.

--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -29,7 +29,7 @@
 /// Copies of an opening after which a caller gives up.
 const OPENINGS: u32 = 3;
 /// How often a question is repeated without another packet, as in the transport.
-const REPEATS: u32 = 2;
+const REPEATS: u32 = 3;
 /// Pause before the first copy of a packet; it doubles.
 const COPY_MS: u64 = 200;
 /// How often it doubles.
@@ -157,7 +157,7 @@
     fn note_due(&mut self, at: usize, step: &Step, seg: &Segment, repeats: u32) {
         let limit = match step {
             Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
-            Step::Ask(_) => ASK_AGAIN,
+            Step::Ask(_) => ASK_AGAIN * (1 << repeats.min(REPEATS)),
             _ => return,
         };
         if !seg.opens && repeats > REPEATS {
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -57,8 +57,9 @@
 /// beyond that again themselves.
 const PENDING_PACKETS: usize = 256;
 
-/// How often a question is repeated without another packet of the caller.
-const REPEATS: u32 = 2;
+/// How often a question is repeated without another packet of the caller, after
+/// pauses that double: for about as long as its own longest pause.
+const REPEATS: u32 = 3;
 
 /// Batches of peers' datagrams that are read before anything counts as overdue.
 const PEER_BATCHES: usize = 4;
@@ -239,7 +240,7 @@
     fn expect_answer(&mut self, seg: &Segment, step: &Step, packet: &[u8], repeats: u32) {
         let limit = match step {
             Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
-            Step::Ask(_) => ASK_AGAIN,
+            Step::Ask(_) => ASK_AGAIN * (1 << repeats.min(REPEATS)),
             _ => return,
         };
         let full = self.pending.len() >= PENDING_PACKETS || repeats > REPEATS;
