--- a/crates/transport/src/passthrough/account/agent.rs
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -42,6 +42,12 @@
 }
 
 impl Account {
+    /// Whether this process knows all flows of its server, and so denies others
+    /// by itself. Both times are Unix milliseconds of the machine.
+    pub fn knowledge(&self, complete: bool, born_ms: Option<u64>, started_ms: u64) {
+        log::info!(complete, born_ms:?, started_ms; "what is known of the server's flows");
+    }
+
     /// A datagram is no packet or frame.
     pub fn unreadable(&self) {
         self.unreadable.increment(1);
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -72,6 +72,8 @@
     waiting: IndexMap<FlowKey, Vec<u8>>,
     heard: Revision,
     leaving_since: Option<Millis>,
+    /// Whether all flows of the server are known, as last told.
+    complete: Option<bool>,
     account: Account,
     out: Vec<u8>,
     format: PhantomData<F>,
@@ -98,6 +100,7 @@
             waiting: IndexMap::new(),
             heard: Revision(0),
             leaving_since: None,
+            complete: None,
             account: Account::default(),
             out: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
@@ -157,9 +160,24 @@
         }
         self.release_waiting();
         self.announce();
+        self.watch_knowledge();
         Ok(())
     }
 
+    /// Tells when what this process knows of its server's flows has changed.
+    fn watch_knowledge(&mut self) {
+        let Some(view) = self.view.as_deref() else {
+            return;
+        };
+        let complete = self.agent.is_complete(Some(view), self.traffic.clock.now());
+        if self.complete != Some(complete) {
+            self.complete = Some(complete);
+            let born_ms = view.member(self.traffic.place.ip).map(|m| m.born_ms);
+            self.account
+                .knowledge(complete, born_ms, self.traffic.started_ms);
+        }
+    }
+
     /// Gives signs of life while the server is not listed.
     fn announce(&mut self) {
         let now = self.traffic.clock.now();
