Reset an open flow without a route only where the route was dropped

A balancer whose view is up to 1.8 s old (3.4 s through a reader that is cut off) reset open flows of routes that it did not have yet, when the routers turned to it. Now it says so only of routes that it has seen dropped itself; other packets of open flows are dropped without a word, and openings too while the platform does not answer.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -108,7 +108,7 @@
         }
         if view.route(seg.key.service).is_none() {
             self.flows.swap_remove(&seg.key);
-            return self.reset_unless_behind(view, seg, ResetReason::NoRoute);
+            return self.no_route(view, now, seg);
         }
         if seg.opens {
             return self.opening(view, now, seg);
@@ -194,6 +194,16 @@
         self.hear(now, from, frame);
     }
 
+    /// Resets the caller of an address without a route, unless there may be one
+    /// that this view does not have yet: an open flow has been routed before.
+    fn no_route(&self, view: &View, now: Millis, seg: &Segment) -> Step {
+        let certain = view.has_dropped(seg.key.service) || (seg.opens && view.is_settled(now));
+        if !certain && !seg.rst {
+            return Step::Drop(DropReason::Unsettled);
+        }
+        self.reset_unless_behind(view, seg, ResetReason::NoRoute)
+    }
+
     /// Resets the caller, unless an agent has shown that this view is old: a
     /// newer one may say otherwise by the time the caller sends again.
     fn reset_unless_behind(&self, view: &View, seg: &Segment, reason: ResetReason) -> Step {
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -123,7 +123,7 @@
     pub(super) fn guess(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
         let route = view.route(seg.key.service);
         let Some(service) = route.and_then(|r| r.service_of(&seg.key)) else {
-            return self.reset_unless_behind(view, seg, ResetReason::NoRoute);
+            return self.no_route(view, now, seg);
         };
         let members = view.servers_of(service, now);
         let trusted = |m: &&Member| !self.suspects.holds(m.address, now);
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -126,7 +126,7 @@
             .route(seg.key.service)
             .and_then(|r| r.service_of(&seg.key));
         let Some(service) = service else {
-            return self.reset_unless_behind(view, seg, ResetReason::NoRoute);
+            return self.no_route(view, now, seg);
         };
         let none = Placing::default();
         let placing = self.placings.get(&seg.key).unwrap_or(&none);
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -6,6 +6,7 @@
 //! have flows although its record lapsed.
 
 use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
     cursor: Revision,
     newest: Revision,
     configuration: Option<Arc<Configuration>>,
+    /// Addresses whose routes were dropped since this process started.
+    dropped_routes: Arc<IndexSet<SocketAddrV4>>,
     servers: IndexMap<ServerId, Listed>,
     evacuated: IndexSet<DataCentreId>,
     /// When each data centre was taken back.
@@ -178,7 +181,7 @@
             until,
         });
         let lapsed = lapsed.filter(|l| is_free(l.member.address)).collect();
-        Some(View::new(
+        let view = View::new(
             self.newest,
             self.cursor,
             configuration,
@@ -189,7 +192,8 @@
                 first_at: self.known_since,
                 settled_at: self.settled_at(),
             },
-        ))
+        );
+        Some(view.with_dropped_routes(Arc::clone(&self.dropped_routes)))
     }
 
     /// Moment from which a server that is not listed counts as gone.
@@ -219,6 +223,7 @@
             Record::Configuration(new) => {
                 let held = self.configuration.as_ref().map(|c| c.version);
                 if held.is_none_or(|version| version < new.version) {
+                    self.note_dropped_routes(&new);
                     self.configuration = Some(Arc::new(new));
                 }
             }
@@ -238,6 +243,15 @@
         }
     }
 
+    fn note_dropped_routes(&mut self, new: &Configuration) {
+        let has = |address: &SocketAddrV4| new.routes.iter().any(|r| r.address == *address);
+        let dropped = Arc::make_mut(&mut self.dropped_routes);
+        if let Some(old) = &self.configuration {
+            dropped.extend(old.routes.iter().map(|r| r.address));
+        }
+        dropped.retain(|address| !has(address));
+    }
+
     fn remove(&mut self, now: Millis, key: RecordKey) {
         match key {
             // The last good configuration stays in force.
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
@@ -118,6 +119,7 @@
     /// Silence after which a flow may be forgotten.
     pub idle_limit: Duration,
     routes: IndexMap<SocketAddrV4, Route>,
+    dropped_routes: Arc<IndexSet<SocketAddrV4>>,
     policies: Vec<ServicePolicy>,
     members: Vec<Member>,
     lapsed: Vec<Lapsed>,
@@ -126,9 +128,7 @@
 }
 
 impl View {
-    /// View of these records. `known_since`: when the platform first told this
-    /// process anything. `settled_at`: from when a server that is not listed
-    /// counts as gone; none while the platform does not answer.
+    /// View of these records.
     pub fn new(
         newest: Revision,
         cursor: Revision,
@@ -149,6 +149,7 @@
             version: configuration.version,
             idle_limit,
             routes: routes.map(|r| (r.address, r.clone())).collect(),
+            dropped_routes: Arc::default(),
             policies: configuration.services.clone(),
             members,
             lapsed,
@@ -157,6 +158,20 @@
         }
     }
 
+    /// The same view, with addresses whose routes this process saw dropped.
+    pub fn with_dropped_routes(self, dropped_routes: Arc<IndexSet<SocketAddrV4>>) -> View {
+        View {
+            dropped_routes,
+            ..self
+        }
+    }
+
+    /// Whether this process saw the route of an address dropped. Otherwise an
+    /// address without a route may have one that is newer than the view.
+    pub fn has_dropped(&self, address: SocketAddrV4) -> bool {
+        self.dropped_routes.contains(&address)
+    }
+
     /// New flows a second that a cold server of a service bears; none: not
     /// limited.
     pub fn cold_rate_per_s(&self, service: ServiceId) -> Option<f64> {
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -846,3 +846,38 @@
     let step = denied(&mut balancer, &view, 3002, ip(2), flow(7));
     assert_eq!(reset_reason(&step), Some(ResetReason::Unowned));
 }
+
+// Guards against a reset of an open flow whose route is newer than the view of
+// the balancer that the routers turned to.
+#[test]
+fn an_open_flow_without_a_route_is_reset_only_where_its_route_was_dropped() {
+    let mut catalog = catalog(&[1]);
+    let view = catalog.view(Millis(0)).unwrap();
+    let mut balancer = Balancer::new();
+    let new = FlowKey {
+        service: std::net::SocketAddrV4::new(ip(99), 1),
+        ..flow(7)
+    };
+    let step = balancer.arrival(&view, Millis(1), &segment(new));
+    assert_eq!(step, Step::Drop(DropReason::Unsettled));
+    let step = balancer.arrival(&view, Millis(2), &opening(new, 0));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoRoute));
+
+    let mut next = configuration(2);
+    next.routes.swap_remove(0);
+    catalog.apply(Millis(5), written(101, Record::Configuration(next)));
+    let dropped = catalog.view(Millis(5)).unwrap();
+    let step = balancer.arrival(&dropped, Millis(6), &segment(flow(8)));
+    assert_eq!(reset_reason(&step), Some(ResetReason::NoRoute));
+    catalog.apply(
+        Millis(7),
+        written(102, Record::Configuration(configuration(3))),
+    );
+    let back = catalog.view(Millis(7)).unwrap();
+    assert!(!back.has_dropped(feeds_address()));
+
+    catalog.platform_failed();
+    let away = catalog.view(Millis(8)).unwrap();
+    let step = balancer.arrival(&away, Millis(9), &opening(new, 0));
+    assert_eq!(step, Step::Drop(DropReason::Unsettled), "it may be new");
+}
