--- a/crates/coordination/tests/passthrough/sound_flows.rs
+++ b/crates/coordination/tests/passthrough/sound_flows.rs
@@ -407,3 +407,106 @@
     let known = agent.knowledge(Some(&view), Millis(3), &flow(1));
     assert_eq!(known, Knowledge::Unsure);
 }
+
+// A route is dropped and added again while the platform does not answer this
+// balancer: by its old view the flow that was opened since has no route.
+#[test]
+fn an_old_view_resets_no_flow_of_a_route_that_may_be_back() {
+    let mut catalog = catalog(&[1, 2]);
+    let mut without = configuration(2);
+    without.routes.retain(|r| r.address != feeds_address());
+    catalog.apply(Millis(0), written(101, Record::Configuration(without)));
+    catalog.platform_failed();
+    let view = catalog.view(Millis(5000)).unwrap();
+    let mut balancer = Balancer::new();
+    let step = balancer.arrival(&view, Millis(5000), &segment(flow(7)));
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+/// View of servers 1 and 2, 3 s after the record of 3 was lost.
+fn view_without_record_of_3() -> View {
+    let mut catalog = catalog(&[1, 2, 3]);
+    let removed = Change::Removed(RecordKey::Server(id(3)));
+    catalog.apply(Millis(10), changes(101, vec![removed]));
+    catalog.view(Millis(3000)).unwrap()
+}
+
+/// A balancer that does not remember flow 7, and has asked all others for it
+/// after the first guess was wrong.
+fn balancer_that_asks(view: &View, now: Millis) -> (Balancer, Ipv4Addr) {
+    let mut balancer = balancer_beside(1..=3);
+    let present = frame(FrameKind::Present, flow(1));
+    balancer.present(Millis(now.0 - 1), ip(3), &present);
+    let seg = segment(flow(7));
+    let guess = carried(&balancer.arrival(view, now, &seg));
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    let step = balancer.returned(view, now, guess, Refusal::Bounced, &told, &seg);
+    assert!(matches!(step, Step::Ask(_)), "{step:?}");
+    let other = ip(3 - guess.octets()[3]);
+    (balancer, other)
+}
+
+// An agent without its server's record is restarted by plan, which takes it
+// 300 ms: the server and its flows are sound all the while.
+#[test]
+fn the_restart_of_an_agent_resets_no_flow_of_a_server_without_a_record() {
+    let view = view_without_record_of_3();
+    let (mut balancer, other) = balancer_that_asks(&view, Millis(3000));
+    let denied = frame(FrameKind::Denied, flow(7));
+    balancer.denied(&view, Millis(3002), other, &denied);
+    let seg = segment(flow(7));
+    balancer.overdue(&view, Millis(3100), &seg);
+    let step = balancer.arrival(&view, Millis(3200), &seg);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// A busy balancer reads the answers late, the owner's last.
+#[test]
+fn a_denial_that_is_read_first_resets_no_flow_whose_owner_has_answered() {
+    let view = view_without_record_of_3();
+    let (mut balancer, other) = balancer_that_asks(&view, Millis(3000));
+    balancer.overdue(&view, Millis(3100), &segment(flow(7)));
+    let denied = frame(FrameKind::Denied, flow(7));
+    let step = balancer.denied(&view, Millis(3171), other, &denied);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// A balancer and later an agent are restarted while the record of the agent's
+// server is missing: neither has heard of the other.
+#[test]
+fn a_restarted_agent_without_a_record_is_known_to_a_restarted_balancer() {
+    let view = view(&[1]);
+    let mut agent = Agent::new(ip(3), FEEDS, 1, 100_000, Millis(0));
+    let mut balancer = Balancer::new();
+    let mut present = frame(FrameKind::Present, flow(1));
+    present.running_for = Duration::from_secs(60);
+    for now in (0..=5000).step_by(250) {
+        balancer.present(Millis(now), ip(1), &present);
+        for _ in agent.announce(Some(&view), Millis(now)) {
+            balancer.present(Millis(now), ip(3), &present);
+        }
+    }
+    let seg = segment(flow(7));
+    balancer.arrival(&view, Millis(5000), &seg);
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    let step = balancer.returned(&view, Millis(5001), ip(1), Refusal::Bounced, &told, &seg);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// The clock was 5 s back when the agent was restarted, 2 s after its server, and
+// its first view comes 4 s later: by then the server's start is in the past.
+#[test]
+fn an_agent_that_gets_its_first_view_late_denies_nothing_by_a_clock_set_back() {
+    let mut older = server(1, FEEDS);
+    older.born_ms = 103_000;
+    let mut catalog = catalog(&[1]);
+    catalog.apply(Millis(0), written(101, Record::Server(id(1), older)));
+    let view = catalog.view(Millis(4000)).unwrap();
+    let mut agent = Agent::new(ip(1), FEEDS, 1, 100_000, Millis(0));
+    for now in (0..=4000).step_by(250) {
+        agent.tick(None, Millis(now));
+    }
+    agent.learn(&view, Millis(4000));
+    let known = agent.knowledge(Some(&view), Millis(4000), &flow(7));
+    assert_eq!(known, Knowledge::Unsure);
+}
