Review: two more sequences that reset a sound flow, as failing tests

An agent without its server's record announces itself only to balancers that have sent it packets, and is forgotten after 1 s.

--- a/crates/coordination/tests/passthrough/sound_flows.rs
+++ b/crates/coordination/tests/passthrough/sound_flows.rs
@@ -510,3 +510,53 @@
     let known = agent.knowledge(Some(&view), Millis(4000), &flow(7));
     assert_eq!(known, Knowledge::Unsure);
 }
+
+// A balancer is added while the record of a living server is missing: the agent
+// gives its signs of life to those alone that have sent it packets.
+#[test]
+fn an_added_balancer_resets_no_flow_of_a_server_without_a_record() {
+    let mut agent = Agent::new(ip(3), FEEDS, 1, 1, Millis(0));
+    let carry = frame(FrameKind::Carry(Inquiry::Owner), flow(1));
+    let (older, added) = (balancer_ip(1), balancer_ip(2));
+    let syn = opening(flow(1), 0);
+    let listed = view(&[1, 3]);
+    agent.inbound(
+        Some(&listed),
+        Millis(0),
+        older,
+        &carry,
+        Inquiry::Owner,
+        &syn,
+    );
+    let view = view(&[1]);
+    let mut balancer = Balancer::new();
+    let mut present = frame(FrameKind::Present, flow(1));
+    present.running_for = Duration::from_secs(60);
+    for now in (0..=5000).step_by(250) {
+        balancer.present(Millis(now), ip(1), &present);
+        if agent.announce(Some(&view), Millis(now)).contains(&added) {
+            balancer.present(Millis(now), ip(3), &present);
+        }
+    }
+    let seg = segment(flow(7));
+    balancer.arrival(&view, Millis(5000), &seg);
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    let step = balancer.returned(&view, Millis(5001), ip(1), Refusal::Bounced, &told, &seg);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
+
+// The agent is known by its signs of life alone, and is restarted by plan: after
+// 1 s without one it is not even asked.
+#[test]
+fn a_pause_between_signs_of_life_resets_no_flow_of_a_server_without_a_record() {
+    let view = view(&[1]);
+    let mut balancer = Balancer::new();
+    let present = frame(FrameKind::Present, flow(1));
+    balancer.present(Millis(0), ip(1), &present);
+    balancer.present(Millis(5000), ip(3), &present);
+    let seg = segment(flow(7));
+    balancer.arrival(&view, Millis(6100), &seg);
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    let step = balancer.returned(&view, Millis(6101), ip(1), Refusal::Bounced, &told, &seg);
+    assert!(!matches!(step, Step::Reset(_)), "{step:?}");
+}
