Reset no flow of a dropped route by a view that is not settled

A route that was dropped may be back in a configuration that this process can't read. Also: the dropped routes are compared by a set, only when any is dropped, and the newest 1,024 are kept.

Evidence: an_old_view_resets_no_flow_of_a_route_that_may_be_back failed before.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -197,7 +197,8 @@
     /// Resets the caller of an address without a route, unless there may be one
     /// that this view does not have yet: an open flow has been routed before.
     fn no_route(&self, view: &View, now: Millis, seg: &Segment) -> Step {
-        let certain = view.has_dropped(seg.key.service) || (seg.opens && view.is_settled(now));
+        let dropped = seg.opens || view.has_dropped(seg.key.service);
+        let certain = dropped && view.is_settled(now);
         if !certain && !seg.rst {
             return Step::Drop(DropReason::Unsettled);
         }
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -35,6 +35,9 @@
 /// Age of the newest answer from which a listing says nothing of the present.
 const FRESH_LIMIT: Duration = Duration::from_millis(1600);
 
+/// Dropped routes that are remembered, the newest.
+const DROPPED_ROUTES: usize = 1024;
+
 /// Records of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -244,12 +247,21 @@
     }
 
     fn note_dropped_routes(&mut self, new: &Configuration) {
-        let has = |address: &SocketAddrV4| new.routes.iter().any(|r| r.address == *address);
-        let dropped = Arc::make_mut(&mut self.dropped_routes);
-        if let Some(old) = &self.configuration {
-            dropped.extend(old.routes.iter().map(|r| r.address));
+        let Some(old) = &self.configuration else {
+            return;
+        };
+        let routed: IndexSet<SocketAddrV4> = new.routes.iter().map(|r| r.address).collect();
+        let old = old.routes.iter().map(|r| r.address);
+        let gone: Vec<SocketAddrV4> = old.filter(|a| !routed.contains(a)).collect();
+        let back = self.dropped_routes.iter().any(|a| routed.contains(a));
+        if gone.is_empty() && !back {
+            return;
         }
-        dropped.retain(|address| !has(address));
+        let dropped = Arc::make_mut(&mut self.dropped_routes);
+        dropped.retain(|address| !routed.contains(address));
+        dropped.extend(gone);
+        let excess = dropped.len().saturating_sub(DROPPED_ROUTES);
+        dropped.drain(..excess);
     }
 
     fn remove(&mut self, now: Millis, key: RecordKey) {
