Look at overdue answers twice a second at least, however many come

While every batch of agents' datagrams was full, nothing counted as overdue, so no opening was placed again.

--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -61,6 +61,9 @@
 /// pauses that double: for about as long as its own longest pause.
 const REPEATS: u32 = 3;
 
+/// Longest time for which overdue answers are not looked at, however many come.
+const CHECK_EVERY: Duration = Duration::from_millis(500);
+
 /// Batches of peers' datagrams that are read before anything counts as overdue.
 const PEER_BATCHES: usize = 4;
 
@@ -98,6 +101,8 @@
     asking: Asking,
     /// Packets whose questions may stay unanswered.
     pending: VecDeque<PendingPacket>,
+    /// When answers were last looked at that are overdue.
+    checked_at: Millis,
     /// Whether the view is newer than what was last concluded from it.
     view_is_new: bool,
     leaving_since: Option<Millis>,
@@ -123,6 +128,7 @@
             reaches: true,
             asking: Asking::default(),
             pending: VecDeque::new(),
+            checked_at: Millis(0),
             view_is_new: false,
             leaving_since: None,
             last_packet: Millis(0),
@@ -189,7 +195,9 @@
         if data {
             self.read_data(buf)?;
         }
-        if all_heard {
+        let now = self.traffic.clock.now();
+        if all_heard || now.since(self.checked_at) >= CHECK_EVERY {
+            self.checked_at = now;
             self.conclude();
             self.handle_overdue();
         }
