Doubt a clock by the first view also when that comes late

An agent that was restarted with its clock set back, and got its first view seconds later, compared its server's start with a time that had passed it by. Now a server that by the first view started more than 2 s after the agent casts the same doubt. After a loss of power with the platform away for longer, such servers' flows are asked for by packets until the agent has watched for long.

Balancers that ask by name, or for a sign of life, are told too while the server is not listed.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -40,6 +40,9 @@
 /// Longest time between two ticks of a process that runs.
 const TICK_LIMIT: Duration = Duration::from_secs(1);
 
+/// How much later than its agent a server starts at most that starts with it.
+const START_SPREAD: Duration = Duration::from_secs(2);
+
 /// How far the clocks of an agent and its server may be apart.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
 
@@ -185,8 +188,13 @@
         let running_ms = now.since(self.started_at).as_millis() as u64;
         let latest_ms = self.started_ms + running_ms + CLOCK_TOLERANCE.as_millis() as u64;
         let member = view.member_or_lapsed(self.me, now);
-        // Nobody is born in the future.
+        // A start later than now shows that this clock is behind.
         self.clock_behind |= member.is_some_and(|m| m.born_ms > latest_ms);
+        if !std::mem::replace(&mut self.has_view, true) {
+            // Such a start may have been later than now when this process began.
+            let late_ms = self.started_ms + START_SPREAD.as_millis() as u64;
+            self.clock_behind |= member.is_some_and(|m| m.born_ms > late_ms);
+        }
     }
 
     /// Whether every flow of the server is known here. The only way to the
@@ -207,7 +215,12 @@
         born_ms + STARTED_TOGETHER.as_millis() as u64 >= self.started_ms
     }
 
-    /// Balancers that get a sign of life now: those that have sent packets here,
+    /// A balancer has asked something without a packet.
+    pub fn note_balancer(&mut self, from: Ipv4Addr) {
+        self.senders.note(from);
+    }
+
+    /// Balancers that get a sign of life now: those that have been heard here,
     /// while the server is not listed and shortly after. One that has just
     /// started knows of the server by nothing else.
     pub fn announce(&mut self, view: Option<&View>, now: Millis) -> Vec<Ipv4Addr> {
@@ -240,11 +253,23 @@
         if self.flows.get(flow).is_some_and(|f| f.owned) {
             return Knowledge::Has;
         }
-        let undecided = self.flows.contains_key(flow) || self.waiting.contains(flow);
-        if undecided || !self.is_complete(view, now) {
+        if self.flows.contains_key(flow) || self.waiting.contains(flow) {
             return Knowledge::Unsure;
         }
-        Knowledge::HasNot
+        if self.is_complete(view, now) {
+            Knowledge::HasNot
+        } else {
+            Knowledge::Unsure
+        }
+    }
+
+    /// What a balancer is told of a flow that it asks for.
+    pub fn answer(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
+        let seen = self.flows.contains_key(flow) || self.waiting.contains(flow);
+        match self.knowledge(view, now, flow) {
+            Knowledge::Unsure if !seen => Knowledge::Unseen,
+            knowledge => knowledge,
+        }
     }
 
     /// Takes note of the id that a packet of a flow has shown.
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -69,6 +69,8 @@
     superseded: IndexSet<FlowKey>,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
+    /// Whether this process has had any view.
+    has_view: bool,
     /// When the server was last not listed.
     unlisted_at: Option<Millis>,
     announced_at: Millis,
@@ -101,6 +103,7 @@
             superseded: IndexSet::new(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
+            has_view: false,
             unlisted_at: None,
             announced_at: Millis(0),
         }
--- a/crates/coordination/src/passthrough/mark.rs
+++ b/crates/coordination/src/passthrough/mark.rs
@@ -34,14 +34,17 @@
         &self.all
     }
 
+    /// Takes note of a sender; gives its number.
+    pub(super) fn note(&mut self, sender: Ipv4Addr) -> usize {
+        if let Some(index) = self.all.iter().position(|s| *s == sender) {
+            return index;
+        }
+        self.all.push(sender);
+        self.all.len() - 1
+    }
+
     pub(super) fn mark(&mut self, sender: Ipv4Addr, copy: bool) -> Mark {
-        let index = match self.all.iter().position(|s| *s == sender) {
-            Some(index) => index,
-            None => {
-                self.all.push(sender);
-                self.all.len() - 1
-            }
-        };
+        let index = self.note(sender);
         let nonce = u32::from(self.nonce) << INDEX_BITS;
         let copy = if copy { COPY } else { 0 };
         Mark(index as u32 & ((1 << INDEX_BITS) - 1) | nonce | copy)
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -649,6 +649,7 @@
 fn an_agent_vouches_at_once_for_a_server_that_starts_with_it_or_later() {
     for (now, born_ms) in [(60, 10_050), (300, 9_600), (7_000, 16_990)] {
         let mut agent = Agent::new(ip(1), FEEDS, 1, 10_000, Millis(0));
+        agent.learn(&view(&[2]), Millis(20));
         let view = view_of_server_born(now, born_ms);
         agent.learn(&view, Millis(now));
         let know = agent.knowledge(Some(&view), Millis(now), &flow(9));
