Count silence as absence only after 3 s, and never beside unread answers

- Two questions within 0.2 s were enough to take an unlisted holder for gone; the planned restart of its agent takes longer.
An agent that has said anything in the last 3 s is not gone, and one that is known by its signs of life alone may be asked for 10 s after the last.
- A denial that was read first concluded the search by another agent's silence, though its answer could be the next one in the socket.
Silence now counts only once all has been read.
- One restarted agent, which can't tell of flows older than itself, kept callers from being refused: it now says that it has not seen the flow, which denies an opening when the agent is older than any opening.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -23,13 +23,19 @@
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
-/// Time for which the sign of life of an agent that is not listed holds.
-const PRESENT_KEPT: Duration = Duration::from_millis(1000);
+/// Time for which an agent that is not listed may be asked after its last word.
+const PRESENT_KEPT: Duration = Duration::from_secs(10);
+
+/// Time for which an agent may be away, as by a restart, while its server lives.
+const AWAY_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time after which a process that was started beside a running fleet knows all
 /// of it: missing records are back, and have been heard of.
 const JOIN_LIMIT: Duration = Duration::from_secs(4);
 
+/// Longest time for which a caller tries to open a flow.
+const OPENING_LASTS: Duration = Duration::from_secs(2);
+
 /// Copies of packets to silent agents that a balancer sends at most: after a
 /// data centre is lost, each of its flows is searched for there.
 const SILENT_COPIES_PER_S: usize = 400;
@@ -45,7 +51,8 @@
         if self.flows.get(&frame.flow).is_some_and(|f| f.agent == from) {
             self.flows.swap_remove(&frame.flow);
         }
-        self.conclude(view, now, frame.flow)
+        // The answer of one that seems silent may be the next to be read.
+        self.conclude(view, now, frame.flow, |_| false)
     }
 
     /// An agent does not know whether its server has a flow.
@@ -56,11 +63,20 @@
         }
     }
 
+    /// Whether an agent that has seen nothing of a flow since it started denies
+    /// it by that: the flow is a new one, and the agent is older.
+    pub fn is_denial(&self, frame: &Frame) -> bool {
+        let search = self.searches.get(&frame.flow);
+        search.is_some_and(Search::is_of_opening) && frame.running_for >= OPENING_LASTS
+    }
+
     /// Callers whose flows a new view shows to be owned by nobody.
     pub fn concluded(&mut self, view: &View, now: Millis) -> Vec<Reset> {
         let asked = self.searches.iter().filter(|(_, s)| s.is_asked());
         let flows: Vec<FlowKey> = asked.map(|(flow, _)| *flow).collect();
-        let steps = flows.into_iter().map(|flow| self.conclude(view, now, flow));
+        let steps = flows
+            .into_iter()
+            .map(|flow| self.conclude_by_silence(view, now, flow));
         steps
             .filter_map(|step| match step {
                 Step::Reset(reset) => Some(reset),
@@ -144,7 +160,7 @@
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg, ResetReason::Unowned));
         search.note(now, seg);
-        if let step @ Step::Reset(_) = self.conclude(view, now, seg.key) {
+        if let step @ Step::Reset(_) = self.conclude_by_silence(view, now, seg.key) {
             return step;
         }
         let candidates = self.candidates(view, now, &seg.key);
@@ -194,8 +210,26 @@
             .collect()
     }
 
-    /// Resets the caller once nobody can have the flow.
-    pub(super) fn conclude(&mut self, view: &View, now: Millis, flow: FlowKey) -> Step {
+    /// Resets the caller once nobody can have the flow, by silence of those that
+    /// count as gone too.
+    fn conclude_by_silence(&mut self, view: &View, now: Millis, flow: FlowKey) -> Step {
+        let search = self.searches.get(&flow);
+        let gone: Vec<Ipv4Addr> = search.map_or_else(Vec::new, |search| {
+            let holders = self.holders(view, now);
+            let gone = holders.filter(|h| self.counts_as_gone(view, now, search, *h));
+            gone.collect()
+        });
+        self.conclude(view, now, flow, |holder| gone.contains(&holder))
+    }
+
+    /// Resets the caller once each holder has denied the flow or is gone.
+    fn conclude(
+        &mut self,
+        view: &View,
+        now: Millis,
+        flow: FlowKey,
+        is_gone: impl Fn(Ipv4Addr) -> bool,
+    ) -> Step {
         let Some(search) = self.searches.get(&flow) else {
             return Step::Drop(DropReason::OwnerFound);
         };
@@ -207,8 +241,7 @@
         if search.denied.len() < view.members().len() {
             return Step::Drop(DropReason::Asked);
         }
-        let denied =
-            |h: Ipv4Addr| search.denied.contains(&h) || self.counts_as_gone(view, now, search, h);
+        let denied = |h: Ipv4Addr| search.denied.contains(&h) || is_gone(h);
         if !self.holders(view, now).all(denied) {
             return Step::Drop(DropReason::Asked);
         }
@@ -240,6 +273,9 @@
         if view.member(holder).is_some() {
             return false;
         }
+        if self.loads.has_told_since(holder, now - AWAY_LIMIT) {
+            return false;
+        }
         let known_gone = view.is_gone(holder, now);
         let since = search.unanswered_since(now, known_gone);
         since.is_some_and(|since| !self.loads.has_told_since(holder, since))
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -142,6 +142,9 @@
     HasNot,
     /// Only the server can tell.
     Unsure,
+    /// Nothing was seen of it since the agent started; only the server can tell
+    /// of flows that are older.
+    Unseen,
 }
 
 /// One flow of a list, with what is known of it; in a question nothing is.
@@ -166,7 +169,12 @@
     knowledge: u8,
 }
 
-const KNOWLEDGE: [Knowledge; 3] = [Knowledge::Unsure, Knowledge::Has, Knowledge::HasNot];
+const KNOWLEDGE: [Knowledge; 4] = [
+    Knowledge::Unsure,
+    Knowledge::Has,
+    Knowledge::HasNot,
+    Knowledge::Unseen,
+];
 
 /// Writes a list of flows into `buf`, which is emptied first.
 pub fn write_list(list: &[Listed], buf: &mut Vec<u8>) {
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -26,7 +26,7 @@
         let inquiry = match frame.kind {
             FrameKind::Carry(inquiry) => inquiry,
             FrameKind::Ask => return self.answer(from, &frame, &buf[FRAME_LEN_BYTES..]),
-            FrameKind::Probe => return self.tell(from, FrameKind::Present, frame.flow, &[]),
+            FrameKind::Probe => return self.answer_probe(from, &frame),
             _ => return self.account.unreadable(),
         };
         let packet = &mut buf[FRAME_LEN_BYTES..];
@@ -77,15 +77,21 @@
         }
     }
 
+    fn answer_probe(&mut self, from: Ipv4Addr, frame: &Frame) {
+        self.agent.note_balancer(from);
+        self.tell(from, FrameKind::Present, frame.flow, &[]);
+    }
+
     /// Answers for a list of flows.
     pub(super) fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
+        self.agent.note_balancer(from);
         self.hear(Revision(frame.revision));
         let view = self.view.as_deref();
         let now = self.traffic.clock.now();
         let answers: Vec<Listed> = read_list(list)
             .map(|asked| Listed {
                 flow: asked.flow,
-                knowledge: self.agent.knowledge(view, now, &asked.flow),
+                knowledge: self.agent.answer(view, now, &asked.flow),
             })
             .collect();
         let mut body = Vec::new();
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -79,6 +79,10 @@
                 Knowledge::Has => self.handle_owned(view, from, &of_one),
                 Knowledge::HasNot => self.handle_denied(view, from, &of_one),
                 Knowledge::Unsure => self.handle_unsure(view, from, &of_one),
+                Knowledge::Unseen if self.balancer.is_denial(&of_one) => {
+                    self.handle_denied(view, from, &of_one);
+                }
+                Knowledge::Unseen => self.handle_unsure(view, from, &of_one),
             }
         }
     }
