--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod flow;
+mod knowledge;
 mod step;
 
 use std::collections::VecDeque;
--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -1,8 +1,8 @@
 //! What a balancer remembers of a flow that came through it.
 //!
-//! A remembered agent is a belief, never a certainty: its word may be old, or
-//! it may never have answered. So whatever is asked of it has a time limit, and
-//! a caller that sends the same data again casts doubt on what was confirmed.
+//! A remembered agent may be wrong, or may never have answered. So whatever is
+//! asked of it has a time limit, and a caller that sends the same data again
+//! casts doubt on what was confirmed.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use super::step::Step;
+
 /// Time an agent has to say whether its server has a flow.
 pub const CONFIRM_LIMIT: Duration = Duration::from_millis(70);
 
@@ -125,4 +127,13 @@
             None => Inquiry::None,
         }
     }
+
+    /// Sends a packet to the agent.
+    pub(super) fn carry(&self, inquiry: Inquiry) -> Step {
+        Step::Carry {
+            agent: self.agent,
+            inquiry,
+            service: self.service,
+        }
+    }
 }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -5,10 +5,10 @@
 //! back. A packet of a flow that is not remembered goes to the member that
 //! ranks first; when its server does not have the flow, or nothing is heard of
 //! it in time, every other holder is asked, and the one that has it says so.
-//! Only when all holders have denied the flow is the caller reset, and then at
-//! once.
+//! Only when all holders have denied the flow, or are gone, is the caller reset,
+//! and then at once.
 //!
-//! Messages may be lost one way only, so no step waits for one answer. Behind its
+//! Messages may be lost one way only, so no step waits for one answer. After its
 //! time limit all who may have the flow are asked, by name first, then with the
 //! packet itself.
 
@@ -135,11 +135,7 @@
         }
         let flow = self.flows.get(&seg.key).copied();
         if let Some(flow) = flow.filter(|f| f.agent != from && f.confirmed) {
-            return Step::Carry {
-                agent: flow.agent,
-                inquiry: Inquiry::None,
-                service: flow.service,
-            };
+            return flow.carry(Inquiry::None);
         }
         self.flows.swap_remove(&seg.key);
         if seg.rst {
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -10,7 +10,6 @@
 use ramp_state::time::Millis;
 
 use super::Balancer;
-use super::flow::Flow;
 use super::search::Candidate;
 use super::search::Search;
 use super::step::DropReason;
@@ -102,11 +101,7 @@
         if gone || flow.is_unanswered(now) {
             return self.ask(view, now, seg);
         }
-        Step::Carry {
-            agent: flow.agent,
-            inquiry: flow.inquiry(),
-            service: flow.service,
-        }
+        flow.carry(flow.inquiry())
     }
 
     /// A packet of an open flow was sent with a question [`CONFIRM_LIMIT`] ago;
@@ -157,9 +152,7 @@
     /// Asks all holders that have not denied the flow. Between two questions
     /// the agent that most likely has it gets its packets all the same.
     pub(super) fn ask(&mut self, view: &View, now: Millis, seg: &Segment) -> Step {
-        let search = self.searches.entry(seg.key);
-        let search = search.or_insert_with(|| Search::new(now, seg, ResetReason::Unowned));
-        search.note(now, seg);
+        self.search(now, seg);
         if let step @ Step::Reset(_) = self.conclude_by_silence(view, now, seg.key) {
             return step;
         }
@@ -169,7 +162,8 @@
             return Step::Drop(DropReason::OwnerFound);
         };
         if !search.is_due(now, &candidates) {
-            return carry_or_wait(likely);
+            let wait = Step::Drop(DropReason::Asked);
+            return likely.map_or(wait, |f| f.carry(Inquiry::Owner));
         }
         let copies = &mut self.copies;
         let may_copy = || copies.take(now, SILENT_COPIES_PER_S);
@@ -277,7 +271,7 @@
             return false;
         }
         let known_gone = view.is_gone(holder, now);
-        let since = search.unanswered_since(now, known_gone);
+        let since = search.silent_since(now, known_gone);
         since.is_some_and(|since| !self.loads.has_told_since(holder, since))
     }
 
@@ -289,22 +283,15 @@
         }
     }
 
-    pub(super) fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
+    /// The search for the owner of a packet's flow, which may begin with it.
+    fn search(&mut self, now: Millis, seg: &Segment) -> &mut Search {
         let search = self.searches.entry(seg.key);
         let search = search.or_insert_with(|| Search::new(now, seg, ResetReason::Unowned));
         search.note(now, seg);
-        search.note_denial(agent);
+        search
     }
-}
 
-/// What becomes of a packet between two questions.
-fn carry_or_wait(likely: Option<Flow>) -> Step {
-    match likely {
-        Some(flow) => Step::Carry {
-            agent: flow.agent,
-            inquiry: Inquiry::Owner,
-            service: flow.service,
-        },
-        None => Step::Drop(DropReason::Asked),
+    pub(super) fn note_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
+        self.search(now, seg).note_denial(agent);
     }
 }
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -62,11 +62,7 @@
         };
         if flow.confirmed || flow.opened || !flow.is_unanswered(now) {
             flow.note(now, seg);
-            return Step::Carry {
-                agent: flow.agent,
-                inquiry: Inquiry::Owner,
-                service: flow.service,
-            };
+            return flow.carry(Inquiry::Owner);
         }
         let agent = flow.agent;
         self.suspects.add(agent, now);
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -59,6 +59,7 @@
     /// How often they were asked.
     questions: u32,
     pub(super) seen_at: Millis,
+    /// Sequence number that the caller expects.
     pub(super) seq: u32,
 }
 
@@ -198,7 +199,7 @@
     /// that it counts as gone. `known_gone`: its record is missing for long.
     /// One answer may be lost, so one question proves nothing but after as long
     /// as a record may be missing.
-    pub(super) fn unanswered_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
+    pub(super) fn silent_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
         let since = self.first_asked_at?;
         let overdue = now.since(self.asked_at?) >= CONFIRM_LIMIT;
         let silent = known_gone || self.is_long(now, SILENT_LIMIT);
--- a/crates/coordination/tests/passthrough/sound_flows.rs
+++ b/crates/coordination/tests/passthrough/sound_flows.rs
@@ -55,8 +55,8 @@
     balancer
 }
 
-/// Plays a flow that is not remembered; `heard` says which agents' answers get
-/// through, and when they deny. Gives the agents with the moment when each got
+/// Plays a flow that is not remembered; `denies_at` says which agents' answers
+/// get through, and when. Gives the agents with the moment when each got
 /// the packet first.
 fn play(view: &View, all: u8, denies_at: impl Fn(u8) -> Option<u64>) -> Vec<(Ipv4Addr, u64)> {
     play_flow(7, |_| view, all, denies_at)
--- a/crates/transport/src/passthrough/asking.rs
+++ b/crates/transport/src/passthrough/asking.rs
@@ -53,6 +53,6 @@
 
     /// The packet of a flow whose question has ended.
     pub fn take(&mut self, flow: &FlowKey) -> Option<Vec<u8>> {
-        self.waiting.swap_remove(flow)
+        self.waiting.shift_remove(flow)
     }
 }
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -1,9 +1,9 @@
 //! Traffic thread of a balancer whose packets pass through.
 
 mod peers;
+mod pending;
 mod timers;
 
-use std::collections::VecDeque;
 use std::io;
 use std::marker::PhantomData;
 use std::net::Ipv4Addr;
@@ -15,9 +15,7 @@
 use flume::Receiver;
 use flume::Sender;
 use flume::TryRecvError;
-use ramp_coordination::passthrough::balancer::ASK_AGAIN;
 use ramp_coordination::passthrough::balancer::Balancer;
-use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
 use ramp_coordination::passthrough::balancer::Reset;
 use ramp_coordination::passthrough::balancer::Step;
 use ramp_coordination::passthrough::published::Revision;
@@ -32,6 +30,7 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use self::pending::Pending;
 use super::account::balancer::Account;
 use super::account::beliefs;
 use super::asking::Asking;
@@ -53,14 +52,6 @@
 /// Shortest wait for packets while an answer is nearly overdue.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
-/// Packets of open flows that are kept for the case of no answer; callers send
-/// beyond that again themselves.
-const PENDING_PACKETS: usize = 256;
-
-/// How often a question is repeated without another packet of the caller, after
-/// pauses that double: for about as long as its own longest pause.
-const REPEATS: u32 = 3;
-
 /// Longest time for which overdue answers are not looked at, however many come.
 const CHECK_EVERY: Duration = Duration::from_millis(500);
 
@@ -83,14 +74,6 @@
     pub events: Sender<Event>,
 }
 
-/// A packet whose question may stay unanswered.
-struct PendingPacket {
-    due: Millis,
-    packet: Vec<u8>,
-    /// How often its question was repeated.
-    repeats: u32,
-}
-
 struct Worker<F> {
     traffic: Traffic,
     view: Option<Arc<View>>,
@@ -100,7 +83,7 @@
     reaches: bool,
     asking: Asking,
     /// Packets whose questions may stay unanswered.
-    pending: VecDeque<PendingPacket>,
+    pending: Pending,
     /// When answers were last looked at that are overdue.
     checked_at: Millis,
     /// Whether the view is newer than what was last concluded from it.
@@ -127,7 +110,7 @@
             reach: Reach::default(),
             reaches: true,
             asking: Asking::default(),
-            pending: VecDeque::new(),
+            pending: Pending::default(),
             checked_at: Millis(0),
             view_is_new: false,
             leaving_since: None,
@@ -246,23 +229,8 @@
 
     /// Keeps a packet that is sent with a question until the answer is due.
     fn expect_answer(&mut self, seg: &Segment, step: &Step, packet: &[u8], repeats: u32) {
-        let limit = match step {
-            Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
-            Step::Ask(_) => ASK_AGAIN * (1 << repeats.min(REPEATS)),
-            _ => return,
-        };
-        let full = self.pending.len() >= PENDING_PACKETS || repeats > REPEATS;
-        if full && !seg.opens {
-            return;
-        }
-        let due = self.traffic.clock.now() + limit;
-        let at = self.pending.partition_point(|p| p.due <= due);
-        let pending = PendingPacket {
-            due,
-            packet: packet.to_vec(),
-            repeats,
-        };
-        self.pending.insert(at, pending);
+        let now = self.traffic.clock.now();
+        self.pending.add(now, seg, step, packet, repeats);
     }
 
     fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
--- /dev/null
+++ b/crates/transport/src/passthrough/balancer/pending.rs
@@ -0,0 +1,71 @@
+//! Packets whose questions may stay unanswered.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ramp_coordination::passthrough::balancer::ASK_AGAIN;
+use ramp_coordination::passthrough::balancer::CONFIRM_LIMIT;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_protocol::hop::Inquiry;
+use ramp_protocol::packet::Segment;
+use ramp_state::time::Millis;
+
+/// Packets of open flows that are kept for the case of no answer; callers send
+/// beyond that again themselves.
+const PENDING_PACKETS: usize = 256;
+
+/// How often a question is repeated without another packet of the caller, after
+/// pauses that double: for about as long as its own longest pause.
+const REPEATS: u32 = 3;
+
+/// A packet that was sent with a question.
+pub(super) struct PendingPacket {
+    due: Millis,
+    pub(super) packet: Vec<u8>,
+    /// How often its question was repeated.
+    pub(super) repeats: u32,
+}
+
+/// Packets in the order in which their answers are due.
+#[derive(Default)]
+pub(super) struct Pending(VecDeque<PendingPacket>);
+
+impl Pending {
+    /// Keeps a packet if an answer is due for it.
+    pub(super) fn add(
+        &mut self,
+        now: Millis,
+        seg: &Segment,
+        step: &Step,
+        packet: &[u8],
+        repeats: u32,
+    ) {
+        let limit = match step {
+            Step::Carry { inquiry, .. } if *inquiry != Inquiry::None => CONFIRM_LIMIT,
+            Step::Ask(_) => ASK_AGAIN * (1 << repeats.min(REPEATS)),
+            _ => return,
+        };
+        let full = self.0.len() >= PENDING_PACKETS || repeats > REPEATS;
+        if full && !seg.opens {
+            return;
+        }
+        let due = now + limit;
+        let at = self.0.partition_point(|p| p.due <= due);
+        let pending = PendingPacket {
+            due,
+            packet: packet.to_vec(),
+            repeats,
+        };
+        self.0.insert(at, pending);
+    }
+
+    /// A packet whose answer is overdue.
+    pub(super) fn overdue(&mut self, now: Millis) -> Option<PendingPacket> {
+        self.0.pop_front_if(|p| now >= p.due)
+    }
+
+    /// Time until the next answer is due; none when none is.
+    pub(super) fn time_left(&self, now: Millis) -> Option<Duration> {
+        self.0.front().map(|p| p.due.since(now))
+    }
+}
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -15,20 +15,16 @@
 impl<F: PacketFormat> Worker<F> {
     /// Time until something must be done without a packet.
     pub(super) fn time_to_next(&self) -> Duration {
-        let Some(pending) = self.pending.front() else {
+        let Some(left) = self.pending.time_left(self.traffic.clock.now()) else {
             return udp::IDLE_TURN;
         };
-        let left = pending.due.since(self.traffic.clock.now());
         left.clamp(SHORTEST_WAIT, udp::IDLE_TURN)
     }
 
     /// Handles packets again whose questions were not answered in time.
     pub(super) fn handle_overdue(&mut self) {
         let now = self.traffic.clock.now();
-        while self.pending.front().is_some_and(|p| now >= p.due) {
-            let Some(pending) = self.pending.pop_front() else {
-                return;
-            };
+        while let Some(pending) = self.pending.overdue(now) {
             let packet = &pending.packet;
             let (Some(view), Some(passing)) = (self.view.clone(), F::read(packet)) else {
                 continue;
