Say above each new test what it guards against; one fixture for its balancers

Several lines above tests said 'as above', or told what once happened. The balancer beside agents that know their servers' flows was built in four places.

--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -534,7 +534,8 @@
     assert!(asked.contains(&guess));
 }
 
-// Guards against the same where the caller sends nothing more.
+// Guards against an open flow that waits for its caller's next packet, because
+// a member's answer to the last one is lost.
 #[test]
 fn a_question_that_stays_unanswered_needs_no_further_packet() {
     let view = view(&[1, 2, 3]);
@@ -607,12 +608,7 @@
 #[test]
 fn an_agent_that_is_silent_to_its_name_gets_the_packet() {
     let view = view(&[1, 2, 3]);
-    let mut balancer = Balancer::new();
-    let mut told = frame(FrameKind::Present, flow(1));
-    told.complete = true;
-    for last in 1..=3 {
-        balancer.present(Millis(0), ip(last), &told);
-    }
+    let mut balancer = balancer_beside(1..=3);
     let seg = segment(flow(7));
     let (first, others) = bounced_by_the_first(&mut balancer, &view, &seg);
     denied(&mut balancer, &view, 2, others[0], flow(7));
@@ -622,20 +618,16 @@
     assert_eq!(question.copies, [others[1]], "{first} bounced it");
 }
 
-// Guards against the same by an agent that knows its flows but not this one's
-// state: its server has not answered yet.
+// Guards against an owner that gets the name of its flow again and again, but
+// never the packet, because its server has not answered yet and it can't tell.
 #[test]
 fn a_complete_agent_that_is_unsure_gets_the_packet() {
     let view = view(&[1, 2, 3]);
-    let mut balancer = Balancer::new();
-    let mut told = frame(FrameKind::Present, flow(1));
-    told.complete = true;
-    for last in 1..=3 {
-        balancer.present(Millis(0), ip(last), &told);
-    }
+    let mut balancer = balancer_beside(1..=3);
     let seg = segment(flow(7));
     let (_, others) = bounced_by_the_first(&mut balancer, &view, &seg);
-    told.flow = flow(7);
+    let mut told = frame(FrameKind::Answer, flow(7));
+    told.complete = true;
     balancer.unsure(Millis(2), others[0], &told);
     let Step::Ask(question) = balancer.arrival(&view, Millis(3), &seg) else {
         panic!("nobody was asked")
@@ -649,12 +641,7 @@
 fn many_silent_agents_get_the_packets_in_turn() {
     let all: Vec<u8> = (1..=60).collect();
     let view = view(&all);
-    let mut balancer = Balancer::new();
-    let mut told = frame(FrameKind::Present, flow(1));
-    told.complete = true;
-    for last in &all {
-        balancer.present(Millis(0), ip(*last), &told);
-    }
+    let mut balancer = balancer_beside(all);
     let seg = segment(flow(7));
     bounced_by_the_first(&mut balancer, &view, &seg);
     let mut reached = std::collections::HashSet::new();
--- a/crates/coordination/tests/passthrough/catalog.rs
+++ b/crates/coordination/tests/passthrough/catalog.rs
@@ -33,7 +33,7 @@
     assert_eq!(catalog.cursor(), Revision(200));
 }
 
-/// The pattern of a process that follows a reader which is behind and is then
+/// Guards against harm by a process that follows a reader which is behind and is then
 /// lost: nobody tells the process again what the old changes have undone.
 #[test]
 fn changes_from_the_past_undo_nothing() {
@@ -65,7 +65,7 @@
     assert!(catalog.is_well());
 }
 
-/// The pattern of a one-way cut: nothing fails, and nothing new is heard.
+/// Guards against harm by a one-way cut: nothing fails, and nothing new is heard.
 #[test]
 fn what_was_heard_long_ago_settles_nothing_until_the_next_answer() {
     let mut catalog = catalog(&[1]);
@@ -158,7 +158,7 @@
     assert!(view.member_or_lapsed(ip(2), Millis(6101)).is_none(), "left");
 }
 
-/// The pattern of a record that is revoked while no call fails: an instance
+/// Guards against harm by a record that is revoked while no call fails: an instance
 /// that starts meanwhile can't know of the server, and must not reset its flows.
 #[test]
 fn a_server_that_vanished_without_leaving_is_told_of_until_it_counts_as_gone() {
@@ -175,7 +175,7 @@
     assert!(!view.misses_servers(Millis(5200)), "listed again");
 }
 
-/// The pattern of a server that is cut off from the platform alone: it goes on
+/// Guards against harm by a server that is cut off from the platform alone: it goes on
 /// with its flows, and whoever no longer asked it would reset them.
 #[test]
 fn a_server_that_vanished_without_leaving_is_asked_as_long_as_flows_last() {
@@ -195,7 +195,7 @@
     assert_eq!(view.holders().count(), 1);
 }
 
-/// The pattern of a loss of power: records of servers that are no more lapse
+/// Guards against harm by a loss of power: records of servers that are no more lapse
 /// after everything has started, and must not hold up the resets of their flows.
 #[test]
 fn a_server_that_vanishes_just_after_the_start_is_not_told_of() {
--- a/crates/coordination/tests/passthrough/feeds.rs
+++ b/crates/coordination/tests/passthrough/feeds.rs
@@ -51,7 +51,7 @@
     assert!(feeds.pick(Millis(1500), false).is_some());
 }
 
-/// The pattern of readers that accept connections and stay silent: a round of
+/// Guards against harm by readers that accept connections and stay silent: a round of
 /// them takes so long that the first may be tried again. Nobody would ever read
 /// the platform itself, and the view would stay as it is.
 #[test]
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::catalog::Catalog;
 use ramp_coordination::passthrough::published::Change;
 use ramp_coordination::passthrough::published::Changes;
@@ -178,3 +179,15 @@
         running_for: Duration::ZERO,
     }
 }
+
+/// A balancer that has heard of these agents that they know all flows of their
+/// servers.
+pub fn balancer_beside(agents: impl IntoIterator<Item = u8>) -> Balancer {
+    let mut balancer = Balancer::new();
+    let mut told = frame(FrameKind::Present, flow(1));
+    told.complete = true;
+    for last in agents {
+        balancer.present(Millis(0), ip(last), &told);
+    }
+    balancer
+}
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -177,8 +177,8 @@
     (from, to)
 }
 
-// A restarted balancer guessed a server whose bounces were lost in the cut,
-// and sent all later packets there.
+// Guards against a restarted balancer that sends all packets to a server whose
+// bounces are lost in a cut.
 #[test]
 fn balancers_that_restart_in_a_one_way_cut_find_owners_that_they_reach() {
     play_all(|seed| {
@@ -190,8 +190,8 @@
     });
 }
 
-// An opening whose confirmation is lost is placed again, also at servers that
-// a cut hides; the caller goes on with the first answer.
+// Guards against packets that follow an opening to the wrong server: it was
+// placed again, and the caller went on with the first answer.
 #[test]
 fn openings_that_are_placed_again_in_a_one_way_cut_find_the_server_that_answered() {
     play_all(|seed| {
@@ -226,15 +226,16 @@
     }
 }
 
-// An agent gave up on a copy of an opening that waited there, and the caller
-// was reset though the flow was open at another server.
+// Guards against a reset by an agent that gives up on a copy of an opening that
+// waited there, though the flow is open at another server.
 #[test]
 fn copies_of_an_opening_that_wait_elsewhere_reset_no_open_flow() {
     let outcomes = play_all(|_| full_servers(WaitsFault::default()));
     assert!(outcomes.iter().any(|o| o.waited > 0), "servers are full");
 }
 
-// As above: the opening was placed again since the word that it waits was lost.
+// Guards against a reset of an open flow by an agent that gives up on a copy of
+// its opening: it was placed again since the word that it waits was lost.
 #[test]
 fn lost_words_that_an_opening_waits_reset_no_open_flow() {
     let waits = WaitsFault {
@@ -244,7 +245,8 @@
     play_all(|_| full_servers(waits));
 }
 
-// As above: the word that the opening waits came after it was placed again.
+// Guards against a reset of an open flow by an agent that gives up on a copy of
+// its opening: the word that it waits came after it was placed again.
 #[test]
 fn late_words_that_an_opening_waits_reset_no_open_flow() {
     let waits = WaitsFault {
@@ -325,7 +327,8 @@
     });
 }
 
-// As above, beside servers that let openings wait.
+// Guards against resets by late refusals of openings, beside slow ways, freezes
+// and servers that let openings wait.
 #[test]
 fn slow_ways_and_freezes_beside_full_servers_reset_no_open_flow() {
     play_all(|seed| {
@@ -359,8 +362,8 @@
     both.concat()
 }
 
-// A balancer that started while a record was away took all members that it
-// knew for all holders, and reset flows of the server that was missing.
+// Guards against a balancer that starts while a record is away, and resets flows
+// of the server that it does not know.
 #[test]
 fn balancers_that_restart_while_records_are_away_reset_no_open_flow() {
     play_all(|seed| {
@@ -380,7 +383,8 @@
     });
 }
 
-// As above, also agents restart and no longer know the flows of their servers.
+// Guards against resets by missing records while agents restart, which no longer
+// know the flows of their servers.
 #[test]
 fn records_that_are_away_while_agents_restart_cost_no_open_flow() {
     play_all(|seed| {
@@ -400,7 +404,8 @@
     });
 }
 
-// As above, inside one-way cuts.
+// Guards against resets by missing records, and against strays, inside one-way
+// cuts.
 #[test]
 fn records_that_are_away_in_a_one_way_cut_cost_no_open_flow() {
     play_all(|seed| {
--- a/crates/coordination/tests/passthrough/sound_flows.rs
+++ b/crates/coordination/tests/passthrough/sound_flows.rs
@@ -44,17 +44,6 @@
     }
 }
 
-/// A balancer that knows of all agents that they know their servers' flows.
-fn balancer_beside(last: impl Iterator<Item = u8>) -> Balancer {
-    let mut balancer = Balancer::new();
-    let mut told = frame(FrameKind::Present, flow(1));
-    told.complete = true;
-    for last in last {
-        balancer.present(Millis(0), ip(last), &told);
-    }
-    balancer
-}
-
 /// Plays a flow that is not remembered; `denies_at` says which agents' answers
 /// get through, and when. Gives the agents with the moment when each got
 /// the packet first.
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -141,7 +141,7 @@
     }
 }
 
-/// The pattern of an outage in which readers learn a little more now and then:
+/// Guards against harm by an outage in which readers learn a little more now and then:
 /// what one of them tells that is not current must not end the outage here.
 #[tokio::test]
 async fn a_reader_that_is_not_current_does_not_end_an_outage() {
@@ -162,7 +162,7 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// The pattern of a one-way cut: the connection stays, the answer never comes.
+/// Guards against harm by a one-way cut: the connection stays, the answer never comes.
 /// By its old view the process would deny what is new.
 #[tokio::test]
 async fn a_view_is_not_settled_while_a_watch_hangs() {
