--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod flow;
+mod knowledge;
 mod step;
 
 use std::collections::VecDeque;
@@ -69,6 +70,8 @@
     superseded: IndexSet<FlowKey>,
     swept: Sweep,
     unanswered: Vec<Unanswered>,
+    /// Whether this process has had any view.
+    has_view: bool,
     /// When the server was last not listed.
     unlisted_at: Option<Millis>,
     announced_at: Millis,
@@ -101,6 +104,7 @@
             superseded: IndexSet::new(),
             swept: Sweep::default(),
             unanswered: Vec::new(),
+            has_view: false,
             unlisted_at: None,
             announced_at: Millis(0),
         }
