Ask few by packet where an agent is only slow to answer

Cause: an agent that was restarted beside a living server can't tell of a flow before its server answers, which takes longer than 70 ms. Each flow's first packet then went to all 76 holders in copies, and the links of small balancers were full of them.

Now the agent says at once that it passed the packet on; a balancer that hears this waits for 0.6 s, as it would hear a bounce too. Where the time is over all the same, the first agent most likely has the flow: of those that can't tell by name eight get the packet, in turn, and only when the first has bounced it all.

Ruled out: resets held for longer (few were lost flows; the callers' openings failed too).

--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -17,6 +17,10 @@
 /// Time an agent has to say whether its server has a flow.
 pub const CONFIRM_LIMIT: Duration = Duration::from_millis(70);
 
+/// Time that a server has to answer or bounce a packet, once its agent has said
+/// that it passed the packet on.
+const PASSED_LIMIT: Duration = Duration::from_millis(600);
+
 /// A flow that came through here.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flow {
@@ -29,6 +33,8 @@
     pub(super) opened: bool,
     /// Since when the agent has owed an answer.
     asked_since: Option<Millis>,
+    /// Whether the agent has passed the packet on and waits for its server.
+    passed_on: bool,
     /// Sequence number behind the newest data of the caller.
     next_seq: Option<u32>,
     /// Numbers of the last packet without data.
@@ -46,6 +52,7 @@
             confirmed: false,
             opened: false,
             asked_since: Some(now),
+            passed_on: false,
             next_seq: None,
             last_ack: None,
             seen_at: now,
@@ -63,6 +70,7 @@
             confirmed: true,
             opened: false,
             asked_since: None,
+            passed_on: false,
             next_seq: None,
             last_ack: None,
             seen_at: now,
@@ -108,6 +116,13 @@
     pub(super) fn confirm(&mut self) {
         self.confirmed = true;
         self.asked_since = None;
+        self.passed_on = false;
+    }
+
+    /// The agent has passed the packet on: its answers are heard, so a bounce
+    /// would be too.
+    pub(super) fn pass_on(&mut self) {
+        self.passed_on = true;
     }
 
     /// How long the agent has owed an answer; zero when it owes none.
@@ -117,7 +132,12 @@
 
     /// Whether the agent has not answered in time.
     pub(super) fn is_unanswered(&self, now: Millis) -> bool {
-        self.waited(now) >= CONFIRM_LIMIT
+        let limit = if self.passed_on {
+            PASSED_LIMIT
+        } else {
+            CONFIRM_LIMIT
+        };
+        self.waited(now) >= limit
     }
 
     /// What the agent is asked with the next packet.
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -185,9 +185,14 @@
         self.overdue_answer(view, now, seg)
     }
 
-    /// An agent has given a sign of life.
+    /// An agent has given a sign of life; about a flow: it has passed the packet
+    /// on to its server, which alone can tell.
     pub fn present(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.hear(now, from, frame);
+        let flow = self.flows.get_mut(&frame.flow);
+        if let Some(flow) = flow.filter(|f| f.agent == from) {
+            flow.pass_on();
+        }
     }
 
     /// Resets the caller of an address without a route, unless there may be one
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -151,15 +151,18 @@
     ) -> Question {
         let mut question = Question::default();
         let mut silent = Vec::new();
+        // Mostly the agent that was asked first has it, and is only slow.
+        let has_likely = left.iter().any(|c| c.likely);
         for candidate in left {
             let agent = candidate.agent;
-            let by_packet = candidate.likely || !candidate.complete || self.unsure.contains(&agent);
+            let needs_packet = !candidate.complete && !has_likely;
+            let by_packet = candidate.likely || needs_packet || self.unsure.contains(&agent);
             if seg.opens {
                 // A copy would open the flow.
                 question.named.push(agent);
             } else if by_packet {
                 question.copies.push(agent);
-            } else if self.is_long(now, NAMED_LIMIT) {
+            } else if !candidate.complete || self.is_long(now, NAMED_LIMIT) {
                 silent.push(*candidate);
             } else {
                 question.named.push(agent);
@@ -170,8 +173,8 @@
         question
     }
 
-    /// Copies a packet to a few silent agents: those that got fewest, the
-    /// listed ones and the flow's home first.
+    /// Copies a packet to a few agents that are silent or can't tell: those that
+    /// got fewest, the listed ones and the flow's home first.
     fn ask_silent(
         &mut self,
         seg: &Segment,
--- a/crates/coordination/tests/passthrough/balancer.rs
+++ b/crates/coordination/tests/passthrough/balancer.rs
@@ -868,3 +868,36 @@
     let step = balancer.arrival(&away, Millis(9), &opening(new, 0));
     assert_eq!(step, Step::Drop(DropReason::Unsettled), "it may be new");
 }
+
+// Guards against a search for each flow after all agents were restarted: an agent
+// that can't tell yet waits for its server, which may work for longer.
+#[test]
+fn an_agent_that_passed_a_packet_on_has_time_for_its_servers_answer() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (agent, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    balancer.present(Millis(2), agent, &frame(FrameKind::Present, flow(7)));
+    assert_eq!(balancer.overdue(&view, Millis(70), &seg), None);
+    let step = balancer.arrival(&view, Millis(200), &seg);
+    assert_eq!(carried(&step), (agent, Inquiry::Owner));
+    let step = balancer.arrival(&view, Millis(600), &seg);
+    assert_eq!(asked(step).len(), 3, "its bounce may be lost all the same");
+}
+
+// Guards against a flood of copies at a large service after all agents were
+// restarted: one that is only slow has most likely the flow.
+#[test]
+fn a_slow_answer_sends_copies_to_few_agents_that_cannot_tell() {
+    let all: Vec<u8> = (1..=60).collect();
+    let view = view(&all);
+    let mut balancer = Balancer::new();
+    let seg = segment(flow(7));
+    let (agent, _) = carried(&balancer.arrival(&view, Millis(0), &seg));
+    let Some(Step::Ask(question)) = balancer.overdue(&view, Millis(70), &seg) else {
+        panic!("nobody was asked")
+    };
+    assert!(question.copies.contains(&agent));
+    assert_eq!(question.copies.len(), 9);
+    assert_eq!(question.agent_count(), 60);
+}
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -247,6 +247,8 @@
             Inbound::Pass { mark, owned } => {
                 if owned {
                     self.tell(at, from, FrameKind::Owned, seg);
+                } else if inquiry == Inquiry::Owner && !seg.opens {
+                    self.tell(at, from, FrameKind::Present, seg);
                 }
                 self.server_gets(at, from, mark.0, seg);
             }
@@ -265,10 +267,11 @@
         };
         let view = &self.views[&process_of(at)];
         let now = self.clock(process_of(at));
-        let kind = match server.agent.knowledge(Some(view), now, &frame.flow) {
+        let kind = match server.agent.answer(Some(view), now, &frame.flow) {
             Knowledge::Has => FrameKind::Owned,
             Knowledge::HasNot => FrameKind::Denied,
-            Knowledge::Unsure | Knowledge::Unseen => FrameKind::Answer,
+            Knowledge::Unsure => FrameKind::Answer,
+            Knowledge::Unseen => return,
         };
         self.tell(at, from, kind, seg);
     }
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -69,7 +69,8 @@
     Answer,
     /// Balancer to agent: asks for a sign of life; no packet, any flow.
     Probe,
-    /// Agent to balancer: the sign of life.
+    /// Agent to balancer: the sign of life; with a flow, that its packet has been
+    /// passed on to the server, which has not answered yet.
     Present,
 }
 
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -45,6 +45,8 @@
                 self.pass(packet, segment, mark);
                 if owned {
                     self.tell(from, FrameKind::Owned, segment.key, &[]);
+                } else if inquiry == Inquiry::Owner && !segment.opens {
+                    self.tell(from, FrameKind::Present, segment.key, &[]);
                 }
             }
             Inbound::Wait => {
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -70,6 +70,7 @@
         frame: &Frame,
         list: &[u8],
     ) {
+        let now = self.traffic.clock.now();
         for listed in read_list(list) {
             let of_one = Frame {
                 flow: listed.flow,
@@ -82,7 +83,8 @@
                 Knowledge::Unseen if self.balancer.is_denial(&of_one) => {
                     self.handle_denied(view, from, &of_one);
                 }
-                Knowledge::Unseen => self.handle_unsure(view, from, &of_one),
+                // Those that can't tell get the packet in their turn.
+                Knowledge::Unseen => self.balancer.present(now, from, frame),
             }
         }
     }
