Watch for signals before anything else

A balancer that was asked to end in the millisecond of its start ended by the signal (15), as nothing watched for it until control ran: settings, sockets and threads came first. SIGHUP, which tells that the settings have changed, ended a starting process in the same way.

Ruled out: the traffic thread; the process never got so far.

What comes before main() runs still ends the process by the signal; nothing in a program can change that.

--- a/bramleyramp/src/daemon.rs
+++ b/bramleyramp/src/daemon.rs
@@ -16,6 +16,7 @@
 use ramp_transport::logging;
 use ramp_transport::logging::Stream;
 use ramp_transport::passthrough::place::Place;
+use ramp_transport::signal;
 
 use crate::error::CliError;
 use crate::error::CliResult;
@@ -46,6 +47,8 @@
 
 /// Reads the settings of a daemon of `role` and runs it.
 pub fn run(args: lexopt::Parser, usage: &str, role: Role, bodies: &Bodies) -> CliResult<ExitCode> {
+    // First of all: a process may be asked to end as soon as it runs.
+    signal::watch()?;
     let Some(args) = parse(args, usage)? else {
         print!("{usage}");
         return Ok(ExitCode::SUCCESS);
--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -2,6 +2,7 @@
 //! store, its routers, callers and backend servers.
 
 mod fixture;
+mod signals;
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 #[path = "../stand_ins/mod.rs"]
--- /dev/null
+++ b/bramleyramp/tests/on_platform/signals.rs
@@ -0,0 +1,85 @@
+//! Signals that come while a process starts.
+
+use std::fs;
+use std::fs::File;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use crate::stand_ins::machine::Machine;
+use crate::stand_ins::machine::Ports;
+use crate::stand_ins::machine::signal;
+use crate::stand_ins::machine::until;
+
+/// Sends `signals` to a balancer that has just begun to read its settings, and
+/// then lets it have them.
+fn signalled_at_start(name: &str, signals: &[&str]) -> Starting {
+    let dir = std::env::temp_dir().join(format!("ramp-signals-{}-{name}", std::process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let pipe = dir.join("settings");
+    let made = Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.unwrap().success());
+    let machine = Machine {
+        name,
+        at: Ipv4Addr::new(127, 79, 0, name.len() as u8),
+        ports: Ports::pick(),
+        // Nobody listens there.
+        store: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
+        seeds: &[],
+        service: None,
+    };
+    let child = machine.start_with(&pipe, Stdio::null());
+    // Opens as soon as the process reads.
+    let mut settings = File::options().write(true).open(&pipe).unwrap();
+    for name in signals {
+        signal(&child, name);
+    }
+    settings.write_all(machine.settings().as_bytes()).unwrap();
+    Starting { child, dir }
+}
+
+struct Starting {
+    child: Child,
+    dir: PathBuf,
+}
+
+impl Drop for Starting {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Starting {
+    fn wait_for_end(&mut self) -> ExitStatus {
+        let mut ended = None;
+        until("the process ends", || {
+            ended = self.child.try_wait().unwrap();
+            ended.is_some()
+        });
+        ended.unwrap()
+    }
+}
+
+// Guards against a process that ends by the signal, not in order: it was asked to
+// end before it could watch for that.
+#[test]
+fn a_process_asked_to_end_while_it_starts_ends_in_order() {
+    let mut starting = signalled_at_start("ends", &["-TERM"]);
+    let status = starting.wait_for_end();
+    assert!(status.success(), "{status}");
+}
+
+// The settings may change at any moment, so also while they are read.
+#[test]
+fn a_process_asked_to_reload_while_it_starts_goes_on() {
+    let mut starting = signalled_at_start("reloads", &["-HUP", "-TERM"]);
+    let status = starting.wait_for_end();
+    assert!(status.success(), "{status}");
+}
--- a/bramleyramp/tests/stand_ins/machine.rs
+++ b/bramleyramp/tests/stand_ins/machine.rs
@@ -49,17 +49,22 @@
     pub fn start(&self, dir: &Path, stdout: Stdio) -> Child {
         let file = dir.join(format!("{}.conf", self.name));
         fs::write(&file, self.settings()).unwrap();
+        self.start_with(&file, stdout)
+    }
+
+    /// Starts the process with a settings file that need not be there yet.
+    pub fn start_with(&self, file: &Path, stdout: Stdio) -> Child {
         let role = self.service.map_or("balancer", |_| "agent");
         let metrics = self.ports.metrics.to_string();
         Command::new(env!("CARGO_BIN_EXE_bramleyramp"))
             .args([role, "--on-platform", "--metrics-port", &metrics])
-            .env("BRAMLEYRAMP_NODE_FILE", &file)
+            .env("BRAMLEYRAMP_NODE_FILE", file)
             .stdout(stdout)
             .spawn()
             .unwrap()
     }
 
-    fn settings(&self) -> String {
+    pub fn settings(&self) -> String {
         let Machine {
             name, at, ports, ..
         } = self;
