Tell which agents a search for a flow's owner waits for

From 0.5 s on, once a second and search, the balancer names up to four agents with the reason, and what it doubts; a counter by reason.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -13,6 +13,7 @@
 //! packet itself.
 
 mod flow;
+mod held_up;
 mod owner;
 mod placing;
 mod search;
@@ -42,6 +43,10 @@
 use super::view::View;
 
 pub use self::flow::CONFIRM_LIMIT;
+pub use self::held_up::Doubt;
+pub use self::held_up::HeldUp;
+pub use self::held_up::Holdout;
+pub use self::held_up::HoldoutReason;
 pub use self::search::ASK_AGAIN;
 pub use self::step::DropReason;
 pub use self::step::Learned;
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -10,6 +10,7 @@
 use ramp_state::time::Millis;
 
 use super::Balancer;
+use super::held_up::Doubt;
 use super::search::Candidate;
 use super::search::Search;
 use super::step::DropReason;
@@ -188,7 +189,7 @@
     }
 
     /// Holders that have not denied a flow.
-    fn candidates(&self, view: &View, now: Millis, flow: &FlowKey) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, view: &View, now: Millis, flow: &FlowKey) -> Vec<Candidate> {
         let denied = self.searches.get(flow).map(|s| s.denied.as_slice());
         let denied = denied.unwrap_or_default();
         let likely = self.flows.get(flow).map(|f| f.agent);
@@ -239,9 +240,7 @@
         if !self.holders(view, now).all(denied) {
             return Step::Drop(DropReason::Asked);
         }
-        // A holder that this view does not have yet may own the flow.
-        let behind = self.newest_heard > view.cursor;
-        if behind || !view.is_settled(now) || self.may_have_missed_records(view, now) {
+        if self.doubt(view, now).is_some() {
             return Step::Drop(DropReason::Unsettled);
         }
         let (seq, reason) = (search.seq, search.reason);
@@ -250,6 +249,18 @@
         Step::Reset(Reset { flow, seq, reason })
     }
 
+    /// Why there may be holders that this balancer does not know of.
+    pub(super) fn doubt(&self, view: &View, now: Millis) -> Option<Doubt> {
+        if self.newest_heard > view.cursor {
+            return Some(Doubt::Behind);
+        }
+        if !view.is_settled(now) {
+            return Some(Doubt::Unsettled);
+        }
+        self.may_have_missed_records(view, now)
+            .then_some(Doubt::MissedRecords)
+    }
+
     /// Whether this balancer may have started while records of servers that live
     /// were missing, so that it has never seen them. Where the whole fleet has
     /// just started, no flow is older than this process.
@@ -263,7 +274,13 @@
     /// Whether a holder has no record and stays silent, so that its flows can't
     /// be served in any case. A missing record alone says nothing: it lapses
     /// also when its server lives and is cut off from the platform.
-    fn counts_as_gone(&self, view: &View, now: Millis, search: &Search, holder: Ipv4Addr) -> bool {
+    pub(super) fn counts_as_gone(
+        &self,
+        view: &View,
+        now: Millis,
+        search: &Search,
+        holder: Ipv4Addr,
+    ) -> bool {
         if view.member(holder).is_some() {
             return false;
         }
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -58,6 +58,8 @@
     first_asked_at: Option<Millis>,
     /// How often they were asked.
     questions: u32,
+    /// When it was last told of as one that does not end.
+    pub(super) told_at: Option<Millis>,
     pub(super) seen_at: Millis,
     /// Sequence number that the caller expects.
     pub(super) seq: u32,
@@ -86,6 +88,7 @@
             asked_at: None,
             first_asked_at: None,
             questions: 0,
+            told_at: None,
             seen_at: now,
             seq: seg.ack,
         }
@@ -111,6 +114,22 @@
         self.urgent = true;
     }
 
+    /// How long ago the holders were asked first; zero when they were not.
+    pub(super) fn waited(&self, now: Millis) -> Duration {
+        self.first_asked_at
+            .map_or(Duration::ZERO, |at| now.since(at))
+    }
+
+    /// When the holders were asked first.
+    pub(super) fn first_asked_at(&self) -> Option<Millis> {
+        self.first_asked_at
+    }
+
+    /// Whether an agent has said that it can't tell.
+    pub(super) fn is_unsure(&self, agent: Ipv4Addr) -> bool {
+        self.unsure.contains(&agent)
+    }
+
     /// Whether anybody has been asked.
     pub(super) fn is_asked(&self) -> bool {
         self.first_asked_at.is_some()
--- /dev/null
+++ b/crates/coordination/tests/passthrough/held_up.rs
@@ -0,0 +1,80 @@
+//! Whom a search waits for, as it is told.
+
+use ramp_coordination::passthrough::balancer::Doubt;
+use ramp_coordination::passthrough::balancer::HeldUp;
+use ramp_coordination::passthrough::balancer::Holdout;
+use ramp_coordination::passthrough::balancer::HoldoutReason;
+use ramp_coordination::passthrough::balancer::Step;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::hop::FrameKind;
+use ramp_protocol::hop::Refusal;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+/// What is told of a search that began at 100 ms and ended at no time, while the
+/// agents named have answered other things since.
+fn told_at(now: u64, view: &View, heard: &[u8]) -> Option<HeldUp> {
+    let mut balancer = balancer_beside(1..=3);
+    let seg = segment(flow(7));
+    balancer.arrival(view, Millis(100), &seg);
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    let step = balancer.returned(view, Millis(101), ip(1), Refusal::Bounced, &told, &seg);
+    assert!(matches!(step, Step::Ask(_)), "{step:?}");
+    for last in heard {
+        let present = frame(FrameKind::Present, flow(1));
+        balancer.present(Millis(200), ip(*last), &present);
+    }
+    balancer.held_up(view, Millis(now), &flow(7))
+}
+
+fn reasons(held_up: &HeldUp) -> Vec<(u8, HoldoutReason)> {
+    let reason = |h: &Holdout| (h.agent.octets()[3], h.reason);
+    held_up.agents.iter().map(reason).collect()
+}
+
+#[test]
+fn a_search_that_goes_on_for_long_names_the_agents_that_it_waits_for() {
+    let held_up = told_at(700, &view(&[1, 2, 3]), &[3]).unwrap();
+    let expected = [(2, HoldoutReason::Silent), (3, HoldoutReason::Unanswered)];
+    assert_eq!(reasons(&held_up), expected);
+    assert_eq!((held_up.denied, held_up.left), (1, 2));
+    assert_eq!(held_up.doubt, None);
+}
+
+#[test]
+fn agents_without_a_listed_server_are_told_apart() {
+    let held_up = told_at(700, &view(&[1, 2]), &[3]).unwrap();
+    let expected = [
+        (2, HoldoutReason::Silent),
+        (3, HoldoutReason::UnlistedHeard),
+    ];
+    assert_eq!(reasons(&held_up), expected);
+}
+
+#[test]
+fn a_search_that_has_just_begun_is_not_told_of() {
+    assert_eq!(told_at(500, &view(&[1, 2]), &[]), None);
+}
+
+#[test]
+fn a_view_that_is_not_settled_is_told() {
+    let mut catalog = catalog(&[1]);
+    catalog.platform_failed();
+    let view = catalog.view(Millis(0)).unwrap();
+    let held_up = told_at(700, &view, &[]).unwrap();
+    assert_eq!(held_up.doubt, Some(Doubt::Unsettled));
+}
+
+#[test]
+fn one_search_is_told_of_once_a_second() {
+    let view = view(&[1, 2]);
+    let mut balancer = balancer_beside(1..=2);
+    let seg = segment(flow(7));
+    balancer.arrival(&view, Millis(100), &seg);
+    let told = frame(FrameKind::Returned(Refusal::Bounced), flow(7));
+    balancer.returned(&view, Millis(101), ip(1), Refusal::Bounced, &told, &seg);
+    let times = (0..3000).step_by(50);
+    let told = times.filter(|at| balancer.held_up(&view, Millis(*at), &flow(7)).is_some());
+    assert_eq!(told.count(), 3);
+}
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod feeds;
 mod fixture;
+mod held_up;
 mod reach;
 mod simulation;
 mod sound_flows;
--- a/crates/transport/src/passthrough/account/balancer.rs
+++ b/crates/transport/src/passthrough/account/balancer.rs
@@ -6,6 +6,7 @@
 use metrics::Histogram;
 use metrics::counter;
 use metrics::histogram;
+use ramp_coordination::passthrough::balancer::HeldUp;
 use ramp_coordination::passthrough::balancer::Learned;
 use ramp_coordination::passthrough::balancer::Overdue;
 use ramp_coordination::passthrough::balancer::Reset;
@@ -17,7 +18,9 @@
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 
+use super::doubt_name;
 use super::drop_name;
+use super::holdout_name;
 use super::refusal_name;
 use super::reset_name;
 
@@ -117,6 +120,32 @@
         }
     }
 
+    /// A search for the owner of a flow has not ended for long.
+    pub fn held_up(&self, flow: &FlowKey, held_up: &HeldUp) {
+        let doubt = held_up.doubt.map_or("none", doubt_name);
+        for agent in &held_up.agents {
+            let reason = holdout_name(agent.reason);
+            counter!("passthrough_balancer_held_up_total", "reason" => reason).increment(1);
+        }
+        if held_up.agents.is_empty() {
+            counter!("passthrough_balancer_held_up_total", "reason" => doubt).increment(1);
+        }
+        let agents = held_up.agents.iter();
+        let agents: Vec<String> = agents
+            .map(|a| format!("{} {}", a.agent, holdout_name(a.reason)))
+            .collect();
+        log::info!(
+            caller:% = flow.caller,
+            address:% = flow.service,
+            waited_ms = held_up.waited.as_millis() as u64,
+            denied = held_up.denied,
+            left = held_up.left,
+            agents:% = agents.join(", "),
+            doubt;
+            "search for a flow's owner goes on"
+        );
+    }
+
     fn unanswered(&self, seg: &Segment, overdue: Overdue) {
         self.unanswered.increment(1);
         log::info!(
--- a/crates/transport/src/passthrough/account/mod.rs
+++ b/crates/transport/src/passthrough/account/mod.rs
@@ -5,7 +5,9 @@
 pub mod balancer;
 pub mod beliefs;
 
+use ramp_coordination::passthrough::balancer::Doubt;
 use ramp_coordination::passthrough::balancer::DropReason;
+use ramp_coordination::passthrough::balancer::HoldoutReason;
 use ramp_coordination::passthrough::balancer::ResetReason;
 use ramp_protocol::hop::Refusal;
 
@@ -46,3 +48,23 @@
         DropReason::Forged => "forged",
     }
 }
+
+/// Name in logs and metrics of why a holder has not denied a flow.
+pub fn holdout_name(reason: HoldoutReason) -> &'static str {
+    match reason {
+        HoldoutReason::Silent => "silent",
+        HoldoutReason::Unsure => "unsure",
+        HoldoutReason::Unanswered => "unanswered",
+        HoldoutReason::UnlistedSilent => "unlisted_silent",
+        HoldoutReason::UnlistedHeard => "unlisted_heard",
+    }
+}
+
+/// Name in logs and metrics of why there may be more holders.
+pub fn doubt_name(doubt: Doubt) -> &'static str {
+    match doubt {
+        Doubt::Behind => "behind",
+        Doubt::Unsettled => "unsettled",
+        Doubt::MissedRecords => "missed_records",
+    }
+}
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -235,6 +235,7 @@
 
     fn carry_out(&mut self, view: &View, seg: &Segment, step: Step, packet: &[u8]) {
         self.account.step(view, seg, &step);
+        self.tell_held_up(view, seg, &step);
         let flow = seg.key;
         match step {
             Step::Carry {
@@ -263,6 +264,17 @@
         }
     }
 
+    /// Tells whom a search waits for that does not end.
+    fn tell_held_up(&mut self, view: &View, seg: &Segment, step: &Step) {
+        if !matches!(step, Step::Ask(_) | Step::Drop(_)) {
+            return;
+        }
+        let now = self.traffic.clock.now();
+        if let Some(held_up) = self.balancer.held_up(view, now, &seg.key) {
+            self.account.held_up(&seg.key, &held_up);
+        }
+    }
+
     fn send(
         &mut self,
         view: &View,
