Let agents find out that their server has ended, and say so

Callers wait for their time limits.

Ruled out: agents that are only slow (36 s only), the view.

An agent whose server is not listed, or does not answer for 0.8 s, tries to connect to it; two refusals in a row, and nothing sent on any flow for 1 s, prove that none is there. It then denies all flows, refuses new ones, resets the callers of those it had, and tells its balancers when it ends. A flow that its own server bounces is reset without a question to anybody. New flows that wait at a server that drains, leaves or has ended go to another one; they were reset as overloaded.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -62,9 +62,7 @@
         frame: &Frame,
         seg: &Segment,
     ) -> Result<(), Refusal> {
-        if self.leaving {
-            return Err(Refusal::Leaving);
-        }
+        self.admit_at_all(view, now)?;
         if frame.service != self.service {
             return Err(Refusal::OtherService);
         }
@@ -75,14 +73,23 @@
         if view.version >= frame.version && !view.sends_to(seg.key.service, self.service) {
             return Err(Refusal::OtherService);
         }
-        let member = view.member_or_lapsed(self.me, now);
-        if member.is_some_and(|m| m.draining) {
-            return Err(Refusal::Draining);
+        self.admit_silent(now)
+    }
+
+    /// Whether the server gets any new flows.
+    fn admit_at_all(&self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
         }
-        if member.is_some_and(|m| m.evacuated) {
-            return Err(Refusal::Evacuated);
+        if self.presence.is_absent() {
+            return Err(Refusal::Silent);
+        }
+        let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
+        match member {
+            Some(member) if member.draining => Err(Refusal::Draining),
+            Some(member) if member.evacuated => Err(Refusal::Evacuated),
+            _ => Ok(()),
         }
-        self.admit_silent(now)
     }
 
     /// What becomes of a new flow while the server is full; none: it may go on.
@@ -121,19 +128,18 @@
             return None;
         }
         if let Some(waiter) = self.waiting.overdue(now) {
-            return Some(self.give_up(waiter));
+            return Some(self.give_up(waiter, Refusal::Overloaded));
         }
-        let member = view.and_then(|v| v.member_or_lapsed(self.me, now));
-        if self.leaving || member.is_some_and(|m| !m.takes_new()) {
+        if let Err(refusal) = self.admit_at_all(view, now) {
             let waiter = self.waiting.any()?;
-            return Some(self.give_up(waiter));
+            return Some(self.give_up(waiter, refusal));
         }
         if self.is_full(view, now) || self.admit_silent(now).is_err() {
             return None;
         }
         let waiter = self.waiting.newest()?;
         if self.superseded.contains(&waiter.flow) || self.admit_cold(view, now).is_err() {
-            return Some(self.give_up(waiter));
+            return Some(self.give_up(waiter, Refusal::Overloaded));
         }
         self.note_opening(now);
         let mut flow = Flow::new(now, waiter.seq);
@@ -151,11 +157,11 @@
     }
 
     /// What becomes of a new flow that has waited in vain.
-    fn give_up(&mut self, waiter: Waiter) -> Release {
+    fn give_up(&mut self, waiter: Waiter, refusal: Refusal) -> Release {
         if self.superseded.swap_remove(&waiter.flow) {
             return Release::Drop(waiter.flow);
         }
-        Release::Refuse(waiter.flow, waiter.from)
+        Release::Refuse(waiter.flow, waiter.from, refusal)
     }
 
     /// Takes note that the caller of a flow has an answer to its opening.
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -9,6 +9,7 @@
 use ramp_state::time::Millis;
 
 use super::Agent;
+use super::step::Lost;
 use super::step::Unanswered;
 use crate::passthrough::view::View;
 
@@ -54,6 +55,8 @@
     answer_seq: Option<u32>,
     /// Whether the caller has taken this server's answer.
     pub(super) owned: bool,
+    /// What the caller acknowledged last.
+    caller_ack: Option<u32>,
     /// Since when a request is in progress, or about to come.
     pub(super) busy_since: Option<Millis>,
     /// Whether the request has come; before, it is only expected.
@@ -72,6 +75,7 @@
             open: false,
             answer_seq: None,
             owned: false,
+            caller_ack: None,
             busy_since: None,
             running: false,
             request: None,
@@ -83,6 +87,9 @@
     /// Takes note of a packet of the caller: it acknowledges the answer of the
     /// server that it took.
     pub(super) fn caller_sent(&mut self, seg: &Segment) {
+        if !seg.opens && seg.has_ack {
+            self.caller_ack = Some(seg.ack);
+        }
         let Some(answer_seq) = self.answer_seq else {
             return;
         };
@@ -195,6 +202,21 @@
         }
     }
 
+    /// No server is there, so it has no flow and works on no request. Gives the
+    /// flows that it had.
+    pub(super) fn forget_all(&mut self) -> Vec<Lost> {
+        self.expected.clear();
+        self.busy = 0;
+        self.unanswered_since = None;
+        let flows = std::mem::take(&mut self.flows);
+        let lost = flows.into_iter().filter(|(_, flow)| flow.owned);
+        lost.filter_map(|(key, flow)| {
+            let seq = flow.caller_ack?;
+            Some(Lost { flow: key, seq })
+        })
+        .collect()
+    }
+
     pub(super) fn sweep(&mut self, view: Option<&View>, now: Millis) {
         let idle_limit = view.map_or(Duration::ZERO, |v| v.idle_limit);
         let kept = FLOW_KEPT.max(idle_limit + RESEND_LIMIT);
--- a/crates/coordination/src/passthrough/agent/knowledge.rs
+++ b/crates/coordination/src/passthrough/agent/knowledge.rs
@@ -62,10 +62,13 @@
         }
     }
 
-    /// Whether every flow of the server is known here. The only way to the
-    /// server is this process, so that is so when it started no later than the
-    /// server, or has seen every flow that is not idle for too long.
+    /// Whether every flow of the server is known here: no server is there, or this
+    /// process, the only way to it, started no later than the server or has seen
+    /// every flow that is not idle for too long.
     pub fn is_complete(&self, view: Option<&View>, now: Millis) -> bool {
+        if self.presence.is_absent() {
+            return true;
+        }
         let Some(view) = view else {
             return false;
         };
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod flow;
 mod knowledge;
+mod presence;
 mod step;
 
 use std::collections::VecDeque;
@@ -18,6 +19,7 @@
 use indexmap::IndexSet;
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::Inquiry;
+use ramp_protocol::hop::Refusal;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
@@ -25,6 +27,7 @@
 
 use self::flow::Asker;
 use self::flow::Flow;
+use self::presence::Presence;
 use super::mark::Mark;
 use super::mark::Senders;
 use super::quota::Quota;
@@ -32,8 +35,10 @@
 use super::view::View;
 use super::waiting::Waiting;
 
+pub use self::presence::Reached;
 pub use self::step::Bounce;
 pub use self::step::Inbound;
+pub use self::step::Lost;
 pub use self::step::Outbound;
 pub use self::step::Release;
 pub use self::step::Unanswered;
@@ -75,6 +80,7 @@
     /// When the server was last not listed.
     unlisted_at: Option<Millis>,
     announced_at: Millis,
+    presence: Presence,
 }
 
 impl Agent {
@@ -107,6 +113,7 @@
             has_view: false,
             unlisted_at: None,
             announced_at: Millis(0),
+            presence: Presence::default(),
         }
     }
 
@@ -132,6 +139,9 @@
     ) -> Inbound {
         self.sweep(view, now);
         self.expire_expected(now);
+        if self.presence.is_absent() {
+            return Inbound::Refuse(refusal_of_absent(seg));
+        }
         if seg.opens
             && !self.flows.contains_key(&seg.key)
             && let Some(step) = self.hold_back(view, now, from, frame, inquiry, seg)
@@ -162,12 +172,14 @@
             flow.busy_since = Some(now);
             self.busy = self.busy.saturating_add(1);
         }
+        self.presence.passed(now, seg);
         let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
         Inbound::Pass { mark, owned }
     }
 
     /// A packet that the server sent to a caller.
     pub fn outbound(&mut self, view: Option<&View>, now: Millis, seg: &Segment) -> Outbound {
+        self.presence.sent(now);
         self.answered(view, now);
         self.supersede(&seg.key);
         if seg.rst {
@@ -209,19 +221,33 @@
         mark: u32,
         seg: &Segment,
     ) -> Bounce {
+        self.presence.bounced();
         self.answered(view, now);
         // The server may not take a copy of the opening and still have the flow.
-        let open = self.flows.get(&seg.key).is_some_and(|f| f.open);
+        let held = self.flows.get(&seg.key);
+        let open = held.is_some_and(|f| f.open);
+        let owned = held.is_some_and(|f| f.owned);
         if !seg.opens || !open {
             self.forget(&seg.key);
         }
         let Some((sender, copy)) = self.senders.of(Mark(mark)) else {
             return Bounce::Unknown;
         };
-        if copy {
+        if owned && !seg.opens {
+            Bounce::Lost(sender)
+        } else if copy {
             Bounce::Deny(sender)
         } else {
             Bounce::Return(sender)
         }
     }
 }
+
+/// What a balancer is told of a packet while no server is there.
+fn refusal_of_absent(seg: &Segment) -> Refusal {
+    if seg.opens {
+        Refusal::Silent
+    } else {
+        Refusal::Bounced
+    }
+}
--- a/crates/coordination/src/passthrough/agent/step.rs
+++ b/crates/coordination/src/passthrough/agent/step.rs
@@ -33,7 +33,7 @@
     /// Give its packet to the server with this mark.
     Pass(FlowKey, Mark),
     /// Send its packet back to this balancer.
-    Refuse(FlowKey, Ipv4Addr),
+    Refuse(FlowKey, Ipv4Addr, Refusal),
     /// Forget its packet: the caller has an answer to another copy.
     Drop(FlowKey),
 }
@@ -45,6 +45,9 @@
     Return(Ipv4Addr),
     /// Tell this balancer only that the server does not have the flow.
     Deny(Ipv4Addr),
+    /// The server had the flow and has lost it: send the packet back to this
+    /// balancer, which need not ask anybody else.
+    Lost(Ipv4Addr),
     /// Its mark is not of this process's making.
     Unknown,
 }
@@ -60,6 +63,15 @@
     pub reset: bool,
 }
 
+/// A flow that ended with its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// The flow.
+    pub flow: FlowKey,
+    /// Sequence number that its caller expects.
+    pub seq: u32,
+}
+
 /// A request that the server has not answered for long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unanswered {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -135,6 +135,9 @@
         if refusal == Refusal::Silent {
             self.suspects.add(from, now);
         }
+        if refusal == Refusal::Lost {
+            return self.lost(seg);
+        }
         if seg.opens {
             return self.returned_opening(view, now, from, refusal, seg);
         }
@@ -150,6 +153,18 @@
         self.ask(view, now, seg)
     }
 
+    /// The flow's own server has lost it, so nobody has it.
+    fn lost(&mut self, seg: &Segment) -> Step {
+        self.flows.swap_remove(&seg.key);
+        self.searches.swap_remove(&seg.key);
+        reset_or_drop(seg, ResetReason::Lost)
+    }
+
+    /// An agent has ended, and no server is left beside it.
+    pub fn gone(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
+        self.hear(now, from, frame);
+    }
+
     /// An agent's server has the flow.
     pub fn owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> Learned {
         self.hear(now, from, frame);
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -185,7 +185,8 @@
     fn holders(&self, view: &View, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
         let unlisted = self.loads.heard_since(now - PRESENT_KEPT);
         let unlisted = unlisted.filter(|agent| view.holders().all(|h| h != *agent));
-        view.holders().chain(unlisted)
+        let all = view.holders().chain(unlisted);
+        all.filter(|h| !self.loads.is_gone(*h) || view.member(*h).is_some())
     }
 
     /// Holders that have not denied a flow.
--- a/crates/coordination/src/passthrough/balancer/step.rs
+++ b/crates/coordination/src/passthrough/balancer/step.rs
@@ -79,6 +79,8 @@
     Overloaded,
     /// All holders have denied the flow.
     Unowned,
+    /// Its server has lost it.
+    Lost,
 }
 
 /// Why a packet was dropped without a word.
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -11,6 +11,7 @@
 
 use indexmap::IndexMap;
 use ramp_protocol::hop::Frame;
+use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
@@ -37,6 +38,8 @@
     complete: bool,
     /// Whether the agent knows of an outage in which records may have lapsed.
     misses_servers: bool,
+    /// Whether it has ended, and no server is left beside it.
+    gone: bool,
     told_at: Millis,
 }
 
@@ -70,6 +73,7 @@
             sent: 0,
             complete: frame.complete,
             misses_servers: frame.misses_servers,
+            gone: frame.kind == FrameKind::Gone,
             told_at: now,
         };
         self.0.insert(agent, load);
@@ -86,6 +90,11 @@
         self.0.get(&agent).is_some_and(|load| load.complete)
     }
 
+    /// Whether an agent's last word was that it ends and has no server.
+    pub(super) fn is_gone(&self, agent: Ipv4Addr) -> bool {
+        self.0.get(&agent).is_some_and(|load| load.gone)
+    }
+
     /// Whether an agent has said anything since a moment.
     pub(super) fn has_told_since(&self, agent: Ipv4Addr, since: Millis) -> bool {
         self.0.get(&agent).is_some_and(|load| load.told_at >= since)
--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -123,6 +123,11 @@
         from: usize,
         to: usize,
     },
+    /// A server ends, and another starts beside its agent.
+    EndServer {
+        last: u8,
+        for_ms: u64,
+    },
     /// A balancer handles nothing for a while, and its clock stands still.
     FreezeBalancer {
         at: usize,
@@ -497,6 +502,12 @@
                 let out = self.rng.below(BALANCERS as u64) as usize;
                 self.rotation = (0..BALANCERS).filter(|b| *b != out).collect();
             }
+            Act::EndServer { last, for_ms } => {
+                let until = self.now + for_ms;
+                if let Some(server) = self.servers.get_mut(&ip(last)) {
+                    server.end(until);
+                }
+            }
             Act::CutOneWay { from, to } => self.network.cut(from, to),
             Act::SlowOneWay { from, to } => self.network.slow(from, to),
             Act::FreezeBalancer { at, for_ms } => self.freezes.freeze(at, self.now, for_ms),
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -433,3 +433,51 @@
         }
     });
 }
+
+/// Servers end and start again beside agents that go on, each away for a time
+/// that depends on the seed.
+fn reborn_servers(seed: u64) -> Vec<(u64, Act)> {
+    let for_ms = spread_ms(seed, 0, 1500);
+    let end = |(at, last)| (at, Act::EndServer { last, for_ms });
+    [(1500, 1), (3000, 2), (4500, 3), (6000, 4), (7500, 5)]
+        .map(end)
+        .to_vec()
+}
+
+// Guards against resets of sound flows by agents that tell of lost ones, and
+// against callers of lost flows that wait.
+#[test]
+fn servers_that_end_and_start_again_take_only_their_own_flows_along() {
+    let outcomes = play_all(|seed| {
+        let mut acts = reborn_servers(seed);
+        acts.extend(swaps());
+        acts.extend([
+            (2000, Act::RestartBalancer(0)),
+            (3500, Act::RestartAgent(4)),
+            (5000, Act::RestartBalancer(1)),
+            (6500, Act::RestartAgent(1)),
+        ]);
+        Day {
+            acts,
+            ..Day::default()
+        }
+    });
+    let resets: usize = outcomes.iter().map(|o| o.resets).sum();
+    assert!(resets > 0, "their callers are told");
+}
+
+// The same inside one-way cuts, beside full servers.
+#[test]
+fn servers_that_end_in_a_one_way_cut_take_only_their_own_flows_along() {
+    play_all(|seed| {
+        let (from, to) = cut_of(seed);
+        let mut acts = rolls_inside_a_cut(from, to);
+        acts.extend(reborn_servers(seed));
+        acts.extend(swaps());
+        Day {
+            acts,
+            work_ms: SLOW_WORK_MS,
+            ..Day::default()
+        }
+    });
+}
--- a/crates/coordination/tests/passthrough/simulation/server.rs
+++ b/crates/coordination/tests/passthrough/simulation/server.rs
@@ -16,6 +16,8 @@
     pub flows: HashSet<FlowKey>,
     pub agent: Agent,
     pub drain_at: Option<u64>,
+    /// Until when no server is there.
+    pub down_until: u64,
     /// Openings that wait at the agent, and the balancers that sent them.
     pub waiting: IndexMap<FlowKey, (usize, Segment)>,
     /// When the slots are free.
@@ -30,12 +32,20 @@
             flows: HashSet::new(),
             agent,
             drain_at: None,
+            down_until: 0,
             waiting: IndexMap::new(),
             free_at: [0; SLOTS],
             newest: HashMap::new(),
         }
     }
 
+    /// The server ends and loses its flows; another starts at a later time.
+    pub fn end(&mut self, until: u64) {
+        self.flows.clear();
+        self.newest.clear();
+        self.down_until = until;
+    }
+
     /// Puts the agent of another process beside the server.
     pub fn replace_agent(&mut self, agent: Agent) {
         self.agent = agent;
--- a/crates/protocol/src/hop.rs
+++ b/crates/protocol/src/hop.rs
@@ -72,6 +72,8 @@
     /// Agent to balancer: the sign of life; with a flow, that its packet has been
     /// passed on to the server, which has not answered yet.
     Present,
+    /// Agent to balancer: it ends, and no server is left beside it.
+    Gone,
 }
 
 /// What the balancer wants to hear about a packet that it carries.
@@ -108,6 +110,8 @@
     Busy,
     /// It has waited for a slot for as long as it may.
     Overloaded,
+    /// The server had the flow and has lost it: nobody else has it.
+    Lost,
 }
 
 /// Header of a frame.
@@ -239,6 +243,7 @@
 const KIND_ASK: u8 = 7;
 const KIND_ANSWER: u8 = 8;
 const KIND_WAITS: u8 = 9;
+const KIND_GONE: u8 = 10;
 
 const COMPLETE: u8 = 1;
 const MISSES_SERVERS: u8 = 2;
@@ -250,7 +255,7 @@
     Inquiry::OwnerOfCopy,
 ];
 
-const REFUSALS: [Refusal; 9] = [
+const REFUSALS: [Refusal; 10] = [
     Refusal::Bounced,
     Refusal::Draining,
     Refusal::Evacuated,
@@ -260,6 +265,7 @@
     Refusal::Silent,
     Refusal::Busy,
     Refusal::Overloaded,
+    Refusal::Lost,
 ];
 
 impl Frame {
@@ -341,6 +347,7 @@
             FrameKind::Answer => (KIND_ANSWER, 0),
             FrameKind::Probe => (KIND_PROBE, 0),
             FrameKind::Present => (KIND_PRESENT, 0),
+            FrameKind::Gone => (KIND_GONE, 0),
         }
     }
 
@@ -356,6 +363,7 @@
             KIND_ANSWER => FrameKind::Answer,
             KIND_PROBE => FrameKind::Probe,
             KIND_PRESENT => FrameKind::Present,
+            KIND_GONE => FrameKind::Gone,
             _ => return None,
         })
     }
--- a/crates/transport/src/passthrough/account/agent.rs
+++ b/crates/transport/src/passthrough/account/agent.rs
@@ -25,6 +25,7 @@
     bounced: Counter,
     delivered: Counter,
     send_failed: Counter,
+    lost: Counter,
     answer_s: Histogram,
 }
 
@@ -36,6 +37,7 @@
             bounced: counter!("passthrough_agent_bounced_total"),
             delivered: counter!("passthrough_agent_delivered_total"),
             send_failed: counter!("passthrough_agent_send_failed_total"),
+            lost: counter!("passthrough_agent_lost_total"),
             answer_s: histogram!("passthrough_agent_answer_seconds"),
         }
     }
@@ -91,9 +93,19 @@
         );
     }
 
-    /// A new flow has waited for as long as it may.
-    pub fn gave_up(&self, flow: &FlowKey, in_progress: u16) {
-        let reason = refusal_name(Refusal::Overloaded);
+    /// Whether there is a server has changed; with how many flows it ended.
+    pub fn presence(&self, present: bool, lost_flows: usize) {
+        if present {
+            log::info!("the server takes connections again");
+        } else {
+            self.lost.increment(lost_flows as u64);
+            log::warn!(lost_flows; "no server takes connections here: its flows are lost");
+        }
+    }
+
+    /// A new flow has waited in vain.
+    pub fn gave_up(&self, flow: &FlowKey, refusal: Refusal, in_progress: u16) {
+        let reason = refusal_name(refusal);
         counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
         log::info!(
             caller:% = flow.caller,
--- a/crates/transport/src/passthrough/account/mod.rs
+++ b/crates/transport/src/passthrough/account/mod.rs
@@ -23,6 +23,7 @@
         Refusal::Silent => "silent",
         Refusal::Busy => "busy",
         Refusal::Overloaded => "overloaded",
+        Refusal::Lost => "lost",
     }
 }
 
@@ -33,6 +34,7 @@
         ResetReason::NoMember => "no_member",
         ResetReason::Overloaded => "overloaded",
         ResetReason::Unowned => "unowned",
+        ResetReason::Lost => "lost",
     }
 }
 
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -16,6 +16,8 @@
 use flume::TryRecvError;
 use indexmap::IndexMap;
 use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Lost;
+use ramp_coordination::passthrough::agent::Reached;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
@@ -42,6 +44,9 @@
 /// Shortest time for which a leaving agent goes on.
 const LEAVE_LEAST: Duration = Duration::from_millis(100);
 
+/// Longest wait for packets while the server may be gone.
+const DOUBTFUL_TURN: Duration = Duration::from_millis(25);
+
 /// What the traffic thread is started with.
 pub struct Traffic {
     /// Where the process runs.
@@ -62,6 +67,8 @@
     pub updates: Receiver<Update>,
     /// News to control.
     pub events: Sender<Event>,
+    /// Wishes to know whether the server takes connections.
+    pub tries: Sender<()>,
 }
 
 struct Worker<F> {
@@ -109,6 +116,7 @@
         while worker.take_updates() && !worker.is_finished() {
             worker.turn(&mut buf)?;
         }
+        worker.say_farewell();
         // Control may be gone already, which also ends this thread.
         let _ = worker.traffic.events.send(Event::Finished);
         Ok(())
@@ -124,6 +132,7 @@
                     self.agent.learn(&view, self.traffic.clock.now());
                     self.view = Some(view);
                 }
+                Ok(Update::Tried(reached)) => self.take_tried(reached),
                 Ok(Update::Leave) => {
                     self.agent.leave();
                     self.leaving_since = Some(self.traffic.clock.now());
@@ -134,6 +143,37 @@
         }
     }
 
+    /// Tells the callers of flows that ended with the server.
+    fn take_tried(&mut self, reached: Reached) {
+        let was_absent = self.agent.is_server_absent();
+        let now = self.traffic.clock.now();
+        let lost = self.agent.server_tried(self.view.as_deref(), now, reached);
+        let absent = self.agent.is_server_absent();
+        if absent != was_absent {
+            self.account.presence(!absent, lost.len());
+        }
+        for Lost { flow, seq } in lost {
+            F::reset(&flow, seq, &mut self.out);
+            self.to_caller(flow, &self.out);
+        }
+    }
+
+    /// Asks for a try where the server may be gone.
+    fn try_server(&mut self) {
+        let now = self.traffic.clock.now();
+        if self.agent.must_try_server(self.view.as_deref(), now) {
+            // Control outlives this thread; if it is gone, the next turn ends.
+            let _ = self.traffic.tries.send(());
+        }
+    }
+
+    /// Tells the balancers that no server is left here, if so.
+    fn say_farewell(&mut self) {
+        for balancer in self.agent.farewell().to_vec() {
+            self.tell(balancer, FrameKind::Gone, NO_FLOW, &[]);
+        }
+    }
+
     fn is_finished(&self) -> bool {
         let Some(since) = self.leaving_since else {
             return false;
@@ -144,7 +184,7 @@
 
     fn turn(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let both = [&self.traffic.data, &self.traffic.outbound];
-        let [data, outbound] = sockets::wait(both, udp::IDLE_TURN)?;
+        let [data, outbound] = sockets::wait(both, self.time_to_next())?;
         let now = self.traffic.clock.now();
         self.agent.tick(self.view.as_deref(), now);
         if outbound {
@@ -159,11 +199,20 @@
             self.account.unanswered(&unanswered);
         }
         self.release_waiting();
+        self.try_server();
         self.announce();
         self.watch_knowledge();
         Ok(())
     }
 
+    fn time_to_next(&self) -> Duration {
+        if self.agent.is_server_doubtful() {
+            DOUBTFUL_TURN
+        } else {
+            udp::IDLE_TURN
+        }
+    }
+
     /// Tells when what this process knows of its server's flows has changed.
     fn watch_knowledge(&mut self) {
         let Some(view) = self.view.as_deref() else {
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -25,11 +25,11 @@
                         self.account.passed();
                     }
                 }
-                Release::Refuse(flow, to) => {
+                Release::Refuse(flow, to, refusal) => {
                     let packet = self.waiting.swap_remove(&flow).unwrap_or_default();
-                    self.account.gave_up(&flow, self.agent.in_progress());
-                    let kind = FrameKind::Returned(Refusal::Overloaded);
-                    self.tell(to, kind, flow, &packet);
+                    let in_progress = self.agent.in_progress();
+                    self.account.gave_up(&flow, refusal, in_progress);
+                    self.tell(to, FrameKind::Returned(refusal), flow, &packet);
                 }
                 Release::Drop(flow) => {
                     self.waiting.swap_remove(&flow);
@@ -72,6 +72,9 @@
             Bounce::Return(to) => {
                 self.tell(to, FrameKind::Returned(Refusal::Bounced), key, packet);
             }
+            Bounce::Lost(to) => {
+                self.tell(to, FrameKind::Returned(Refusal::Lost), key, packet);
+            }
             Bounce::Deny(to) => self.tell(to, FrameKind::Denied, key, &[]),
             Bounce::Unknown => {}
         }
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -134,6 +134,8 @@
         loop {
             match self.traffic.updates.try_recv() {
                 Ok(Update::View(view)) => self.take_view(view),
+                // Only an agent has a server beside it.
+                Ok(Update::Tried(_)) => {}
                 Ok(Update::Leave) => self.leaving_since = Some(self.traffic.clock.now()),
                 Err(TryRecvError::Empty) => return true,
                 Err(TryRecvError::Disconnected) => return false,
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -40,6 +40,7 @@
             }
             FrameKind::Waits => self.balancer.waits(now, from, &frame),
             FrameKind::Present => self.balancer.present(now, from, &frame),
+            FrameKind::Gone => self.balancer.gone(now, from, &frame),
             // Only a balancer sends these.
             FrameKind::Carry(_) | FrameKind::Ask | FrameKind::Probe => self.account.unreadable(),
         }
--- a/crates/transport/src/passthrough/daemon.rs
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -29,6 +29,7 @@
 use super::ready;
 use super::ready::Readiness;
 use super::sockets;
+use super::try_server;
 use crate::clock;
 use crate::clock::Clock;
 use crate::daemon::DaemonError;
@@ -80,8 +81,11 @@
     let clock = Clock::start();
     let (updates_tx, updates) = flume::unbounded();
     let (events, events_rx) = flume::unbounded();
+    let (tries_tx, tries) = flume::unbounded();
+    let trying = try_server::serve(tries, beside.server, updates_tx.clone());
     let traffic = agent::Traffic {
         clock,
+        tries: tries_tx,
         nonce: mix(incarnation.0) as u8,
         started_ms: incarnation.0 / US_PER_MS,
         data: bind(SocketAddrV4::new(place.ip, place.data_port))?,
@@ -92,9 +96,10 @@
         events,
     };
     start_thread("traffic", move || traffic.run::<F>())?;
-    block_on(run_control(
-        place, clock, source, counted, updates_tx, events_rx,
-    ))
+    block_on(async {
+        spawn_local(trying);
+        run_control(place, clock, source, counted, updates_tx, events_rx).await
+    })
 }
 
 async fn run_control(
--- a/crates/transport/src/passthrough/mod.rs
+++ b/crates/transport/src/passthrough/mod.rs
@@ -18,3 +18,4 @@
 pub mod place;
 pub mod ready;
 pub mod sockets;
+mod try_server;
--- a/crates/transport/src/passthrough/news.rs
+++ b/crates/transport/src/passthrough/news.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ramp_coordination::passthrough::agent::Reached;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
 
@@ -10,6 +11,8 @@
 pub enum Update {
     /// A new view is in force.
     View(Arc<View>),
+    /// What a try to connect to the server beside an agent has shown.
+    Tried(Reached),
     /// The process was asked to end.
     Leave,
 }
