Bound the wait of new flows at full servers by how long there is a queue

Under lasting overload the ones that gave up try again on new ports, look new, and are let in before those that can still be served in time. A caller served late costs a slot that a new one needed.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -156,6 +156,11 @@
         Some(Release::Pass(waiter.flow, mark))
     }
 
+    /// Time until a new flow has waited for too long; none when none waits.
+    pub fn wait_left(&self, now: Millis) -> Option<Duration> {
+        self.waiting.time_left(now)
+    }
+
     /// What becomes of a new flow that has waited in vain.
     fn give_up(&mut self, waiter: Waiter, refusal: Refusal) -> Release {
         if self.superseded.swap_remove(&waiter.flow) {
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -8,6 +8,7 @@
 mod feeds;
 mod fixture;
 mod held_up;
+mod overload;
 mod presence;
 mod reach;
 mod simulation;
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -44,6 +44,9 @@
 /// Shortest time for which a leaving agent goes on.
 const LEAVE_LEAST: Duration = Duration::from_millis(100);
 
+/// Shortest wait for packets while a new flow has nearly waited for too long.
+const SHORTEST_TURN: Duration = Duration::from_millis(1);
+
 /// Longest wait for packets while the server may be gone.
 const DOUBTFUL_TURN: Duration = Duration::from_millis(25);
 
@@ -205,12 +208,15 @@
         Ok(())
     }
 
+    /// Time until something must be done without a packet.
     fn time_to_next(&self) -> Duration {
         if self.agent.is_server_doubtful() {
-            DOUBTFUL_TURN
-        } else {
-            udp::IDLE_TURN
+            return DOUBTFUL_TURN;
         }
+        let left = self.agent.wait_left(self.traffic.clock.now());
+        left.map_or(udp::IDLE_TURN, |left| {
+            left.clamp(SHORTEST_TURN, udp::IDLE_TURN)
+        })
     }
 
     /// Tells when what this process knows of its server's flows has changed.
