Keep new flows in the data centre of their balancer while it has room

Members of the balancer's own data centre now go first while one of them has a free slot; behind that all members as before. The balancer that guesses the owner of a flow it does not remember starts there too, so balancers of one data centre agree. The settings told the data centre all along; Place has it now.

--- a/crates/coordination/tests/passthrough/overload.rs
+++ b/crates/coordination/tests/passthrough/overload.rs
@@ -138,7 +138,7 @@
             ended: false,
         });
         let seg = opening(flow(port), 0);
-        match self.to_agent(Inquiry::OwnerThoughBusy, &seg) {
+        match self.send(Inquiry::OwnerThoughBusy, &seg) {
             Inbound::Pass { .. } => self.begin(port),
             Inbound::Wait => self.at(self.now + TRY_MS, Event::GiveUp { port }),
             Inbound::Waiting => {}
@@ -146,7 +146,7 @@
         }
     }
 
-    fn to_agent(&mut self, inquiry: Inquiry, seg: &Segment) -> Inbound {
+    fn send(&mut self, inquiry: Inquiry, seg: &Segment) -> Inbound {
         let carry = frame(FrameKind::Carry(inquiry), seg.key);
         let (from, now) = (balancer_ip(1), Millis(self.now));
         self.agent
@@ -162,7 +162,7 @@
             return;
         }
         self.server_sends(port, true);
-        self.to_agent(Inquiry::None, &segment(flow(port)));
+        self.send(Inquiry::None, &segment(flow(port)));
         let work = WORK_MS / 2 + self.rng.below(WORK_MS);
         let now = self.now;
         let slot = self.free_at.iter_mut().min().unwrap();
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -102,10 +102,11 @@
     ///
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
+        let balancer = Balancer::in_data_centre(self.place.data_centre);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
-            balancer: Balancer::new(),
+            balancer,
             heard: Revision(0),
             reach: Reach::default(),
             reaches: true,
