Join a reader at the start in place of listing and watching the platform

A process now joins a reader first and takes what it knows, if the platform answers that reader; where that takes more than 60 ms it lists the platform once. Readers that are not there yet are tried again after 0.1 s for the first 1.5 s.

Ruled out: a listing that may be old (a tenth of the price): a process would begin with a configuration that is seconds old.

Tests: joined only where the platform answers the reader, and only where it knows anything; real processes that restart beside a reader do not list (three calls before, by the rule that was removed).

--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -35,6 +35,20 @@
     }
 }
 
+// Guards against a call of the platform by each process of a fleet that starts.
+#[test]
+fn a_process_that_starts_beside_a_reader_does_not_list_the_platform() {
+    let mut fleet = Fleet::start(2);
+    let before = fleet.store.listings();
+    for _ in 0..3 {
+        fleet.kill("agent-1");
+        fleet.start_agent(1);
+    }
+    assert_eq!(fleet.store.listings(), before);
+    let mut flow = fleet.open(1151);
+    assert_eq!(flow.request("r-3"), Answer::Status(200));
+}
+
 #[test]
 fn an_agent_that_was_killed_finds_its_flows_again() {
     let mut fleet = Fleet::start(1);
--- a/crates/coordination/src/passthrough/feeds.rs
+++ b/crates/coordination/src/passthrough/feeds.rs
@@ -17,6 +17,9 @@
 /// How long a reader that failed is passed over.
 const FAILED_FOR: Duration = Duration::from_millis(1500);
 
+/// How long a reader that may be starting is passed over.
+const MISSED_FOR: Duration = Duration::from_millis(100);
+
 /// How long a reader follows another one before it tries the platform again.
 const READER_FOLLOWS: Duration = Duration::from_secs(2);
 
@@ -93,6 +96,13 @@
         }
     }
 
+    /// Takes note that a reader can't be followed yet: it may be starting.
+    pub fn missed(&mut self, address: SocketAddrV4, now: Millis) {
+        for feed in self.feeds.iter_mut().filter(|f| f.address == address) {
+            feed.again_at = now + MISSED_FOR;
+        }
+    }
+
     fn pass_over_all(&mut self, now: Millis) {
         for feed in &mut self.feeds {
             feed.again_at = now + FAILED_FOR;
--- a/crates/coordination/tests/passthrough/feeds.rs
+++ b/crates/coordination/tests/passthrough/feeds.rs
@@ -89,3 +89,16 @@
     let feeds = Feeds::new(InstanceId(1), Some(reader(9)), &[]);
     assert_eq!(feeds.pick(Millis(0), true), None);
 }
+
+/// Guards against a watch of the platform by each process of a fleet that starts: its
+/// readers start beside it, and are there a moment later.
+#[test]
+fn a_reader_that_may_be_starting_is_passed_over_only_for_a_moment() {
+    let mut feeds = Feeds::new(InstanceId(1), None, &readers());
+    for _ in 0..3 {
+        let reader = feeds.pick(Millis(0), false).unwrap();
+        feeds.missed(reader, Millis(0));
+    }
+    assert_eq!(feeds.pick(Millis(50), false), None);
+    assert!(feeds.pick(Millis(100), false).is_some());
+}
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -53,6 +53,16 @@
 /// Time in which whatever brings changes must bring what a peer knows.
 const CATCH_UP: Duration = Duration::from_millis(300);
 
+/// Time that a reader has to tell a process that starts what it knows.
+const JOIN_LIMIT: Duration = Duration::from_millis(60);
+
+/// Time after its start in which a process that has listed the platform waits for
+/// readers that start beside it, in place of reading further itself.
+const READERS_START: Duration = Duration::from_millis(1500);
+
+/// Pause between two tries to follow one of them.
+const READER_PAUSE: Duration = Duration::from_millis(50);
+
 /// Follows the platform through `source` or a reader.
 pub struct Control<S> {
     /// The platform's client.
@@ -98,15 +108,26 @@
 
     async fn follow_platform(&mut self) {
         let mut failures = 0;
-        let mut list = true;
+        if let Some(Turn::Finished) = self.join().await {
+            return;
+        }
+        let mut list = !self.feed.catalog.borrow().is_complete();
+        let listed_by = self.clock.now() + READERS_START;
         loop {
             let away = failures >= AWAY_AFTER;
-            let reader = self.feeds.pick(self.clock.now(), away);
+            let now = self.clock.now();
+            let reader = self.feeds.pick(now, away);
             let turn = match reader {
-                // At the start the platform itself is asked first: a reader
-                // starts no sooner than this process.
+                // No reader knew anything when this process started, so the
+                // platform itself is asked first.
                 Some(reader) if !list || failures > 0 => self.follow(reader).await,
                 _ if list => self.list().await,
+                None if failures == 0 && now < listed_by && !self.feeds.is_reader() => {
+                    if self.pause(READER_PAUSE).await {
+                        return;
+                    }
+                    continue;
+                }
                 _ => self.watch().await,
             };
             match turn {
@@ -121,9 +142,7 @@
                 Turn::Followed => failures = 0,
                 Turn::ReaderLost(reason) => {
                     if let Some(reader) = reader {
-                        log::info!("the reader {reader} is not followed now: {reason}");
-                        self.feed.note_failure();
-                        self.feeds.failed(reader, self.clock.now());
+                        self.lose(reader, &reason, listed_by);
                     }
                     list &= !self.feed.catalog.borrow().is_complete();
                 }
@@ -185,11 +204,43 @@
         }
     }
 
+    /// Follows a reader from the start on, if it is there and knows anything: a
+    /// process that starts beside a running fleet need not call the platform.
+    async fn join(&mut self) -> Option<Turn> {
+        let reader = self.feeds.pick(self.clock.now(), false)?;
+        let joining = timeout(JOIN_LIMIT, Following::join(reader));
+        let (following, known) = joining.await.ok()?.ok()?;
+        for news in known {
+            self.learn(news);
+        }
+        let turn = self.follow_on(reader, following).await;
+        if let Turn::ReaderLost(reason) = &turn {
+            self.lose(reader, reason, self.clock.now());
+        }
+        Some(turn)
+    }
+
+    /// Takes note that a reader can't be followed now. Until `starts_by` it may
+    /// just be starting.
+    fn lose(&mut self, reader: SocketAddrV4, reason: &str, starts_by: Millis) {
+        log::info!("the reader {reader} is not followed now: {reason}");
+        self.feed.note_failure();
+        let now = self.clock.now();
+        if now < starts_by {
+            self.feeds.missed(reader, now);
+        } else {
+            self.feeds.failed(reader, now);
+        }
+    }
+
     async fn follow(&mut self, reader: SocketAddrV4) -> Turn {
-        let mut following = match Following::start(reader, self.cursor()).await {
-            Ok(following) => following,
-            Err(err) => return Turn::ReaderLost(err.to_string()),
-        };
+        match Following::start(reader, self.cursor()).await {
+            Ok(following) => self.follow_on(reader, following).await,
+            Err(err) => Turn::ReaderLost(err.to_string()),
+        }
+    }
+
+    async fn follow_on(&mut self, reader: SocketAddrV4, mut following: Following) -> Turn {
         let events = self.events.clone();
         let limit = self.feeds.follow_limit().unwrap_or(Duration::MAX);
         let until = sleep(limit);
--- a/crates/transport/src/passthrough/feed.rs
+++ b/crates/transport/src/passthrough/feed.rs
@@ -182,6 +182,27 @@
         })
     }
 
+    /// Follows the reader at `address` for the first time: gives what it knows,
+    /// once it has shown that the platform answers it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Following::start`] and [`Following::next`]; the reader knows nothing
+    /// yet, or the platform does not answer it.
+    pub async fn join(address: SocketAddrV4) -> io::Result<(Following, Vec<News>)> {
+        let mut following = Following::start(address, Revision(0)).await?;
+        let mut known = Vec::new();
+        loop {
+            match following.next().await? {
+                News::Alive { current: true, .. } if !known.is_empty() => {
+                    return Ok((following, known));
+                }
+                News::Alive { .. } => return Err(io::Error::other("it is not current")),
+                news => known.push(news),
+            }
+        }
+    }
+
     /// The next piece of news. Nothing is lost when the call is dropped.
     ///
     /// # Errors
--- a/crates/transport/tests/feed.rs
+++ b/crates/transport/tests/feed.rs
@@ -66,3 +66,30 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+// Guards against a process that takes what a reader knows for the present while
+// the platform does not answer that reader.
+#[tokio::test]
+async fn only_a_reader_that_the_platform_answers_is_joined() {
+    let run = async {
+        let (feed, address) = reader().await;
+        let (_following, known) = Following::join(address).await.unwrap();
+        assert!(matches!(&known[..], [News::Listing(l)] if l.cursor == FIRST));
+        feed.note_answer(false);
+        assert!(Following::join(address).await.is_err());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn a_reader_that_knows_nothing_yet_is_not_joined() {
+    let run = async {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let feed = Rc::new(Feed::new(Clock::start()));
+        spawn_local(Rc::clone(&feed).serve(listener));
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        assert!(Following::join(address).await.is_err());
+    };
+    LocalSet::new().run_until(run).await;
+}
