Take two seconds of waiting new flows for a burst

Cause: with 0.4 s the seconds after a loss of power counted as lasting overload, and callers that a server had room for a moment later were told instead.

--- a/crates/coordination/src/passthrough/waiting.rs
+++ b/crates/coordination/src/passthrough/waiting.rs
@@ -23,7 +23,7 @@
 const WAIT_LIMIT: Duration = Duration::from_millis(800);
 
 /// Time for which flows may have had to wait that is still a burst.
-const BURST_LIMIT: Duration = Duration::from_millis(400);
+const BURST_LIMIT: Duration = Duration::from_millis(2000);
 
 /// Time without a flow that has to wait, after which the next begins a burst.
 const CALM: Duration = Duration::from_millis(200);
