--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -199,16 +199,11 @@
         let holders = self.holders(view, now);
         holders
             .filter(|h| !denied.contains(h))
-            .map(|agent| {
-                let member = view.member(agent);
-                let data_centre = member.map(|m| m.data_centre);
-                Candidate {
-                    agent,
-                    likely: likely == Some(agent),
-                    listed: member.is_some(),
-                    near: data_centre.is_some() && data_centre == self.data_centre,
-                    complete: self.loads.is_complete(agent),
-                }
+            .map(|agent| Candidate {
+                agent,
+                likely: likely == Some(agent),
+                listed: view.member(agent).is_some(),
+                complete: self.loads.is_complete(agent),
             })
             .collect()
     }
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -73,8 +73,6 @@
     pub(super) likely: bool,
     /// Whether its server is listed.
     pub(super) listed: bool,
-    /// Whether it is in the balancer's data centre, where new flows go first.
-    pub(super) near: bool,
     /// Whether it knows every flow of its server.
     pub(super) complete: bool,
 }
@@ -195,8 +193,7 @@
     }
 
     /// Copies a packet to a few agents that are silent or can't tell: those that
-    /// got fewest, the listed ones and those where the flow's home most likely was
-    /// first.
+    /// got fewest, the listed ones and the flow's home first.
     fn ask_silent(
         &mut self,
         seg: &Segment,
@@ -207,7 +204,7 @@
         silent.sort_by_key(|c| {
             let copies = self.copied.get(&c.agent).copied();
             let rank = rank(&seg.key, c.agent);
-            (copies.unwrap_or(0), !c.listed, !c.near, Reverse(rank))
+            (copies.unwrap_or(0), !c.listed, Reverse(rank))
         });
         for (index, candidate) in silent.into_iter().enumerate() {
             let agent = candidate.agent;
