Revert "Keep new flows in the data centre of their balancer while it has room"

Not traced to the end. Suspected: the home of a flow depends on the balancer's data centre, and the routers send packets to another one while none is in rotation there; the flow is then bounced, and the packet copied to all.

A way back in: ask the homes in each data centre before all others.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -27,7 +27,6 @@
 use ramp_protocol::hop::Inquiry;
 use ramp_protocol::hop::Refusal;
 use ramp_protocol::packet::Segment;
-use ramp_state::key::DataCentreId;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
@@ -72,8 +71,6 @@
 /// State of a balancer; see the module's head.
 #[derive(Debug, Default)]
 pub struct Balancer {
-    /// Where it runs, if known: members there go first.
-    data_centre: Option<DataCentreId>,
     flows: IndexMap<FlowKey, Flow>,
     placings: IndexMap<FlowKey, Placing>,
     searches: IndexMap<FlowKey, Search>,
@@ -97,14 +94,6 @@
         Balancer::default()
     }
 
-    /// Knows no flow, and runs in a data centre.
-    pub fn in_data_centre(data_centre: Option<DataCentreId>) -> Balancer {
-        Balancer {
-            data_centre,
-            ..Balancer::default()
-        }
-    }
-
     /// Flows remembered.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -137,11 +137,9 @@
         let Some(service) = route.and_then(|r| r.service_of(&seg.key)) else {
             return self.no_route(view, now, seg);
         };
+        let members = view.servers_of(service, now);
         let trusted = |m: &&Member| !self.suspects.holds(m.address, now);
-        let members = || view.servers_of(service, now).filter(trusted);
-        let near = |m: &&Member| self.data_centre == Some(m.data_centre);
-        let home = first_ranked(&seg.key, members().filter(near));
-        let Some(agent) = home.or_else(|| first_ranked(&seg.key, members())) else {
+        let Some(agent) = first_ranked(&seg.key, members.filter(trusted)) else {
             return self.ask(view, now, seg);
         };
         self.remember(now, seg, agent, service);
--- a/crates/coordination/src/passthrough/balancer/placing.rs
+++ b/crates/coordination/src/passthrough/balancer/placing.rs
@@ -138,7 +138,6 @@
             busy: &placing.busy,
             suspects: &self.suspects,
             loads: &self.loads,
-            near: self.data_centre,
             now,
         };
         let Some(chosen) = choice.choose() else {
--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -295,7 +295,6 @@
         Member {
             address: *server.address.ip(),
             service: server.service,
-            data_centre: server.data_centre,
             slots: server.slots,
             draining: server.state == ServerState::Draining,
             evacuated: self.evacuated.contains(&server.data_centre),
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -3,9 +3,6 @@
 //! The home of the flow, which ranks first, keeps it unless it seems to have
 //! no free slot; then the least busy member gets it. So most flows are found
 //! again at their home by a balancer that never saw them, and a burst spreads.
-//! Members in the balancer's own data centre, which is mostly its callers', go
-//! first while one of them has a free slot: their flows cross no other way that
-//! may be cut, slow or dear.
 //! What is known of loads is old by a few openings: an agent whose server is
 //! full sends the flow back, and only when two did is one made to take it.
 
@@ -16,7 +13,6 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Inquiry;
-use ramp_state::key::DataCentreId;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
 
@@ -60,8 +56,6 @@
     pub(super) busy: &'a [Ipv4Addr],
     pub(super) suspects: &'a Suspects,
     pub(super) loads: &'a Loads,
-    /// Data centre whose members go first.
-    pub(super) near: Option<DataCentreId>,
     pub(super) now: Millis,
 }
 
@@ -154,27 +148,12 @@
     }
 
     fn home_or_least(&self, open: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
-        let near = |m: &&Member| open(m) && self.near == Some(m.data_centre);
-        self.free_home(near)
-            .or_else(|| self.free_least(near))
-            .or_else(|| self.free_home(&open))
-            .or_else(|| self.least(&open))
-    }
-
-    /// The home of the flow among some members, if it has a free slot.
-    fn free_home(&self, open: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
-        let members = self.able.iter().copied().filter(open);
-        let home = members.max_by_key(|m| rank(self.flow, m.address))?;
-        self.is_free(home).then_some(home.address)
-    }
-
-    /// The least busy of some members, if it has a free slot.
-    fn free_least(&self, open: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
-        self.least(|m| open(m) && self.is_free(m))
-    }
-
-    fn is_free(&self, member: &Member) -> bool {
-        !member.is_busy(self.loads.of(member.address, self.now))
+        let members = || self.able.iter().copied().filter(&open);
+        let home = members().max_by_key(|m| rank(self.flow, m.address))?;
+        if !home.is_busy(self.loads.of(home.address, self.now)) {
+            return Some(home.address);
+        }
+        self.least(open)
     }
 
     fn least(&self, open: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -7,7 +7,6 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use ramp_state::key::DataCentreId;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 use ramp_state::key::Version;
@@ -32,8 +31,6 @@
     pub address: Ipv4Addr,
     /// Service that it serves.
     pub service: ServiceId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
     /// Requests that it works on at the same time; zero when untold.
     pub slots: u16,
     /// Whether it is leaving.
--- a/crates/coordination/tests/passthrough/choice.rs
+++ b/crates/coordination/tests/passthrough/choice.rs
@@ -11,7 +11,6 @@
 use ramp_protocol::hop::Frame;
 use ramp_protocol::hop::FrameKind;
 use ramp_protocol::hop::Refusal;
-use ramp_state::key::DataCentreId;
 use ramp_state::time::Millis;
 
 use crate::fixture::*;
@@ -20,11 +19,8 @@
 
 /// Opens `count` flows at once and gives how many each server took.
 fn burst(count: u16) -> IndexMap<Ipv4Addr, usize> {
-    burst_at(Balancer::new(), count)
-}
-
-fn burst_at(mut balancer: Balancer, count: u16) -> IndexMap<Ipv4Addr, usize> {
     let view = view(&SERVERS);
+    let mut balancer = Balancer::new();
     let mut agents: IndexMap<Ipv4Addr, Agent> = SERVERS
         .iter()
         .map(|last| (ip(*last), Agent::new(ip(*last), FEEDS, 1, 1000, Millis(0))))
@@ -95,44 +91,3 @@
     };
     assert_eq!(homes(&mut Balancer::new()), homes(&mut Balancer::new()));
 }
-
-/// Flows that the servers of a data centre took.
-fn taken_in(data_centre: DataCentreId, taken: &IndexMap<Ipv4Addr, usize>) -> usize {
-    let there = |at: &Ipv4Addr| server(at.octets()[3], FEEDS).data_centre == data_centre;
-    let taken = taken.iter().filter(|(at, _)| there(at));
-    taken.map(|(_, count)| count).sum()
-}
-
-// Guards against flows that cross data centres, and are lost or slow when those
-// lose each other, though servers beside their callers are idle.
-#[test]
-fn flows_stay_in_the_data_centre_of_their_balancer_while_it_has_room() {
-    let taken = burst_at(Balancer::in_data_centre(Some(WEST)), 12);
-    assert_eq!(taken_in(WEST, &taken), 12, "{taken:?}");
-}
-
-#[test]
-fn what_a_data_centre_has_no_room_for_goes_to_others_before_anything_waits() {
-    let taken = burst_at(Balancer::in_data_centre(Some(WEST)), 28);
-    assert_eq!(taken_in(WEST, &taken), 12, "{taken:?}");
-    assert_eq!(taken.values().max(), Some(&4), "{taken:?}");
-}
-
-#[test]
-fn balancers_of_one_data_centre_agree_on_the_home_of_a_flow_that_neither_knows() {
-    let view = view(&SERVERS);
-    let place = |port| {
-        let mut balancer = Balancer::in_data_centre(Some(WEST));
-        let opened = balancer.arrival(&view, Millis(0), &opening(flow(port), 0));
-        let mut other = Balancer::in_data_centre(Some(WEST));
-        let guessed = other.arrival(&view, Millis(1), &segment(flow(port)));
-        (opened, guessed)
-    };
-    for port in 1..200 {
-        let (Step::Carry { agent: home, .. }, Step::Carry { agent: guess, .. }) = place(port)
-        else {
-            panic!("flow {port} goes nowhere");
-        };
-        assert_eq!(home, guess, "flow {port}");
-    }
-}
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -102,11 +102,10 @@
     ///
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
-        let balancer = Balancer::in_data_centre(self.place.data_centre);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
-            balancer,
+            balancer: Balancer::new(),
             heard: Revision(0),
             reach: Reach::default(),
             reaches: true,
--- a/crates/transport/src/passthrough/place.rs
+++ b/crates/transport/src/passthrough/place.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ramp_state::key::DataCentreId;
 use ramp_state::key::ServiceId;
 
 /// Settings of a process whose packets pass through.
@@ -14,8 +13,6 @@
     pub name: String,
     /// Address of the machine.
     pub ip: Ipv4Addr,
-    /// Data centre of the machine, if told.
-    pub data_centre: Option<DataCentreId>,
     /// Data port, the same on every machine; callers take packets on it too.
     pub data_port: u16,
     /// Port on which balancers talk to agents, the same on every machine.
