--- a/crates/protocol/tests/hop.rs
+++ b/crates/protocol/tests/hop.rs
@@ -57,6 +57,7 @@
         Refusal::Silent,
         Refusal::Busy,
         Refusal::Overloaded,
+        Refusal::Lost,
     ];
     let plain = [
         FrameKind::Denied,
@@ -66,6 +67,7 @@
         FrameKind::Answer,
         FrameKind::Probe,
         FrameKind::Present,
+        FrameKind::Gone,
     ];
     let kinds = inquiries.map(FrameKind::Carry).into_iter();
     let kinds = kinds.chain(refusals.map(FrameKind::Returned)).chain(plain);
