Count the time that readers have to start from the process's own start

Found by reading: it was counted from the loss of the reader that the process had joined, so that a follower that lost all readers at once would have waited for 1.5 s before it read the platform itself, in place of at once.

--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -108,11 +108,11 @@
 
     async fn follow_platform(&mut self) {
         let mut failures = 0;
+        let readers_by = self.clock.now() + READERS_START;
         if let Some(Turn::Finished) = self.join().await {
             return;
         }
         let mut list = !self.feed.catalog.borrow().is_complete();
-        let listed_by = self.clock.now() + READERS_START;
         loop {
             let away = failures >= AWAY_AFTER;
             let now = self.clock.now();
@@ -122,7 +122,7 @@
                 // platform itself is asked first.
                 Some(reader) if !list || failures > 0 => self.follow(reader).await,
                 _ if list => self.list().await,
-                None if failures == 0 && now < listed_by && !self.feeds.is_reader() => {
+                None if failures == 0 && now < readers_by && !self.feeds.is_reader() => {
                     if self.pause(READER_PAUSE).await {
                         return;
                     }
@@ -142,7 +142,7 @@
                 Turn::Followed => failures = 0,
                 Turn::ReaderLost(reason) => {
                     if let Some(reader) = reader {
-                        self.lose(reader, &reason, listed_by);
+                        self.lose(reader, &reason, readers_by);
                     }
                     list &= !self.feed.catalog.borrow().is_complete();
                 }
