Wait for readers at the start only where nobody is there

Now only a reader that can't be reached counts as one that may be starting, and only while no call of the platform has failed.

--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -91,6 +91,8 @@
     Failed(SourceError),
     /// The reader can't be followed any more.
     ReaderLost(String),
+    /// Nobody is there; it may just be starting.
+    ReaderMissing(String),
     /// The traffic thread has finished.
     Finished,
 }
@@ -113,6 +115,7 @@
             return;
         }
         let mut list = !self.feed.catalog.borrow().is_complete();
+        let mut readers_start = false;
         loop {
             let away = failures >= AWAY_AFTER;
             let now = self.clock.now();
@@ -122,7 +125,7 @@
                 // platform itself is asked first.
                 Some(reader) if !list || failures > 0 => self.follow(reader).await,
                 _ if list => self.list().await,
-                None if failures == 0 && now < readers_by && !self.feeds.is_reader() => {
+                None if readers_start && failures == 0 && now < readers_by => {
                     if self.pause(READER_PAUSE).await {
                         return;
                     }
@@ -141,12 +144,21 @@
                 }
                 Turn::Followed => failures = 0,
                 Turn::ReaderLost(reason) => {
+                    readers_start = false;
                     if let Some(reader) = reader {
-                        self.lose(reader, &reason, readers_by);
+                        self.lose(reader, &reason);
+                    }
+                    list &= !self.feed.catalog.borrow().is_complete();
+                }
+                Turn::ReaderMissing(reason) => {
+                    readers_start = now < readers_by;
+                    if let Some(reader) = reader {
+                        self.miss(reader, &reason, readers_start);
                     }
                     list &= !self.feed.catalog.borrow().is_complete();
                 }
                 Turn::Failed(err) => {
+                    readers_start = false;
                     failures += 1;
                     list |= err == SourceError::Forgotten;
                     if self.fail(&err, failures).await {
@@ -215,28 +227,33 @@
         }
         let turn = self.follow_on(reader, following).await;
         if let Turn::ReaderLost(reason) = &turn {
-            self.lose(reader, reason, self.clock.now());
+            self.lose(reader, reason);
         }
         Some(turn)
     }
 
-    /// Takes note that a reader can't be followed now. Until `starts_by` it may
-    /// just be starting.
-    fn lose(&mut self, reader: SocketAddrV4, reason: &str, starts_by: Millis) {
+    /// Takes note that a reader can't be followed now.
+    fn lose(&mut self, reader: SocketAddrV4, reason: &str) {
         log::info!("the reader {reader} is not followed now: {reason}");
         self.feed.note_failure();
-        let now = self.clock.now();
-        if now < starts_by {
-            self.feeds.missed(reader, now);
-        } else {
-            self.feeds.failed(reader, now);
+        self.feeds.failed(reader, self.clock.now());
+    }
+
+    /// Takes note that nobody is there where a reader should be; `starts`: it may
+    /// just be starting.
+    fn miss(&mut self, reader: SocketAddrV4, reason: &str, starts: bool) {
+        if !starts {
+            return self.lose(reader, reason);
         }
+        log::info!("the reader {reader} is not followed now: {reason}");
+        self.feed.note_failure();
+        self.feeds.missed(reader, self.clock.now());
     }
 
     async fn follow(&mut self, reader: SocketAddrV4) -> Turn {
         match Following::start(reader, self.cursor()).await {
             Ok(following) => self.follow_on(reader, following).await,
-            Err(err) => Turn::ReaderLost(err.to_string()),
+            Err(err) => Turn::ReaderMissing(err.to_string()),
         }
     }
 
