--- a/bramleyramp/src/daemon.rs
+++ b/bramleyramp/src/daemon.rs
@@ -74,6 +74,9 @@
                 .map(|port| SocketAddrV4::new(process_settings.ip, port));
             start_logs(&process_settings.name, args.log)?;
             log::info!("started");
+            for warning in &process_settings.warnings {
+                log::warn!("{warning}");
+            }
             let store = StoreClient::new(process_settings.platform);
             (entry_points.on_platform)(process_settings, store)
         }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -45,6 +45,7 @@
 use self::placement::PlacementAttempt;
 use self::search::Search;
 use super::choice::AgentReports;
+use super::link_rate::LinkRate;
 use super::published::Revision;
 use super::rate_limit::RateLimiter;
 use super::suspects::Suspects;
@@ -97,6 +98,8 @@
     /// Whether an agent has been running for longer than this process, by more
     /// than [`FLEET_RESTART_SPREAD`].
     fleet_is_older: bool,
+    /// Rate of this instance's link, if it is narrow.
+    narrow_link: Option<LinkRate>,
 }
 
 impl Balancer {
@@ -105,6 +108,15 @@
         Balancer::default()
     }
 
+    /// The same balancer on a machine whose link has this rate. A wide link, or one of
+    /// unknown rate, changes nothing.
+    pub fn with_link_rate(self, rate: Option<LinkRate>) -> Balancer {
+        Balancer {
+            narrow_link: rate.filter(|rate| rate.is_narrow()),
+            ..self
+        }
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -15,12 +15,14 @@
 //!   others follow
 //! - [`platform_client`]: the trait that a client of the platform implements
 //! - [`reachability`]: whether a balancer still reaches any agent
+//! - [`link_rate`]: the rate of an instance's link
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
 pub mod balancer;
 pub mod catalog;
 mod choice;
+pub mod link_rate;
 mod listed;
 pub mod mark;
 mod opening_queue;
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -108,10 +108,11 @@
     ///
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
+        let balancer = Balancer::new().with_link_rate(self.settings.link_rate);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
-            balancer: Balancer::new(),
+            balancer,
             reported_revision: Revision(0),
             reachability: Reachability::default(),
             agents_reachable: true,
--- a/crates/transport/src/passthrough/process_settings.rs
+++ b/crates/transport/src/passthrough/process_settings.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use ramp_coordination::passthrough::link_rate::LinkRate;
 use ramp_state::key::ServiceId;
 
 /// Settings of a balancer or an agent in passthrough mode.
@@ -32,6 +33,10 @@
     pub metrics: Option<SocketAddrV4>,
     /// Address of the platform.
     pub platform: SocketAddrV4,
+    /// Rate of the machine's link; none if it is not known.
+    pub link_rate: Option<LinkRate>,
+    /// Values that were ignored, for the log.
+    pub warnings: Vec<String>,
     /// Time between the signal to terminate and the kill of the process.
     pub shutdown_grace: Duration,
     /// Backend server on the same machine; none for a balancer.
