Limit searches on a narrow link, and extend reply timeouts by its delay

Cause: a balancer with 10 Mbit/s asked 43 agents for the owner of each flow whose reply was late. Ruled out: the processor (the queries were sent) and the inbound direction (0.6 Mbit/s of 10).

Change: where the settings state a rate below 100 Mbit/s, searches may use a seventh of it, copies to silent agents a twentieth. All timeouts of replies grow by the delay that the link causes: the time of what was sent, and the delay that the replies of four agents or more have in common. The test of the search share failed before: it would send more than five times the share.

--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -138,15 +138,22 @@
             .map_or(Duration::ZERO, |at| now.since(at))
     }
 
-    /// Whether an awaited reply has timed out.
-    pub(super) fn is_reply_overdue(&self, now: Millis) -> bool {
-        self.waited(now) >= self.reply_timeout()
+    /// Whether an awaited reply has timed out. `link_delay` is the part of a reply's
+    /// time that this instance's own link causes.
+    pub(super) fn is_reply_overdue(&self, now: Millis, link_delay: Duration) -> bool {
+        self.waited(now) >= self.reply_timeout() + link_delay
     }
 
     /// Time until the awaited reply times out; none when no reply is awaited.
-    pub(super) fn reply_time_left(&self, now: Millis) -> Option<Duration> {
+    pub(super) fn reply_time_left(&self, now: Millis, link_delay: Duration) -> Option<Duration> {
         self.awaiting_reply_since?;
-        Some(self.reply_timeout().saturating_sub(self.waited(now)))
+        let timeout = self.reply_timeout() + link_delay;
+        Some(timeout.saturating_sub(self.waited(now)))
+    }
+
+    /// Whether a reply is awaited and none has come since it was asked for.
+    pub(super) fn awaits_first_reply(&self) -> bool {
+        self.awaiting_reply_since.is_some() && !self.delivered_to_server
     }
 
     fn reply_timeout(&self) -> Duration {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -45,6 +45,7 @@
 use self::placement::PlacementAttempt;
 use self::search::Search;
 use super::choice::AgentReports;
+use super::link_load::LinkLoad;
 use super::link_rate::LinkRate;
 use super::published::Revision;
 use super::rate_limit::RateLimiter;
@@ -98,8 +99,8 @@
     /// Whether an agent has been running for longer than this process, by more
     /// than [`FLEET_RESTART_SPREAD`].
     fleet_is_older: bool,
-    /// Rate of this instance's link, if it is narrow.
-    narrow_link: Option<LinkRate>,
+    /// Load of this instance's link, if it is narrow.
+    narrow_link: Option<LinkLoad>,
 }
 
 impl Balancer {
@@ -112,7 +113,7 @@
     /// unknown rate, changes nothing.
     pub fn with_link_rate(self, rate: Option<LinkRate>) -> Balancer {
         Balancer {
-            narrow_link: rate.filter(|rate| rate.is_narrow()),
+            narrow_link: rate.filter(|rate| rate.is_narrow()).map(LinkLoad::new),
             ..self
         }
     }
@@ -128,6 +129,28 @@
         self.newest_agent_revision
     }
 
+    /// Records a datagram that was sent over this instance's link.
+    pub fn note_sent(&mut self, now: Millis, payload_bytes: usize) {
+        if let Some(link) = &mut self.narrow_link {
+            link.note_sent(now, payload_bytes);
+        }
+    }
+
+    /// Records a datagram that was sent for a search, in addition to
+    /// [`Balancer::note_sent`].
+    pub fn note_search_sent(&mut self, now: Millis, payload_bytes: usize) {
+        if let Some(link) = &mut self.narrow_link {
+            link.note_search_sent(now, payload_bytes);
+        }
+    }
+
+    /// Part of agents' reply times that this instance's own link causes; zero where
+    /// it is not narrow. All timeouts of replies grow by it.
+    pub fn link_delay(&self, now: Millis) -> Duration {
+        let link = self.narrow_link.as_ref();
+        link.map_or(Duration::ZERO, |link| link.delay(now))
+    }
+
     /// Handles a packet of a caller.
     pub fn on_packet(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
         self.started_at.get_or_insert(now);
@@ -192,6 +215,7 @@
     /// An agent reports that its server has the flow.
     pub fn on_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
         self.record_agent_frame(now, from, frame);
+        self.note_reply_time(now, from, &frame.flow);
         let searched = self.searches.swap_remove(&frame.flow).is_some();
         let before = self.flows.get(&frame.flow).copied();
         if let Some(flow) = before.filter(|f| f.confirmed && !searched) {
@@ -241,7 +265,7 @@
     /// down before the server answers, so the reply may never come.
     pub fn reply_time_left(&self, now: Millis, seg: &Segment) -> Option<Duration> {
         let flow = self.flows.get(&seg.key).filter(|_| !seg.opens)?;
-        flow.reply_time_left(now)
+        flow.reply_time_left(now, self.link_delay(now))
             .filter(|remaining| !remaining.is_zero())
     }
 
@@ -250,6 +274,7 @@
     /// bounce it.
     pub fn on_heartbeat(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.record_agent_frame(now, from, frame);
+        self.note_reply_time(now, from, &frame.flow);
         let flow = self.flows.get_mut(&frame.flow);
         if let Some(flow) = flow.filter(|f| f.agent == from) {
             flow.mark_delivered();
@@ -293,6 +318,15 @@
         self.fleet_is_older |= frame.uptime > now.since(started_at) + FLEET_RESTART_SPREAD;
     }
 
+    /// Records how long the agent of a flow took to reply.
+    fn note_reply_time(&mut self, now: Millis, from: Ipv4Addr, flow: &FlowKey) {
+        let flow = self.flows.get(flow).filter(|f| f.agent == from);
+        let awaited = flow.filter(|f| f.awaits_first_reply());
+        if let (Some(link), Some(flow)) = (&mut self.narrow_link, awaited) {
+            link.note_reply(now, from, flow.waited(now));
+        }
+    }
+
     fn remember_flow(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr, service: ServiceId) {
         let flow = Flow::awaiting_reply(now, seg, agent, service);
         self.flows.insert(seg.key, flow);
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -97,6 +97,7 @@
 
     pub(super) fn route_open_flow(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
         self.discard_opening_search(&seg.key);
+        let link_delay = self.link_delay(now);
         let Some(flow) = self.flows.get_mut(&seg.key) else {
             if self.searches.contains_key(&seg.key) {
                 return self.query_owner(view, now, seg);
@@ -109,7 +110,7 @@
             flow.expect_reply(now);
         }
         let flow = *flow;
-        if gone || flow.is_reply_overdue(now) {
+        if gone || flow.is_reply_overdue(now, link_delay) {
             return self.query_owner(view, now, seg);
         }
         flow.forward(flow.inquiry())
@@ -124,7 +125,7 @@
         seg: &Segment,
     ) -> Option<Action> {
         let flow = self.flows.get(&seg.key);
-        let unanswered = flow.is_some_and(|f| f.is_reply_overdue(now));
+        let unanswered = flow.is_some_and(|f| f.is_reply_overdue(now, self.link_delay(now)));
         let search = self.searches.get(&seg.key);
         if !unanswered && search.is_none() {
             return None;
@@ -172,18 +173,21 @@
         }
         let candidates = self.candidates(view, now, &seg.key);
         let likely_owner = self.flows.get(&seg.key).copied();
+        let link_delay = self.link_delay(now);
+        let within_share = self.narrow_link.as_ref().is_none_or(|l| l.may_search(now));
+        let copies_per_s = self.silent_copies_per_s();
         let Some(search) = self.searches.get_mut(&seg.key) else {
             return Action::Drop(DropReason::OwnerFound);
         };
-        if !search.is_query_due(now, &candidates) {
+        if !within_share || !search.is_query_due(now, &candidates, link_delay) {
             let wait = Action::Drop(DropReason::Asked);
             return likely_owner.map_or(wait, |f| f.forward(Inquiry::Owner));
         }
         let limiter = &mut self.silent_copy_limiter;
-        let may_copy = || limiter.try_acquire(now, SILENT_COPIES_PER_S);
-        let mut query = search.next_query(now, seg, &candidates, may_copy);
+        let may_copy = || limiter.try_acquire(now, copies_per_s);
+        let mut query = search.next_query(now, seg, &candidates, link_delay, may_copy);
         query.overdue = likely_owner
-            .filter(|f| f.is_reply_overdue(now))
+            .filter(|f| f.is_reply_overdue(now, link_delay))
             .map(|f| OverdueReply {
                 agent: f.agent,
                 confirmed: f.confirmed,
@@ -195,6 +199,15 @@
         Action::QueryOwner(query)
     }
 
+    /// Limit on packet copies to silent agents. On a narrow link they may use a small
+    /// part of its rate only.
+    fn silent_copies_per_s(&self) -> usize {
+        let link = self.narrow_link.as_ref();
+        link.map_or(SILENT_COPIES_PER_S, |link| {
+            SILENT_COPIES_PER_S.min(link.copies_per_s())
+        })
+    }
+
     /// Agents that may have flows: those that the platform lists or has listed,
     /// and unlisted ones that have sent a message within [`UNLISTED_AGENT_TTL`].
     fn holders(&self, view: &View, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
@@ -308,7 +321,7 @@
             return false;
         }
         let known_gone = view.is_gone(holder, now);
-        let since = search.silent_since(now, known_gone);
+        let since = search.silent_since(now, known_gone, self.link_delay(now));
         since.is_some_and(|since| !self.loads.heard_from_since(holder, since))
     }
 
--- a/crates/coordination/src/passthrough/balancer/placement.rs
+++ b/crates/coordination/src/passthrough/balancer/placement.rs
@@ -59,6 +59,7 @@
     }
 
     pub(super) fn route_opening(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
+        let link_delay = self.link_delay(now);
         let Some(flow) = self.flows.get_mut(&seg.key) else {
             // The caller has retransmitted, so silent members are tried again.
             if let Some(attempt) = self.placement_attempts.get_mut(&seg.key) {
@@ -66,7 +67,7 @@
             }
             return self.place(view, now, seg);
         };
-        if flow.confirmed || flow.past_opening || !flow.is_reply_overdue(now) {
+        if flow.confirmed || flow.past_opening || !flow.is_reply_overdue(now, link_delay) {
             flow.record_packet(now, seg);
             return flow.forward(Inquiry::Owner);
         }
@@ -86,7 +87,7 @@
     ) -> Option<Action> {
         let flow = self.flows.get(&seg.key)?;
         let placed = flow.confirmed || flow.past_opening;
-        let late = !placed && flow.is_reply_overdue(now);
+        let late = !placed && flow.is_reply_overdue(now, self.link_delay(now));
         late.then(|| self.route_opening(view, now, seg))
     }
 
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -158,12 +158,17 @@
     }
 
     /// Whether the next packet may be used to query the remaining holders.
-    pub(super) fn is_query_due(&self, now: Millis, remaining: &[Candidate]) -> bool {
+    pub(super) fn is_query_due(
+        &self,
+        now: Millis,
+        remaining: &[Candidate],
+        link_delay: Duration,
+    ) -> bool {
         let interval_over = self
             .last_query_at
-            .is_none_or(|at| now.since(at) >= OWNER_QUERY_INTERVAL);
+            .is_none_or(|at| now.since(at) >= OWNER_QUERY_INTERVAL + link_delay);
         let few_remaining =
-            has_few_listed(remaining) && self.has_run_for(now, UNLISTED_SILENCE_LIMIT);
+            has_few_listed(remaining) && self.has_run_for(now, UNLISTED_SILENCE_LIMIT + link_delay);
         interval_over || few_remaining || self.urgent
     }
 
@@ -175,12 +180,14 @@
         now: Millis,
         seg: &Segment,
         remaining: &[Candidate],
+        link_delay: Duration,
         may_copy: impl FnMut() -> bool,
     ) -> OwnerQuery {
         let mut query = OwnerQuery::default();
         let mut silent = Vec::new();
         // Usually the likely owner has the flow and is only slow, so agents that need
         // the packet are treated like silent ones: few of them get a copy.
+        let overdue = self.has_run_for(now, KEY_QUERY_TIMEOUT + link_delay);
         let has_likely_owner = remaining.iter().any(|c| c.likely_owner);
         for candidate in remaining {
             let agent = candidate.agent;
@@ -191,7 +198,7 @@
                 query.by_key.push(agent);
             } else if by_packet {
                 query.packet_copies.push(agent);
-            } else if !candidate.knows_all_flows || self.has_run_for(now, KEY_QUERY_TIMEOUT) {
+            } else if !candidate.knows_all_flows || overdue {
                 silent.push(*candidate);
             } else {
                 query.by_key.push(agent);
@@ -233,12 +240,17 @@
     /// has been missing for long. A reply may be lost, so two unanswered queries are
     /// needed, or one that is older than the longest time
     /// for which the record of a running server may be missing.
-    pub(super) fn silent_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
+    pub(super) fn silent_since(
+        &self,
+        now: Millis,
+        known_gone: bool,
+        link_delay: Duration,
+    ) -> Option<Millis> {
         let since = self.first_query_at?;
-        let overdue = now.since(self.last_query_at?) >= OWNER_REPLY_TIMEOUT;
-        let silent = known_gone || self.has_run_for(now, UNLISTED_SILENCE_LIMIT);
+        let overdue = now.since(self.last_query_at?) >= OWNER_REPLY_TIMEOUT + link_delay;
+        let silent = known_gone || self.has_run_for(now, UNLISTED_SILENCE_LIMIT + link_delay);
         let twice = self.query_count > 1 && overdue && silent;
-        let once = known_gone && self.has_run_for(now, RELIST_LIMIT);
+        let once = known_gone && self.has_run_for(now, RELIST_LIMIT + link_delay);
         (twice || once).then_some(since)
     }
 
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -22,6 +22,7 @@
 pub mod balancer;
 pub mod catalog;
 mod choice;
+mod link_load;
 pub mod link_rate;
 mod listed;
 pub mod mark;
--- a/crates/coordination/src/passthrough/reachability.rs
+++ b/crates/coordination/src/passthrough/reachability.rs
@@ -35,17 +35,18 @@
         self.unanswered_since = None;
     }
 
-    /// Whether no agent has answered for `AGENT_SILENCE_TIMEOUT`.
-    pub fn is_cut_off(&self, now: Millis) -> bool {
+    /// Whether no agent has answered for `AGENT_SILENCE_TIMEOUT`, beyond the part of
+    /// a reply's time that this instance's own link causes.
+    pub fn is_cut_off(&self, now: Millis, link_delay: Duration) -> bool {
         self.unanswered_since
-            .is_some_and(|since| now.since(since) >= AGENT_SILENCE_TIMEOUT)
+            .is_some_and(|since| now.since(since) >= AGENT_SILENCE_TIMEOUT + link_delay)
     }
 
     /// Whether agents must be asked for a heartbeat now; if so, the next
     /// request is due after `PROBE_INTERVAL`.
     pub fn probe_due(&mut self, now: Millis) -> bool {
         let due = now.since(self.last_probe_at) >= PROBE_INTERVAL;
-        if !due || !self.is_cut_off(now) {
+        if !due || !self.is_cut_off(now, Duration::ZERO) {
             return false;
         }
         self.last_probe_at = now;
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod fixture;
 mod flow_safety;
+mod narrow_link;
 mod overload;
 mod reachability;
 mod readers;
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -243,7 +243,9 @@
     /// Keeps the packet until its reply is due, if the action expects a reply.
     fn track_reply(&mut self, seg: &Segment, action: &Action, packet: &[u8], repeats: u32) {
         let now = self.traffic.clock.now();
-        self.pending_replies.add(now, seg, action, packet, repeats);
+        let link_delay = self.balancer.link_delay(now);
+        self.pending_replies
+            .add(now, seg, action, packet, repeats, link_delay);
     }
 
     fn execute(&mut self, view: &View, seg: &Segment, action: Action, packet: &[u8]) {
@@ -309,6 +311,14 @@
             uptime: Duration::ZERO,
         };
         frame.write(packet, &mut self.send_buf);
+        let now = self.traffic.clock.now();
+        self.balancer.note_sent(now, self.send_buf.len());
+        if matches!(
+            kind,
+            FrameKind::OwnerQuery | FrameKind::Forward(Inquiry::OwnerOfCopy)
+        ) {
+            self.balancer.note_search_sent(now, self.send_buf.len());
+        }
         let to = SocketAddrV4::new(agent, self.traffic.settings.data_port);
         if let Err(err) = self.traffic.peers.send_to(&self.send_buf, to) {
             self.telemetry.send_failed(to, &err);
--- a/crates/transport/src/passthrough/balancer/pending_replies.rs
+++ b/crates/transport/src/passthrough/balancer/pending_replies.rs
@@ -33,7 +33,8 @@
 pub(super) struct PendingReplies(VecDeque<PendingPacket>);
 
 impl PendingReplies {
-    /// Keeps a packet if `action` expects a reply.
+    /// Keeps a packet if `action` expects a reply. `link_delay` is the part of the
+    /// reply's time that this instance's own link causes.
     pub(super) fn add(
         &mut self,
         now: Millis,
@@ -41,6 +42,7 @@
         action: &Action,
         packet: &[u8],
         repeats: u32,
+        link_delay: Duration,
     ) {
         let reply_timeout = match action {
             Action::Forward { inquiry, .. } if *inquiry != Inquiry::None => OWNER_REPLY_TIMEOUT,
@@ -52,7 +54,7 @@
             return;
         }
         let pending = PendingPacket {
-            due: now + reply_timeout,
+            due: now + reply_timeout + link_delay,
             packet: packet.to_vec(),
             repeats,
         };
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -46,7 +46,9 @@
     /// and probes them while none answers.
     pub(super) fn update_reachability(&mut self) {
         let now = self.traffic.clock.now();
-        let agents_reachable = !self.reachability.is_cut_off(now);
+        let agents_reachable = !self
+            .reachability
+            .is_cut_off(now, self.balancer.link_delay(now));
         if agents_reachable != self.agents_reachable {
             self.agents_reachable = agents_reachable;
             // Sending fails only if the control thread is gone; then the next loop
@@ -56,7 +58,7 @@
                 .events
                 .send(Event::PeersReachable(agents_reachable));
         }
-        if !self.reachability.probe_due(now) {
+        if agents_reachable || !self.reachability.probe_due(now) {
             return;
         }
         let Some(view) = self.view.clone() else {
