Whole milliseconds for the link delay; no packets to an unconfirmed agent over the search share

Over its share a search forwarded packets to the agent that was asked first, whether it had confirmed the flow or not; they are dropped now.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -180,8 +180,11 @@
             return Action::Drop(DropReason::OwnerFound);
         };
         if !within_share || !search.is_query_due(now, &candidates, link_delay) {
+            // Without a search, packets must not go on to an agent that has not
+            // confirmed the flow: its server may be the wrong one.
+            let target = likely_owner.filter(|f| within_share || f.confirmed);
             let wait = Action::Drop(DropReason::Asked);
-            return likely_owner.map_or(wait, |f| f.forward(Inquiry::Owner));
+            return target.map_or(wait, |f| f.forward(Inquiry::Owner));
         }
         let limiter = &mut self.silent_copy_limiter;
         let may_copy = || limiter.try_acquire(now, copies_per_s);
--- a/crates/coordination/src/passthrough/link_load.rs
+++ b/crates/coordination/src/passthrough/link_load.rs
@@ -97,7 +97,10 @@
     pub(super) fn delay(&self, now: Millis) -> Duration {
         let common = self.replies.shortest(now).unwrap_or_default();
         let common = common.saturating_sub(USUAL_REPLY_TIME);
-        (self.egress.left(now) + common).min(MAX_DELAY)
+        let delay = (self.egress.left(now) + common).min(MAX_DELAY);
+        // Whole milliseconds, as the clock: a timeout that ends between two of its
+        // values would be due before it is over.
+        Duration::from_millis(delay.as_micros().div_ceil(1000) as u64)
     }
 }
 
--- a/crates/coordination/tests/passthrough/narrow_link.rs
+++ b/crates/coordination/tests/passthrough/narrow_link.rs
@@ -158,3 +158,16 @@
     assert!((100..110).contains(&delay.as_millis()), "{delay:?}");
     assert_eq!(balancer.link_delay(Millis(120)), Duration::ZERO);
 }
+
+/// Guards against a timer that is due but not over, which the driver would handle
+/// again without end.
+#[test]
+fn a_timeout_extended_by_the_link_ends_at_a_whole_millisecond() {
+    let view = view(&AGENTS.collect::<Vec<u8>>());
+    let mut balancer = Balancer::new().with_link_rate(narrow());
+    let seg = segment(flow(1));
+    balancer.on_packet(&view, Millis(0), &seg);
+    balancer.note_sent(Millis(0), 1000);
+    let left = balancer.reply_time_left(Millis(0), &seg).unwrap();
+    assert_eq!(left.subsec_nanos() % 1_000_000, 0, "{left:?}");
+}
