Share between searches which agents are silent

Ruled out: an unsettled view (doubt none).

Change: an unlisted agent that has left three queries of any search without an answer for 1 s counts as silent for all searches, and is asked once in 100 ms. Any message of it ends that.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -51,6 +51,7 @@
 use super::rate_limit::RateLimiter;
 use super::suspects::Suspects;
 use super::sweep::Sweep;
+use super::unanswered::UnansweredQueries;
 use super::view::View;
 
 pub use self::action::Action;
@@ -88,6 +89,7 @@
     searches: IndexMap<FlowKey, Search>,
     suspects: Suspects,
     loads: AgentReports,
+    unanswered: UnansweredQueries,
     /// Bounds the packet copies to agents that do not reply.
     silent_copy_limiter: RateLimiter,
     flow_sweep: Sweep,
@@ -312,6 +314,7 @@
     /// load, its platform revision and how long it has been running.
     fn record_agent_frame(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) {
         self.suspects.clear(from);
+        self.unanswered.clear(from);
         self.loads.update(from, frame, now);
         self.newest_agent_revision = self.newest_agent_revision.max(Revision(frame.revision));
         let started_at = *self.started_at.get_or_insert(now);
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -171,7 +171,8 @@
         if let action @ Action::Reset(_) = self.finish_search_by_silence(view, now, seg.key) {
             return action;
         }
-        let candidates = self.candidates(view, now, &seg.key);
+        let mut candidates = self.candidates(view, now, &seg.key);
+        candidates.retain(|c| c.listed || !self.unanswered.may_skip(c.agent, now));
         let likely_owner = self.flows.get(&seg.key).copied();
         let link_delay = self.link_delay(now);
         let within_share = self.narrow_link.as_ref().is_none_or(|l| l.may_search(now));
@@ -199,6 +200,9 @@
         if query.agent_count() == 0 {
             return Action::Drop(DropReason::Unsettled);
         }
+        for agent in query.packet_copies.iter().chain(&query.by_key) {
+            self.unanswered.note_query(*agent, now);
+        }
         Action::QueryOwner(query)
     }
 
@@ -323,6 +327,10 @@
         {
             return false;
         }
+        // Queries of other searches show as much as those of this one.
+        if self.unanswered.is_silent(holder, now) {
+            return true;
+        }
         let known_gone = view.is_gone(holder, now);
         let since = search.silent_since(now, known_gone, self.link_delay(now));
         since.is_some_and(|since| !self.loads.heard_from_since(holder, since))
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -34,4 +34,5 @@
 pub mod readers;
 mod suspects;
 mod sweep;
+mod unanswered;
 pub mod view;
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -12,5 +12,6 @@
 mod reachability;
 mod readers;
 mod server_liveness;
+mod silent_holders;
 mod simulation;
 mod stalled_search;
