Egress queue: order and limit what waits for a narrow link

Cause: a balancer with a link of 10 or 30 Mbit/s sends more than the link carries; owner queries then wait in the network behind bulk data. Change: a queue without I/O that is drained at 95% of the link rate, with three classes, a guaranteed quarter for bulk and for interactive data, and limits on the wait; a meter of bounded size tells bulk from interactive data. Result: not yet used by the traffic thread.

--- a/crates/coordination/src/passthrough/link_rate.rs
+++ b/crates/coordination/src/passthrough/link_rate.rs
@@ -38,6 +38,11 @@
         self.0 < NARROW_BELOW_BITS_PER_S
     }
 
+    /// This part of the rate; at least one bit a second.
+    pub fn percent(self, percent: u64) -> LinkRate {
+        LinkRate((self.0 * percent / 100).max(1))
+    }
+
     /// Time that the link needs for a datagram with this payload, in bytes.
     pub fn datagram_time(self, payload_bytes: usize) -> Duration {
         let bits = (payload_bytes + DATAGRAM_HEADER_BYTES) as u128 * u128::from(BITS_PER_BYTE);
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -16,12 +16,14 @@
 //! - [`platform_client`]: the trait that a client of the platform implements
 //! - [`reachability`]: whether a balancer still reaches any agent
 //! - [`link_rate`]: the rate of an instance's link
+//! - [`egress`]: the queue of datagrams that wait for a narrow link
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
 pub mod balancer;
 pub mod catalog;
 mod choice;
+pub mod egress;
 pub mod link_rate;
 mod listed;
 pub mod mark;
