Send the balancer's datagrams through the egress queue on narrow links

Cause: all datagrams were sent at once, whatever the rate of the link. Result: a wide link, or one of unknown rate, is served as before.

--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! Traffic thread of a balancer in passthrough mode. Forwards callers' packets to
 //! agents, and asks agents for the owners of flows that it does not know.
 
+mod egress;
 mod peers;
 mod pending_replies;
 mod timers;
@@ -19,6 +20,7 @@
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::balancer::Reset;
+use ramp_coordination::passthrough::egress::Class;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::reachability::Reachability;
 use ramp_coordination::passthrough::view::View;
@@ -31,6 +33,8 @@
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
+use self::egress::Egress;
+use self::egress::Outlet;
 use self::pending_replies::PendingReplies;
 use super::owner_queries::OwnerQueries;
 use super::process_settings::ProcessSettings;
@@ -96,6 +100,8 @@
     view_is_new: bool,
     shutdown_since: Option<Millis>,
     last_packet_at: Millis,
+    /// Datagrams that wait for the link; none if the link is not narrow.
+    egress: Option<Egress>,
     telemetry: Telemetry,
     send_buf: Vec<u8>,
     format: PhantomData<F>,
@@ -109,6 +115,7 @@
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
         let balancer = Balancer::new().with_link_rate(self.settings.link_rate);
+        let egress = Egress::for_link(self.settings.link_rate);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
@@ -122,6 +129,7 @@
             view_is_new: false,
             shutdown_since: None,
             last_packet_at: Millis(0),
+            egress,
             telemetry: Telemetry::default(),
             send_buf: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
@@ -199,6 +207,7 @@
         }
         self.send_owner_queries();
         self.update_reachability();
+        self.drain_egress();
         self.report_newer_revision();
         Ok(())
     }
@@ -238,6 +247,7 @@
         let action = self.balancer.on_packet(&view, now, &parsed.segment);
         self.track_reply(&parsed.segment, &action, packet, 0);
         self.execute(&view, &parsed.segment, action, packet);
+        self.record_data(&parsed.segment);
     }
 
     /// Keeps the packet until its reply is due, if the action expects a reply.
@@ -310,9 +320,9 @@
         };
         frame.write(packet, &mut self.send_buf);
         let to = SocketAddrV4::new(agent, self.traffic.settings.data_port);
-        if let Err(err) = self.traffic.peers.send_to(&self.send_buf, to) {
-            self.telemetry.send_failed(to, &err);
-        }
+        self.send(Outlet::Agents, to, |egress, now| {
+            egress.frame_class::<F>(now, kind, packet)
+        });
     }
 
     fn send_reset(&mut self, reset: Reset) {
@@ -320,8 +330,6 @@
         F::write_reset(&reset.flow, reset.seq, &mut self.send_buf);
         let to = SocketAddrV4::new(*reset.flow.caller.ip(), self.traffic.settings.data_port);
         self.telemetry.reset(self.view.as_deref(), &reset);
-        if let Err(err) = self.traffic.data.send_to(&self.send_buf, to) {
-            self.telemetry.send_failed(to, &err);
-        }
+        self.send(Outlet::Callers, to, |_, _| Class::Control);
     }
 }
--- a/crates/transport/src/passthrough/balancer/timers.rs
+++ b/crates/transport/src/passthrough/balancer/timers.rs
@@ -16,10 +16,14 @@
 impl<F: PacketFormat> Worker<F> {
     /// Time until there is something to do even if no packet arrives.
     pub(super) fn time_to_next(&self) -> Duration {
-        let Some(left) = self.pending_replies.time_to_next(self.traffic.clock.now()) else {
-            return udp::IDLE_READ_TIMEOUT;
-        };
-        left.clamp(MIN_POLL_WAIT, udp::IDLE_READ_TIMEOUT)
+        let now = self.traffic.clock.now();
+        let reply = self.pending_replies.time_to_next(now);
+        let reply = reply.map(|left| left.max(MIN_POLL_WAIT));
+        let datagram = self.egress.as_ref().and_then(|e| e.time_to_next(now));
+        let next = reply.into_iter().chain(datagram).min();
+        next.map_or(udp::IDLE_READ_TIMEOUT, |left| {
+            left.min(udp::IDLE_READ_TIMEOUT)
+        })
     }
 
     /// Handles packets again whose replies are overdue.
