Tests of the egress queue

Cause: the queue's limits and shares were not tested. Change: tests without sockets of rate, precedence, shares, waits, drops and the bounded meter.

--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod catalog;
 mod choice;
+mod egress;
 mod fixture;
 mod flow_safety;
 mod overload;
