--- a/bramleyramp/tests/harness/daemon_process.rs
+++ b/bramleyramp/tests/harness/daemon_process.rs
@@ -45,6 +45,8 @@
     pub readers: &'a [SocketAddrV4],
     /// Service of the agent's backend server; `None` for a balancer.
     pub service: Option<&'a str>,
+    /// Rate of the link in the process's settings, in Mbit/s; `None` if they have none.
+    pub link_mbps: Option<u64>,
 }
 
 impl ProcessConfig<'_> {
@@ -78,9 +80,13 @@
             ),
             None => format!("Listen.Control={ip}:{}\n", ports.control),
         };
+        let link = self
+            .link_mbps
+            .map(|rate| format!("Limits.LinkMbps={rate}\n"));
+        let link = link.unwrap_or_default();
         format!(
             "NodeName={name}\nListen.DataAddr={ip}:{}\nListen.Ready={ip}:{}\n\
-             InternalPorts={},{}\nBounds.GraceS=4\nplatform.Address={}\nSeeds={}\n{own}",
+             InternalPorts={},{}\nBounds.GraceS=4\nplatform.Address={}\nSeeds={}\n{own}{link}",
             ports.data,
             ports.ready,
             ports.peers,
--- a/bramleyramp/tests/on_platform/fixture.rs
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -171,6 +171,7 @@
             store: self.store.address,
             readers: &[reader],
             service,
+            link_mbps: None,
         };
         let log = self.dir.join(format!("{name}.log"));
         let out = File::options().create(true).append(true).open(&log);
--- a/bramleyramp/tests/on_platform/signals.rs
+++ b/bramleyramp/tests/on_platform/signals.rs
@@ -32,6 +32,7 @@
         store: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
         readers: &[],
         service: None,
+        link_mbps: None,
     };
     let child = config.start_with(&pipe, Stdio::null());
     // Blocks until the process opens the pipe for reading.
--- a/bramleyramp/tests/soak/fleet.rs
+++ b/bramleyramp/tests/soak/fleet.rs
@@ -75,6 +75,8 @@
     pub record: Arc<Mutex<Record>>,
     pub routers: Arc<Mutex<Routers>>,
     ports: Ports,
+    /// Rate of every balancer's link, in Mbit/s; `None` if it is not limited.
+    link_mbps: Option<u64>,
     dir: PathBuf,
     version: u64,
     boots: u64,
@@ -101,7 +103,7 @@
 }
 
 impl Fleet {
-    pub fn start(number: u8, seed: u64) -> Fleet {
+    pub fn start(number: u8, seed: u64, link_mbps: Option<u64>) -> Fleet {
         let ports = Ports::pick();
         let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
@@ -121,6 +123,7 @@
                 duplicate_per_mille: 0,
             })),
             ports,
+            link_mbps,
             dir,
             version: 1,
             boots: 0,
@@ -163,7 +166,8 @@
         service: Option<&'static str>,
         balancers: &[Ipv4Addr],
     ) {
-        let (store_switch, feed_switch) = (Switch::new(), Switch::new());
+        let link_mbps = self.link_mbps.filter(|_| service.is_none());
+        let (store_switch, feed_switch) = (Switch::new(link_mbps), Switch::new(link_mbps));
         let control = self.ports.control;
         let readers = balancers.iter().map(|balancer| {
             let target = SocketAddrV4::new(*balancer, control);
@@ -199,6 +203,7 @@
             store: node.store,
             readers: &node.readers,
             service: node.service,
+            link_mbps: self.link_mbps.filter(|_| node.service.is_none()),
         };
         node.child = Some(config.start(&self.dir, Stdio::from(out)));
     }
--- a/bramleyramp/tests/soak/main.rs
+++ b/bramleyramp/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! invariants by what callers and backend servers observe.
 //!
 //! `SOAK_SEEDS=1-50 cargo test -p bramleyramp --test soak -- --nocapture` runs these
-//! seeds instead of those of CI; `SOAK_SECONDS` sets how long each injects faults.
+//! seeds instead of those of CI; `SOAK_SECONDS` sets how long each injects faults, and
+//! `SOAK_LINK_MBPS` limits the balancers' links.
 
 mod callers;
 #[path = "../../../platform/tests/fake_store/mod.rs"]
@@ -29,16 +30,34 @@
     seed: u64,
     /// Time for which faults are injected.
     faults_s: u64,
+    /// Rate of the balancers' links, in Mbit/s; `None` if it is not limited.
+    link_mbps: Option<u64>,
 }
 
 impl SoakRun {
     const fn new(seed: u64, faults_s: u64) -> SoakRun {
-        SoakRun { seed, faults_s }
+        SoakRun {
+            seed,
+            faults_s,
+            link_mbps: None,
+        }
+    }
+
+    const fn with_link(self, mbps: u64) -> SoakRun {
+        SoakRun {
+            link_mbps: Some(mbps),
+            ..self
+        }
     }
 }
 
 /// Runs of CI, in addition to the regressions.
-const CI_RUNS: [SoakRun; 2] = [SoakRun::new(1, 6), SoakRun::new(2, 6)];
+const CI_RUNS: [SoakRun; 3] = [
+    SoakRun::new(1, 6),
+    SoakRun::new(2, 6),
+    // The balancers' datagrams go through their egress queues.
+    SoakRun::new(3, 6).with_link(10),
+];
 
 /// Runs that failed once, each with the cause.
 const REGRESSIONS: [SoakRun; 3] = [
@@ -78,9 +97,13 @@
 
 /// Runs one soak; returns whether all invariants held.
 fn run_holds(run: SoakRun) -> bool {
-    let SoakRun { seed, faults_s } = run;
+    let SoakRun {
+        seed,
+        faults_s,
+        link_mbps,
+    } = run;
     let number = (std::process::id() as u64 + seed) % 250;
-    let mut fleet = Fleet::start(number as u8, seed);
+    let mut fleet = Fleet::start(number as u8, seed, link_mbps);
     run_until(&mut fleet, Instant::now() + Duration::from_millis(500));
     Faults::new(seed).run(&mut fleet, Duration::from_secs(faults_s));
     let during = take_outcomes(&fleet);
@@ -116,7 +139,14 @@
     let number = |text: &str| text.trim().parse().expect("SOAK_SEEDS is N or N-M");
     let faults_s = std::env::var("SOAK_SECONDS").ok();
     let faults_s = faults_s.map_or(MANUAL_FAULTS_S, |text| number(&text));
+    let link_mbps = std::env::var("SOAK_LINK_MBPS").ok();
+    let link_mbps = link_mbps.map(|text| number(&text));
     let (first, last) = text.split_once('-').unwrap_or((text, text));
     let seeds = number(first)..=number(last);
-    seeds.map(|seed| SoakRun::new(seed, faults_s)).collect()
+    let runs = seeds.map(|seed| SoakRun {
+        seed,
+        faults_s,
+        link_mbps,
+    });
+    runs.collect()
 }
--- a/bramleyramp/tests/soak/proxy.rs
+++ b/bramleyramp/tests/soak/proxy.rs
@@ -1,4 +1,5 @@
-//! TCP proxy on loopback that delays, drops or closes the connections of one process.
+//! TCP proxy on loopback that delays, drops or closes the connections of one process,
+//! and limits their rate.
 
 use std::io::Read;
 use std::io::Write;
@@ -11,10 +12,13 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Read timeout, after which the mode is checked again.
 const MODE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+const BYTES_PER_S_IN_MBPS: f64 = 125_000.0;
+
 /// What the proxy does with data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -29,21 +33,60 @@
     Disconnect,
 }
 
-/// Sets the mode of all connections of one process to one kind of target.
+/// Sets the mode of all connections of one process to one kind of target. They share
+/// the rate of the process's link.
 #[derive(Clone)]
-pub struct Switch(Arc<Mutex<Mode>>);
+pub struct Switch {
+    mode: Arc<Mutex<Mode>>,
+    link: Option<Arc<Link>>,
+}
 
 impl Switch {
-    pub fn new() -> Switch {
-        Switch(Arc::new(Mutex::new(Mode::Pass)))
+    /// A switch for a link of this rate, or for one without a limit.
+    pub fn new(link_mbps: Option<u64>) -> Switch {
+        Switch {
+            mode: Arc::new(Mutex::new(Mode::Pass)),
+            link: link_mbps.map(|rate| Arc::new(Link::new(rate))),
+        }
     }
 
     pub fn set(&self, mode: Mode) {
-        *self.0.lock().unwrap() = mode;
+        *self.mode.lock().unwrap() = mode;
     }
 
     fn mode(&self) -> Mode {
-        *self.0.lock().unwrap()
+        *self.mode.lock().unwrap()
+    }
+
+    /// Waits until the link has carried the data.
+    fn carry(&self, is_reply: bool, bytes: usize) {
+        if let Some(link) = &self.link {
+            thread::sleep(link.reserve(is_reply, bytes));
+        }
+    }
+}
+
+/// A link with a limited rate in each direction.
+struct Link {
+    bytes_per_s: f64,
+    /// When each direction has carried all data so far.
+    free_at: [Mutex<Instant>; 2],
+}
+
+impl Link {
+    fn new(mbps: u64) -> Link {
+        Link {
+            bytes_per_s: mbps as f64 * BYTES_PER_S_IN_MBPS,
+            free_at: [Mutex::new(Instant::now()), Mutex::new(Instant::now())],
+        }
+    }
+
+    /// Time until the link has carried the data after all earlier data.
+    fn reserve(&self, is_reply: bool, bytes: usize) -> Duration {
+        let now = Instant::now();
+        let mut free_at = self.free_at[usize::from(is_reply)].lock().unwrap();
+        *free_at = now.max(*free_at) + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        *free_at - now
     }
 }
 
@@ -100,6 +143,7 @@
                 while from.read(&mut buf).is_ok_and(|len| len > 0) {}
                 break;
             }
+            switch.carry(is_reply, len);
             if to.write_all(&buf[..len]).is_err() {
                 break;
             }
