--- a/crates/coordination/src/passthrough/egress/bulk_meter.rs
+++ b/crates/coordination/src/passthrough/egress/bulk_meter.rs
@@ -22,7 +22,7 @@
 
 const SLOT_MS: u64 = WINDOW.as_millis() as u64 / WINDOW_SLOTS as u64;
 
-/// Maximum number of flows that are counted, about 60 bytes each. Flows beyond it
+/// Maximum number of flows that are counted, about 100 bytes each. Flows beyond it
 /// are not counted, so their data is interactive.
 const MAX_FLOWS: usize = 4096;
 
