Test of an upload on a narrow link, with real processes

Cause: no test drove the egress queue of a real balancer beyond its link. Change: 20 requests beside an upload that exceeds a link of 4 Mbit/s.

--- a/bramleyramp/tests/on_platform/fixture.rs
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -94,6 +94,7 @@
     number: u8,
     ports: Ports,
     output: Output,
+    link_mbps: Option<u64>,
     dir: PathBuf,
     processes: Vec<Process>,
     behavior: Arc<Mutex<ServerBehavior>>,
@@ -135,6 +136,7 @@
             number,
             ports,
             output,
+            link_mbps: None,
             dir,
             processes: Vec::new(),
             behavior: Arc::new(Mutex::new(ServerBehavior::Normal)),
@@ -171,7 +173,7 @@
             store: self.store.address,
             readers: &[reader],
             service,
-            link_mbps: None,
+            link_mbps: self.link_mbps,
         };
         let log = self.dir.join(format!("{name}.log"));
         let out = File::options().create(true).append(true).open(&log);
@@ -240,6 +242,19 @@
         exchange(&self.caller, self.balancer(), port, &opening)
     }
 
+    /// Starts the balancer again, with a link of this rate in its settings.
+    pub fn restart_balancer_with_link(&mut self, mbps: u64) {
+        self.kill("balancer");
+        self.link_mbps = Some(mbps);
+        self.start_balancer();
+    }
+
+    /// Sends one packet of an upload on an open flow, without waiting for an answer.
+    pub fn upload(&self, port: u16, seq: u32) {
+        let data = encode_packet(self.caller_ip(), port, ACK, seq, &[b'x'; 1200]);
+        self.caller.send_to(&data, self.balancer()).unwrap();
+    }
+
     /// Sends data on a flow that no server has, without waiting for an answer.
     pub fn send_unknown(&self, port: u16) {
         let data = encode_packet(self.caller_ip(), port, ACK, 1, b"x");
--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -178,3 +178,26 @@
         "{text}"
     );
 }
+
+// Guards against an upload on a narrow link whose packets displace those of requests.
+#[test]
+fn an_upload_beyond_a_narrow_link_costs_no_request() {
+    let mut fleet = Fleet::start(2);
+    fleet.restart_balancer_with_link(4);
+    let _upload = fleet.open(2001);
+    for port in 2100..2120 {
+        for n in 0..20 {
+            fleet.upload(2001, 100 + n * 1200);
+        }
+        let mut flow = fleet.open(port);
+        assert_eq!(flow.request("r-7"), Answer::Status(200));
+    }
+    let metrics = fleet.metrics("balancer");
+    let dropped = |class| {
+        let of_class = format!("egress_dropped_total{{class=\"{class}\",reason=\"full\"}} ");
+        let line = metrics.lines().find_map(|l| l.split_once(&of_class));
+        line.unwrap().1.parse::<u64>().unwrap()
+    };
+    assert!(dropped("bulk") > 0);
+    assert_eq!(dropped("interactive") + dropped("control"), 0);
+}
