--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -131,15 +131,15 @@
         self.newest_agent_revision
     }
 
-    /// Records a datagram that was sent over this instance's link.
-    pub fn note_sent(&mut self, now: Millis, payload_bytes: usize) {
+    /// Records the time that this instance's link needs for the datagrams that wait
+    /// for it.
+    pub fn set_link_backlog(&mut self, now: Millis, backlog: Duration) {
         if let Some(link) = &mut self.narrow_link {
-            link.note_sent(now, payload_bytes);
+            link.set_backlog(now, backlog);
         }
     }
 
-    /// Records a datagram that was sent for a search, in addition to
-    /// [`Balancer::note_sent`].
+    /// Records a datagram that was sent for a search.
     pub fn note_search_sent(&mut self, now: Millis, payload_bytes: usize) {
         if let Some(link) = &mut self.narrow_link {
             link.note_search_sent(now, payload_bytes);
--- a/crates/coordination/src/passthrough/link_load.rs
+++ b/crates/coordination/src/passthrough/link_load.rs
@@ -62,14 +62,15 @@
         }
     }
 
-    /// Records a datagram that was sent over the link.
-    pub(super) fn note_sent(&mut self, now: Millis, payload_bytes: usize) {
-        let time = self.rate.datagram_time(payload_bytes);
-        self.egress.add(now, time);
+    /// Records the time that the link needs for the datagrams that wait for it.
+    pub(super) fn set_backlog(&mut self, now: Millis, backlog: Duration) {
+        self.egress = Backlog {
+            at: now,
+            left: backlog,
+        };
     }
 
-    /// Records a datagram that was sent for a search, in addition to
-    /// [`LinkLoad::note_sent`].
+    /// Records a datagram that was sent for a search.
     pub(super) fn note_search_sent(&mut self, now: Millis, payload_bytes: usize) {
         let time = self.rate.datagram_time(payload_bytes);
         self.search.add(now, time * SEARCH_SHARE_DIVISOR);
