Protocol: frames of relayed owner queries

A balancer on a narrow link sends one owner query to each of dozens of agents. The four kinds of frames let one agent ask the others and return their answers. The flow field, which has no meaning in these frames, holds the number of the query, so that a late reply is not taken for one to a newer query. Older builds drop the new kinds.

--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -144,6 +144,11 @@
             FrameKind::Queued => return balancer.on_queued(now, from, frame),
             FrameKind::Heartbeat => return balancer.on_heartbeat(now, from, frame),
             FrameKind::Shutdown => return balancer.on_agent_gone(now, from, frame),
+            // The simulated links are not narrow, so that no relay is used.
+            FrameKind::RelayQuery
+            | FrameKind::RelayReply(_)
+            | FrameKind::PeerQuery
+            | FrameKind::PeerReply => return,
             FrameKind::Forward(_) | FrameKind::OwnerQuery | FrameKind::Probe => return,
         };
         if matches!(frame.kind, FrameKind::Returned(_)) {
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -77,6 +77,19 @@
     Heartbeat,
     /// Agent to balancer: the agent stops, and its server is gone.
     Shutdown,
+    /// Balancer to agent: asks the agent to collect, from all agents that it knows
+    /// and those named after the header, which of them has the flows of the list.
+    /// The flow field is a [`ListTag`].
+    RelayQuery,
+    /// Agent to balancer: what each of the agents named after the header knows of
+    /// each flow of the list. Revision, `misses_servers` and uptime are the
+    /// highest of all agents that have answered. The flow field is a [`ListTag`].
+    RelayReply(Knowledge),
+    /// Agent to agent: asks which flows of the list after the header the server
+    /// has. The flow field is a [`ListTag`].
+    PeerQuery,
+    /// Agent to agent: reply to [`FrameKind::PeerQuery`], with the same list.
+    PeerReply,
 }
 
 /// Reply that the balancer expects for a forwarded packet.
@@ -146,7 +159,7 @@
 }
 
 /// What an agent knows about a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Knowledge {
     /// The server has the flow.
     Has,
@@ -171,6 +184,42 @@
 /// Maximum number of flows in one list.
 pub const LIST_LIMIT_FLOWS: usize = 64;
 
+/// Maximum number of agents that precede a list.
+pub const LIST_LIMIT_AGENTS: usize = 256;
+
+/// Content of the flow field in the frames of a relayed query, which concern no
+/// single flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListTag {
+    /// Number of the query, chosen by its sender and repeated in the replies.
+    pub number: u32,
+    /// Balancer that searches for the flows.
+    pub balancer: Ipv4Addr,
+    /// In a [`FrameKind::RelayReply`], the shortest time since one of the agents
+    /// named in it started, in steps of 100 ms; zero in other frames.
+    pub shortest_uptime: Duration,
+}
+
+impl ListTag {
+    /// The tag as the flow field of a frame.
+    pub fn to_flow(self) -> FlowKey {
+        let uptime_ds = tenths_of_second(self.shortest_uptime);
+        FlowKey {
+            caller: SocketAddrV4::new(Ipv4Addr::from(self.number), uptime_ds),
+            service: SocketAddrV4::new(self.balancer, 0),
+        }
+    }
+
+    /// Reads the tag from the flow field of a frame.
+    pub fn of(flow: &FlowKey) -> ListTag {
+        ListTag {
+            number: u32::from(*flow.caller.ip()),
+            balancer: *flow.service.ip(),
+            shortest_uptime: duration_of_tenths(flow.caller.port()),
+        }
+    }
+}
+
 #[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
 #[repr(C)]
 struct RawFlowEntry {
@@ -205,6 +254,34 @@
     }
 }
 
+/// Writes the number of agents, their addresses and a list of flows into `buf`,
+/// which is cleared first. Agents beyond [`LIST_LIMIT_AGENTS`] are left out.
+pub fn write_agents_and_list(agents: &[Ipv4Addr], list: &[FlowEntry], buf: &mut Vec<u8>) {
+    let agents = &agents[..agents.len().min(LIST_LIMIT_AGENTS)];
+    write_list(list, buf);
+    let count = U16::new(agents.len() as u16);
+    let octets = agents.iter().flat_map(|agent| agent.octets());
+    let head = count.as_bytes().iter().copied().chain(octets);
+    buf.splice(..0, head);
+}
+
+/// Reads addresses of agents and the list of flows after them; none if the
+/// addresses are truncated or more than [`LIST_LIMIT_AGENTS`].
+pub fn read_agents_and_list(
+    buf: &[u8],
+) -> Option<(Vec<Ipv4Addr>, impl Iterator<Item = FlowEntry>)> {
+    let (count, rest) = U16::ref_from_prefix(buf).ok()?;
+    let count = usize::from(count.get());
+    if count > LIST_LIMIT_AGENTS {
+        return None;
+    }
+    let (addresses, list) = rest.split_at_checked(count * size_of::<U32>())?;
+    let addresses = addresses.chunks_exact(size_of::<U32>());
+    let agents = addresses.filter_map(|chunk| U32::read_from_bytes(chunk).ok());
+    let agents = agents.map(|address| Ipv4Addr::from(address.get()));
+    Some((agents.collect(), read_list(list)))
+}
+
 /// Reads a list of flows. Skips malformed entries and a truncated last one.
 pub fn read_list(buf: &[u8]) -> impl Iterator<Item = FlowEntry> {
     let entries = buf.chunks_exact(size_of::<RawFlowEntry>());
@@ -252,6 +329,10 @@
 const KIND_OWNER_REPLY: u8 = 8;
 const KIND_QUEUED: u8 = 9;
 const KIND_SHUTDOWN: u8 = 10;
+const KIND_RELAY_QUERY: u8 = 11;
+const KIND_RELAY_REPLY: u8 = 12;
+const KIND_PEER_QUERY: u8 = 13;
+const KIND_PEER_REPLY: u8 = 14;
 
 const FLAG_KNOWS_ALL_FLOWS: u8 = 1;
 const FLAG_MISSES_SERVERS: u8 = 2;
@@ -264,6 +345,14 @@
     Inquiry::OwnerOfCopy,
 ];
 
+/// Values by their code on the wire, which is the index.
+const RELAYED: [Knowledge; 4] = [
+    Knowledge::HasNot,
+    Knowledge::Has,
+    Knowledge::Unsure,
+    Knowledge::Unseen,
+];
+
 /// Values by their code on the wire, which is the index.
 const REFUSALS: [Refusal; 10] = [
     Refusal::Bounced,
@@ -295,19 +384,13 @@
             version: U64::new(self.version.0),
             revision: U64::new(self.revision),
             in_progress: U16::new(self.in_progress),
-            uptime_ds: U16::new(self.uptime_ds()),
+            uptime_ds: U16::new(tenths_of_second(self.uptime)),
         };
         buf.clear();
         buf.extend_from_slice(raw.as_bytes());
         buf.extend_from_slice(packet);
     }
 
-    /// Uptime in tenths of a second, limited to what the field can hold.
-    fn uptime_ds(&self) -> u16 {
-        let tenths = self.uptime.as_millis() / 100;
-        u16::try_from(tenths).unwrap_or(u16::MAX)
-    }
-
     fn flags(&self) -> u8 {
         let flag = |set: bool, bit: u8| if set { bit } else { 0 };
         flag(self.knows_all_flows, FLAG_KNOWS_ALL_FLOWS)
@@ -341,7 +424,7 @@
             in_progress: raw.in_progress.get(),
             knows_all_flows: raw.flags & FLAG_KNOWS_ALL_FLOWS != 0,
             misses_servers: raw.flags & FLAG_MISSES_SERVERS != 0,
-            uptime: Duration::from_millis(u64::from(raw.uptime_ds.get()) * 100),
+            uptime: duration_of_tenths(raw.uptime_ds.get()),
         })
     }
 }
@@ -359,6 +442,10 @@
             FrameKind::Probe => (KIND_PROBE, 0),
             FrameKind::Heartbeat => (KIND_HEARTBEAT, 0),
             FrameKind::Shutdown => (KIND_SHUTDOWN, 0),
+            FrameKind::RelayQuery => (KIND_RELAY_QUERY, 0),
+            FrameKind::RelayReply(knowledge) => (KIND_RELAY_REPLY, index_of(&RELAYED, knowledge)),
+            FrameKind::PeerQuery => (KIND_PEER_QUERY, 0),
+            FrameKind::PeerReply => (KIND_PEER_REPLY, 0),
         }
     }
 
@@ -375,11 +462,25 @@
             KIND_PROBE => FrameKind::Probe,
             KIND_HEARTBEAT => FrameKind::Heartbeat,
             KIND_SHUTDOWN => FrameKind::Shutdown,
+            KIND_RELAY_QUERY => FrameKind::RelayQuery,
+            KIND_RELAY_REPLY => FrameKind::RelayReply(*RELAYED.get(detail)?),
+            KIND_PEER_QUERY => FrameKind::PeerQuery,
+            KIND_PEER_REPLY => FrameKind::PeerReply,
             _ => return None,
         })
     }
 }
 
+/// Duration in tenths of a second, limited to what a field can hold.
+fn tenths_of_second(duration: Duration) -> u16 {
+    let tenths = duration.as_millis() / 100;
+    u16::try_from(tenths).unwrap_or(u16::MAX)
+}
+
+fn duration_of_tenths(tenths: u16) -> Duration {
+    Duration::from_millis(u64::from(tenths) * 100)
+}
+
 fn index_of<T: PartialEq>(table: &[T], value: T) -> u8 {
     table.iter().position(|x| *x == value).unwrap_or_default() as u8
 }
--- a/crates/protocol/tests/frame.rs
+++ b/crates/protocol/tests/frame.rs
@@ -1,5 +1,6 @@
 //! Encoding of the frames between balancers and agents.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use quickcheck::quickcheck;
@@ -10,9 +11,13 @@
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
 use ramp_protocol::frame::Knowledge;
+use ramp_protocol::frame::LIST_LIMIT_AGENTS;
 use ramp_protocol::frame::LIST_LIMIT_FLOWS;
+use ramp_protocol::frame::ListTag;
 use ramp_protocol::frame::Refusal;
+use ramp_protocol::frame::read_agents_and_list;
 use ramp_protocol::frame::read_list;
+use ramp_protocol::frame::write_agents_and_list;
 use ramp_protocol::frame::write_list;
 use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
@@ -68,10 +73,20 @@
         FrameKind::Probe,
         FrameKind::Heartbeat,
         FrameKind::Shutdown,
+        FrameKind::RelayQuery,
+        FrameKind::PeerQuery,
+        FrameKind::PeerReply,
+    ];
+    let knowledge = [
+        Knowledge::HasNot,
+        Knowledge::Has,
+        Knowledge::Unsure,
+        Knowledge::Unseen,
     ];
     let kinds = inquiries.map(FrameKind::Forward).into_iter();
     let kinds = kinds
         .chain(refusals.map(FrameKind::Returned))
+        .chain(knowledge.map(FrameKind::RelayReply))
         .chain(without_detail);
     for kind in kinds {
         let mut buf = Vec::new();
@@ -111,7 +126,64 @@
     assert_eq!(read_list(truncated).count(), 2);
 }
 
+// Guards against codes on the wire that differ from the specification: processes
+// of two builds run together during a rolling update.
+#[test]
+fn relay_frames_have_the_specified_codes() {
+    let codes = [
+        (FrameKind::RelayQuery, [11, 0]),
+        (FrameKind::RelayReply(Knowledge::HasNot), [12, 0]),
+        (FrameKind::RelayReply(Knowledge::Has), [12, 1]),
+        (FrameKind::RelayReply(Knowledge::Unsure), [12, 2]),
+        (FrameKind::RelayReply(Knowledge::Unseen), [12, 3]),
+        (FrameKind::PeerQuery, [13, 0]),
+        (FrameKind::PeerReply, [14, 0]),
+    ];
+    for (kind, code) in codes {
+        let mut buf = Vec::new();
+        frame(kind).write(b"", &mut buf);
+        assert_eq!(buf[1..3], code, "{kind:?}");
+    }
+}
+
+// Guards against answers that are credited to the wrong agents or flows, and against
+// reads beyond a truncated datagram.
+#[test]
+fn agents_and_their_list_are_read_as_written_and_bounded() {
+    let agents: Vec<Ipv4Addr> = (0..300u32).map(|n| Ipv4Addr::from(n << 8 | 7)).collect();
+    let list = [FlowEntry {
+        flow: flow(5),
+        knowledge: Knowledge::HasNot,
+    }];
+    let mut buf = Vec::new();
+    write_agents_and_list(&agents, &list, &mut buf);
+    assert_eq!(buf[..6], [1, 0, 0, 0, 0, 7]);
+    let (read, entries) = read_agents_and_list(&buf).unwrap();
+    assert_eq!(read, agents[..LIST_LIMIT_AGENTS]);
+    assert_eq!(entries.collect::<Vec<_>>(), list);
+    assert!(read_agents_and_list(&buf[..2 + 4 * LIST_LIMIT_AGENTS - 1]).is_none());
+    buf[..2].copy_from_slice(&257u16.to_be_bytes());
+    assert!(read_agents_and_list(&buf).is_none());
+}
+
+// Guards against a reply that is matched to another query than its own.
+#[test]
+fn a_list_tag_is_read_as_written() {
+    let tag = ListTag {
+        number: 0xfedc_ba98,
+        balancer: Ipv4Addr::new(10, 1, 2, 3),
+        shortest_uptime: Duration::from_millis(1900),
+    };
+    assert_eq!(ListTag::of(&tag.to_flow()), tag);
+}
+
 quickcheck! {
+    fn any_bytes_are_read_as_agents_or_refused(buf: Vec<u8>) -> bool {
+        read_agents_and_list(&buf).is_none_or(|(agents, list)| {
+            agents.len() <= LIST_LIMIT_AGENTS && list.count() <= LIST_LIMIT_FLOWS
+        })
+    }
+
     fn any_bytes_are_read_or_refused(buf: Vec<u8>) -> bool {
         let entries = read_list(&buf).count();
         entries <= LIST_LIMIT_FLOWS && (Frame::read(&buf).is_err() || buf.len() >= FRAME_LEN_BYTES)
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -41,10 +41,14 @@
             FrameKind::Queued => self.balancer.on_queued(now, from, &frame),
             FrameKind::Heartbeat => self.balancer.on_heartbeat(now, from, &frame),
             FrameKind::Shutdown => self.balancer.on_agent_gone(now, from, &frame),
-            // Only balancers send these.
-            FrameKind::Forward(_) | FrameKind::OwnerQuery | FrameKind::Probe => {
-                self.telemetry.unreadable()
-            }
+            // No agent sends these to a balancer.
+            FrameKind::Forward(_)
+            | FrameKind::OwnerQuery
+            | FrameKind::Probe
+            | FrameKind::RelayQuery
+            | FrameKind::RelayReply(_)
+            | FrameKind::PeerQuery
+            | FrameKind::PeerReply => self.telemetry.unreadable(),
         }
     }
 
