Search: relayed owner queries on a narrow link

Queries by key to all holders fill a narrow link: after a restart of all processes an instance with 10 Mbit/s sent 3,800 to 5,500 of them in half a second. With more than 8 holders to ask, the first two queries of a search now go to one agent each, which asks the others. An answer counts as that of the agent that gave it, if the search was running when the query was sent. Queries through a relay do not count towards the silence of unlisted holders, since the relay may not have asked them. Nothing changes where the link is not narrow.

--- a/crates/coordination/src/passthrough/balancer/action.rs
+++ b/crates/coordination/src/passthrough/balancer/action.rs
@@ -40,10 +40,23 @@
     /// Agents that get only the flow key: they can reply without their servers, or
     /// a copy is not allowed now.
     pub by_key: Vec<Ipv4Addr>,
+    /// Agent that asks the agents in place of `by_key`, if any.
+    pub relay: Option<RelayRequest>,
     /// The earlier inquiry whose missing reply caused this query, if any.
     pub overdue: Option<OverdueReply>,
 }
 
+/// An owner query that goes to one agent, which asks the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayRequest {
+    /// Agent that asks the others.
+    pub relay: Ipv4Addr,
+    /// Holders that the relay's view may lack.
+    pub named: Vec<Ipv4Addr>,
+    /// Number of holders that would be asked by key without the relay.
+    pub holder_count: usize,
+}
+
 /// A reply about a flow that did not arrive in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OverdueReply {
@@ -56,9 +69,15 @@
 }
 
 impl OwnerQuery {
-    /// Number of agents asked, by copy or by key.
+    /// Number of agents asked, by copy, by key or through a relay.
     pub fn agent_count(&self) -> usize {
-        self.packet_copies.len() + self.by_key.len()
+        let relayed = self.relay.as_ref().map_or(0, |r| r.holder_count);
+        self.packet_copies.len() + self.by_key.len() + relayed
+    }
+
+    /// Whether any agent is asked by key, directly or through a relay.
+    pub fn asks_by_key(&self) -> bool {
+        !self.by_key.is_empty() || self.relay.is_some()
     }
 }
 
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -25,6 +25,7 @@
 mod flow;
 mod owner;
 mod placement;
+mod relayed;
 mod search;
 mod stalled_search;
 
@@ -43,6 +44,7 @@
 use self::action::reset_or_drop;
 use self::flow::Flow;
 use self::placement::PlacementAttempt;
+use self::relayed::RelayClient;
 use self::search::Search;
 use super::choice::AgentReports;
 use super::link_rate::LinkRate;
@@ -57,15 +59,20 @@
 pub use self::action::OverdueReply;
 pub use self::action::OwnerQuery;
 pub use self::action::OwnershipUpdate;
+pub use self::action::RelayRequest;
 pub use self::action::Reset;
 pub use self::action::ResetReason;
 pub use self::flow::OWNER_REPLY_TIMEOUT;
+pub use self::relayed::RelayedAnswer;
+pub use self::relayed::RelayedOutcome;
 pub use self::search::OWNER_QUERY_INTERVAL;
 pub use self::stalled_search::PendingHolder;
 pub use self::stalled_search::PendingReason;
 pub use self::stalled_search::StalledSearch;
 pub use self::stalled_search::ViewUncertainty;
 
+pub(super) use self::owner::OPENING_RETRY_TIME;
+
 /// Entries of each table that are checked for expiry with each packet.
 const SWEEP_ENTRIES_PER_PACKET: usize = 4;
 
@@ -100,6 +107,8 @@
     fleet_is_older: bool,
     /// Rate of this instance's link, if it is narrow.
     narrow_link: Option<LinkRate>,
+    /// Identity in queries to relays; none: no relay is used.
+    relay_client: Option<RelayClient>,
 }
 
 impl Balancer {
@@ -192,6 +201,11 @@
     /// An agent reports that its server has the flow.
     pub fn on_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
         self.record_agent_frame(now, from, frame);
+        self.apply_owned(now, from, frame)
+    }
+
+    /// As [`Balancer::on_owned`], without what the frame says of the agent itself.
+    fn apply_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
         let searched = self.searches.swap_remove(&frame.flow).is_some();
         let before = self.flows.get(&frame.flow).copied();
         if let Some(flow) = before.filter(|f| f.confirmed && !searched) {
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -41,7 +41,7 @@
 const FLEET_DISCOVERY_TIME: Duration = Duration::from_secs(4);
 
 /// Longest time for which a caller retries its opening packet.
-const OPENING_RETRY_TIME: Duration = Duration::from_secs(2);
+pub(in crate::passthrough) const OPENING_RETRY_TIME: Duration = Duration::from_secs(2);
 
 /// Limit on packet copies to agents that do not reply. When a data centre is lost,
 /// every flow of its servers starts a search that includes the lost agents.
@@ -51,16 +51,27 @@
     /// An agent reports that its server does not have the flow.
     pub fn on_denied(&mut self, view: &View, now: Millis, from: Ipv4Addr, frame: &Frame) -> Action {
         self.record_agent_frame(now, from, frame);
-        let Some(search) = self.searches.get_mut(&frame.flow) else {
+        self.apply_denial(view, now, from, frame.flow)
+    }
+
+    /// As [`Balancer::on_denied`], without what the frame says of the agent itself.
+    pub(super) fn apply_denial(
+        &mut self,
+        view: &View,
+        now: Millis,
+        from: Ipv4Addr,
+        flow: FlowKey,
+    ) -> Action {
+        let Some(search) = self.searches.get_mut(&flow) else {
             return Action::Drop(DropReason::OwnerFound);
         };
         search.record_denial(from);
-        if self.flows.get(&frame.flow).is_some_and(|f| f.agent == from) {
-            self.flows.swap_remove(&frame.flow);
+        if self.flows.get(&flow).is_some_and(|f| f.agent == from) {
+            self.flows.swap_remove(&flow);
         }
         // Only denials count here: the reply of an agent that seems silent may be
         // in the socket buffer already.
-        self.finish_search(view, now, frame.flow, |_| false)
+        self.finish_search(view, now, flow, |_| false)
     }
 
     /// An agent reports that it does not know whether its server has the flow.
@@ -172,6 +183,7 @@
         }
         let candidates = self.candidates(view, now, &seg.key);
         let likely_owner = self.flows.get(&seg.key).copied();
+        let relay = self.relay_for(view, now, &seg.key);
         let Some(search) = self.searches.get_mut(&seg.key) else {
             return Action::Drop(DropReason::OwnerFound);
         };
@@ -181,7 +193,7 @@
         }
         let limiter = &mut self.silent_copy_limiter;
         let may_copy = || limiter.try_acquire(now, SILENT_COPIES_PER_S);
-        let mut query = search.next_query(now, seg, &candidates, may_copy);
+        let mut query = search.next_query(now, seg, &candidates, relay, may_copy);
         query.overdue = likely_owner
             .filter(|f| f.is_reply_overdue(now))
             .map(|f| OverdueReply {
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -17,6 +17,8 @@
 use super::action::OwnerQuery;
 use super::action::ResetReason;
 use super::flow::OWNER_REPLY_TIMEOUT;
+use super::relayed::Relay;
+use super::relayed::RelayedQueries;
 use crate::passthrough::published::RELIST_LIMIT;
 use crate::passthrough::view::rank;
 
@@ -62,6 +64,13 @@
     first_query_at: Option<Millis>,
     /// Number of queries sent.
     query_count: u32,
+    /// When the holders were first asked without a relay. Only such queries show that
+    /// a holder is silent: a relay may not have asked it.
+    first_direct_query_at: Option<Millis>,
+    /// Number of queries sent without a relay.
+    direct_query_count: u32,
+    /// Queries sent through relays.
+    pub(super) relayed: RelayedQueries,
     /// When the search was last reported as stalled.
     pub(super) reported_at: Option<Millis>,
     pub(super) seen_at: Millis,
@@ -92,6 +101,9 @@
             last_query_at: None,
             first_query_at: None,
             query_count: 0,
+            first_direct_query_at: None,
+            direct_query_count: 0,
+            relayed: RelayedQueries::default(),
             reported_at: None,
             seen_at: now,
             seq: seg.ack,
@@ -130,6 +142,11 @@
         self.first_query_at
     }
 
+    /// Number of queries sent.
+    pub(super) fn query_count(&self) -> u32 {
+        self.query_count
+    }
+
     /// Whether an agent has replied that only its server can tell.
     pub(super) fn is_unsure(&self, agent: Ipv4Addr) -> bool {
         self.unsure.contains(&agent)
@@ -152,9 +169,10 @@
     }
 
     /// Whether the remaining holders may be queried without another packet of the
-    /// caller. Repeated queries would cost too much where many holders are silent.
+    /// caller. Repeated queries would cost too much where many holders are silent. If
+    /// only a relay is silent, the holders may not have been asked yet.
     pub(super) fn may_repeat_query(&self, remaining: &[Candidate]) -> bool {
-        !self.has_queried() || has_few_listed(remaining)
+        !self.has_queried() || has_few_listed(remaining) || self.relayed.is_unanswered()
     }
 
     /// Whether the next packet may be used to query the remaining holders.
@@ -168,13 +186,14 @@
     }
 
     /// Chooses the agents to query with this packet, and records the query.
-    /// `may_copy` is the rate limit for copies to silent agents; it is called once
-    /// for each copy.
+    /// `relay` may ask the agents that would be asked by key. `may_copy` is the rate
+    /// limit for copies to silent agents; it is called once for each copy.
     pub(super) fn next_query(
         &mut self,
         now: Millis,
         seg: &Segment,
         remaining: &[Candidate],
+        relay: Option<Relay>,
         may_copy: impl FnMut() -> bool,
     ) -> OwnerQuery {
         let mut query = OwnerQuery::default();
@@ -191,14 +210,15 @@
                 query.by_key.push(agent);
             } else if by_packet {
                 query.packet_copies.push(agent);
-            } else if !candidate.knows_all_flows || self.has_run_for(now, KEY_QUERY_TIMEOUT) {
+            } else if !candidate.knows_all_flows || self.was_direct_for(now, KEY_QUERY_TIMEOUT) {
                 silent.push(*candidate);
             } else {
                 query.by_key.push(agent);
             }
         }
         self.query_silent_agents(seg, silent, may_copy, &mut query);
-        self.record_query(now);
+        self.relayed.relay_query(&mut query, relay, remaining);
+        self.record_query(now, &query);
         query
     }
 
@@ -234,11 +254,11 @@
     /// needed, or one that is older than the longest time
     /// for which the record of a running server may be missing.
     pub(super) fn silent_since(&self, now: Millis, known_gone: bool) -> Option<Millis> {
-        let since = self.first_query_at?;
+        let since = self.first_direct_query_at?;
         let overdue = now.since(self.last_query_at?) >= OWNER_REPLY_TIMEOUT;
-        let silent = known_gone || self.has_run_for(now, UNLISTED_SILENCE_LIMIT);
-        let twice = self.query_count > 1 && overdue && silent;
-        let once = known_gone && self.has_run_for(now, RELIST_LIMIT);
+        let silent = known_gone || self.was_direct_for(now, UNLISTED_SILENCE_LIMIT);
+        let twice = self.direct_query_count > 1 && overdue && silent;
+        let once = known_gone && self.was_direct_for(now, RELIST_LIMIT);
         (twice || once).then_some(since)
     }
 
@@ -246,7 +266,18 @@
         self.first_query_at.is_some_and(|at| now.since(at) >= limit)
     }
 
-    fn record_query(&mut self, now: Millis) {
+    /// Whether the holders were first asked without a relay at least `limit` ago.
+    fn was_direct_for(&self, now: Millis, limit: Duration) -> bool {
+        self.first_direct_query_at
+            .is_some_and(|at| now.since(at) >= limit)
+    }
+
+    fn record_query(&mut self, now: Millis, query: &OwnerQuery) {
+        if query.relay.is_none() {
+            self.first_direct_query_at.get_or_insert(now);
+            self.direct_query_count += 1;
+            self.relayed.record_direct_query();
+        }
         self.urgent = false;
         self.last_query_at = Some(now);
         self.first_query_at.get_or_insert(now);
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -43,6 +43,8 @@
     /// Whether the agent has ended, with no server left beside it.
     gone: bool,
     heard_at: Millis,
+    /// When the load was reported; a relayed answer carries none.
+    load_at: Millis,
 }
 
 /// The last report of each agent, by the agent's address.
@@ -78,10 +80,36 @@
             misses_servers: frame.misses_servers,
             gone: frame.kind == FrameKind::Shutdown,
             heard_at: now,
+            load_at: now,
         };
         self.0.insert(agent, report);
     }
 
+    /// Stores what an answer that came through a relay shows of an agent.
+    /// `knows_all_flows` is none if it shows nothing of that. The relay may have kept
+    /// the answer for a moment, so it does not clear `misses_servers`.
+    pub(super) fn update_relayed(
+        &mut self,
+        agent: Ipv4Addr,
+        misses_servers: bool,
+        knows_all_flows: Option<bool>,
+        now: Millis,
+    ) {
+        let report = self.0.entry(agent).or_insert(AgentReport {
+            in_progress: 0,
+            sent_since: 0,
+            knows_all_flows: false,
+            misses_servers: false,
+            gone: false,
+            heard_at: now,
+            load_at: now,
+        });
+        report.heard_at = now;
+        report.gone = false;
+        report.misses_servers |= misses_servers;
+        report.knows_all_flows = knows_all_flows.unwrap_or(report.knows_all_flows);
+    }
+
     /// Counts a new flow that was sent to an agent since its last report.
     pub(super) fn note_sent(&mut self, agent: Ipv4Addr) {
         if let Some(report) = self.0.get_mut(&agent) {
@@ -134,7 +162,7 @@
     /// Requests in progress and new flows sent since; zero if the report is too
     /// old.
     fn load_of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
-        let fresh = |report: &&AgentReport| now.since(report.heard_at) < LOAD_MAX_AGE;
+        let fresh = |report: &&AgentReport| now.since(report.load_at) < LOAD_MAX_AGE;
         let report = self.0.get(&agent).filter(fresh);
         report.map_or(0, |report| {
             report.in_progress.saturating_add(report.sent_since)
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -16,6 +16,7 @@
 //! - [`platform_client`]: the trait that a client of the platform implements
 //! - [`reachability`]: whether a balancer still reaches any agent
 //! - [`link_rate`]: the rate of an instance's link
+//! - [`search_relay`]: owner queries that an agent relays for a balancer
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
@@ -31,6 +32,7 @@
 mod rate_limit;
 pub mod reachability;
 pub mod readers;
+pub mod search_relay;
 mod suspects;
 mod sweep;
 pub mod view;
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -311,3 +311,10 @@
 pub fn rank(flow: &FlowKey, member: Ipv4Addr) -> u64 {
     mix(flow.hash64() ^ mix(u64::from(u32::from(member))))
 }
+
+/// Rank of a member as the relay of a balancer's owner queries: the member with the
+/// highest rank comes first. Balancers thus use different relays.
+pub fn relay_rank(balancer: Ipv4Addr, member: Ipv4Addr) -> u64 {
+    let balancer = mix(u64::from(u32::from(balancer)));
+    mix(balancer ^ mix(u64::from(u32::from(member))))
+}
