--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -1,5 +1,5 @@
-//! Handles frames from balancers: packets for the server, owner queries and
-//! probes.
+//! Handles frames from balancers and other agents: packets for the server, owner
+//! queries and probes.
 
 use std::net::Ipv4Addr;
 
@@ -28,6 +28,13 @@
             FrameKind::Forward(inquiry) => inquiry,
             FrameKind::OwnerQuery => return self.answer(from, &frame, &buf[FRAME_LEN_BYTES..]),
             FrameKind::Probe => return self.answer_probe(from, &frame),
+            FrameKind::RelayQuery => {
+                return self.relay_query(from, &frame, &buf[FRAME_LEN_BYTES..]);
+            }
+            FrameKind::PeerQuery => return self.answer_peer(from, &frame, &buf[FRAME_LEN_BYTES..]),
+            FrameKind::PeerReply => {
+                return self.record_peer_reply(from, &frame, &buf[FRAME_LEN_BYTES..]);
+            }
             _ => return self.telemetry.unreadable(),
         };
         let packet = &mut buf[FRAME_LEN_BYTES..];
@@ -89,19 +96,23 @@
     pub(super) fn answer(&mut self, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
         self.agent.note_balancer(from);
         self.report_newer_revision(Revision(frame.revision));
-        let view = self.view.as_deref();
-        let now = self.traffic.clock.now();
-        let entries: Vec<FlowEntry> = read_list(list)
-            .map(|query| FlowEntry {
-                flow: query.flow,
-                knowledge: self.agent.answer_query(view, now, &query.flow),
-            })
-            .collect();
+        let entries = self.known_of(read_list(list));
         let mut body = Vec::new();
         write_list(&entries, &mut body);
         self.send_frame(from, FrameKind::OwnerReply, frame.flow, &body);
     }
 
+    /// What this agent knows of each flow of a list.
+    pub(super) fn known_of(&self, list: impl Iterator<Item = FlowEntry>) -> Vec<FlowEntry> {
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        list.map(|query| FlowEntry {
+            flow: query.flow,
+            knowledge: self.agent.answer_query(view, now, &query.flow),
+        })
+        .collect()
+    }
+
     /// Notifies the control thread if a balancer has newer records than this
     /// process.
     pub(super) fn report_newer_revision(&mut self, revision: Revision) {
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -4,6 +4,7 @@
 
 mod inbound;
 mod outbound;
+mod relay;
 
 use std::io;
 use std::marker::PhantomData;
@@ -21,6 +22,7 @@
 use ramp_coordination::passthrough::agent::ConnectResult;
 use ramp_coordination::passthrough::agent::LostFlow;
 use ramp_coordination::passthrough::published::Revision;
+use ramp_coordination::passthrough::search_relay::SearchRelay;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::Frame;
@@ -80,6 +82,8 @@
     traffic: Traffic,
     view: Option<Arc<View>>,
     agent: Agent,
+    /// Owner queries that this agent relays for balancers.
+    relay: SearchRelay,
     /// Opening packets of the flows that are queued for a slot.
     queued_packets: IndexMap<FlowKey, Vec<u8>>,
     /// Newest revision that was reported to the control thread.
@@ -106,10 +110,14 @@
             self.started_ms,
             self.clock.now(),
         );
+        // Lowest bits of the start time: they differ between two processes that run
+        // at this address one after the other.
+        let relay = SearchRelay::new(self.started_ms as u32);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
             agent,
+            relay,
             queued_packets: IndexMap::new(),
             reported_revision: Revision(0),
             shutdown_since: None,
@@ -210,6 +218,7 @@
             self.telemetry.unanswered(&unanswered);
         }
         self.handle_queue();
+        self.send_relay_replies();
         self.request_connect_check();
         self.send_heartbeats();
         self.log_knowledge();
@@ -221,7 +230,12 @@
         if self.agent.needs_frequent_connect_checks() {
             return MAX_POLL_WAIT_UNCERTAIN;
         }
-        let left = self.agent.time_to_queue_timeout(self.traffic.clock.now());
+        let now = self.traffic.clock.now();
+        let timeouts = [
+            self.agent.time_to_queue_timeout(now),
+            self.relay.time_to_next(now),
+        ];
+        let left = timeouts.into_iter().flatten().min();
         left.map_or(udp::IDLE_READ_TIMEOUT, |left| {
             left.clamp(MIN_POLL_WAIT, udp::IDLE_READ_TIMEOUT)
         })
@@ -288,9 +302,16 @@
     }
 
     fn send_frame(&mut self, to: Ipv4Addr, kind: FrameKind, flow: FlowKey, packet: &[u8]) {
+        let frame = self.header(kind, flow);
+        let to = SocketAddrV4::new(to, self.traffic.settings.peer_port);
+        self.send_datagram(to, &frame, packet);
+    }
+
+    /// Header of a frame of this agent.
+    fn header(&self, kind: FrameKind, flow: FlowKey) -> Frame {
         let view = self.view.as_deref();
         let now = self.traffic.clock.now();
-        let frame = Frame {
+        Frame {
             kind,
             flow,
             service: self.traffic.local_server.service,
@@ -300,9 +321,11 @@
             knows_all_flows: self.agent.knows_all_flows(view, now),
             misses_servers: view.is_some_and(|v| v.misses_servers(now)),
             uptime: self.agent.uptime(now),
-        };
-        frame.write(packet, &mut self.send_buf);
-        let to = SocketAddrV4::new(to, self.traffic.settings.peer_port);
+        }
+    }
+
+    fn send_datagram(&mut self, to: SocketAddrV4, frame: &Frame, body: &[u8]) {
+        frame.write(body, &mut self.send_buf);
         if let Err(err) = self.traffic.data.send_to(&self.send_buf, to) {
             self.telemetry.send_failed(to, &err);
         }
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -3,6 +3,7 @@
 
 mod peers;
 mod pending_replies;
+mod relay;
 mod timers;
 
 use std::io;
@@ -39,6 +40,7 @@
 use super::telemetry::view_changes;
 use super::thread_messages::Event;
 use super::thread_messages::Update;
+use crate::clock;
 use crate::clock::Clock;
 
 /// Time in which the routers detect that a balancer is not ready.
@@ -108,7 +110,12 @@
     ///
     /// A socket failed.
     pub fn run<F: PacketFormat>(self) -> io::Result<()> {
-        let balancer = Balancer::new().with_link_rate(self.settings.link_rate);
+        // Lowest bits of the start time: they differ between two processes that run
+        // at this address one after the other.
+        let first_number = clock::incarnation().0 as u32;
+        let balancer = Balancer::new()
+            .with_link_rate(self.settings.link_rate)
+            .with_relay_client(self.settings.ip, first_number);
         let mut worker = Worker::<F> {
             traffic: self,
             view: None,
@@ -198,6 +205,7 @@
             self.handle_overdue();
         }
         self.send_owner_queries();
+        self.send_relay_queries();
         self.update_reachability();
         self.report_newer_revision();
         Ok(())
@@ -264,13 +272,16 @@
             }
             Action::QueryOwner(query) => {
                 let kind = FrameKind::Forward(Inquiry::OwnerOfCopy);
-                for agent in query.packet_copies {
-                    self.send_frame(view, flow, agent, kind, ServiceId(0), packet);
+                for agent in &query.packet_copies {
+                    self.send_frame(view, flow, *agent, kind, ServiceId(0), packet);
                 }
-                self.owner_queries.add(flow, &query.by_key);
-                if !seg.opens && !query.by_key.is_empty() {
+                if !seg.opens && query.asks_by_key() {
                     self.owner_queries.keep_packet(flow, packet);
                 }
+                self.owner_queries.add(flow, &query.by_key);
+                if let Some(request) = query.relay {
+                    self.owner_queries.add_relayed(flow, request);
+                }
             }
             Action::Reset(reset) => self.send_reset(reset),
             Action::Drop(_) => {}
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use ramp_coordination::passthrough::balancer::Action;
+use ramp_coordination::passthrough::balancer::OwnershipUpdate;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::FRAME_LEN_BYTES;
@@ -15,6 +16,7 @@
 use ramp_protocol::frame::Refusal;
 use ramp_protocol::frame::read_list;
 use ramp_protocol::frame::write_list;
+use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 
 use super::Worker;
@@ -38,6 +40,9 @@
             FrameKind::Returned(refusal) => {
                 self.handle_returned(&view, from, refusal, &frame, packet);
             }
+            FrameKind::RelayReply(knowledge) => {
+                self.handle_relay_reply(&view, from, knowledge, &frame, packet);
+            }
             FrameKind::Queued => self.balancer.on_queued(now, from, &frame),
             FrameKind::Heartbeat => self.balancer.on_heartbeat(now, from, &frame),
             FrameKind::Shutdown => self.balancer.on_agent_gone(now, from, &frame),
@@ -46,7 +51,6 @@
             | FrameKind::OwnerQuery
             | FrameKind::Probe
             | FrameKind::RelayQuery
-            | FrameKind::RelayReply(_)
             | FrameKind::PeerQuery
             | FrameKind::PeerReply => self.telemetry.unreadable(),
         }
@@ -55,6 +59,17 @@
     pub(super) fn handle_owned(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
         let now = self.traffic.clock.now();
         let update = self.balancer.on_owned(now, from, frame);
+        self.forward_kept_packet(view, from, frame, update);
+    }
+
+    /// Forwards the packet that is kept for a flow to the agent that has the flow.
+    pub(super) fn forward_kept_packet(
+        &mut self,
+        view: &View,
+        from: Ipv4Addr,
+        frame: &Frame,
+        update: OwnershipUpdate,
+    ) {
         self.telemetry.owned(&frame.flow, from, update);
         if let Some(packet) = self.owner_queries.take_packet(&frame.flow) {
             let kind = FrameKind::Forward(Inquiry::None);
@@ -95,11 +110,16 @@
     fn handle_unsure(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
         let now = self.traffic.clock.now();
         self.balancer.on_unsure(now, from, frame);
-        let Some(packet) = self.owner_queries.kept_packet(&frame.flow) else {
+        self.copy_kept_packet(view, from, frame.flow);
+    }
+
+    /// Sends an agent a copy of the packet that is kept for a flow.
+    pub(super) fn copy_kept_packet(&mut self, view: &View, to: Ipv4Addr, flow: FlowKey) {
+        let Some(packet) = self.owner_queries.kept_packet(&flow) else {
             return;
         };
         let kind = FrameKind::Forward(Inquiry::OwnerOfCopy);
-        self.send_frame(view, frame.flow, from, kind, ServiceId(0), &packet);
+        self.send_frame(view, flow, to, kind, ServiceId(0), &packet);
     }
 
     /// Sends the owner queries that were collected in this loop iteration.
--- a/crates/transport/src/passthrough/owner_queries.rs
+++ b/crates/transport/src/passthrough/owner_queries.rs
@@ -9,6 +9,8 @@
 use std::net::Ipv4Addr;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
+use ramp_coordination::passthrough::balancer::RelayRequest;
 use ramp_protocol::frame::FlowEntry;
 use ramp_protocol::frame::Knowledge;
 use ramp_state::key::FlowKey;
@@ -22,10 +24,30 @@
 #[derive(Debug, Default)]
 pub struct OwnerQueries {
     lists: IndexMap<Ipv4Addr, Vec<FlowEntry>>,
+    relay_lists: IndexMap<Ipv4Addr, RelayList>,
     packets: IndexMap<FlowKey, Vec<u8>>,
 }
 
+/// Flows to ask for through one relay.
+#[derive(Debug, Default)]
+pub struct RelayList {
+    /// Agents that the relay's view may lack.
+    pub named: IndexSet<Ipv4Addr>,
+    /// Flows to ask for.
+    pub flows: Vec<FlowEntry>,
+}
+
 impl OwnerQueries {
+    /// Adds the flow to the list for a relay.
+    pub fn add_relayed(&mut self, flow: FlowKey, request: RelayRequest) {
+        let list = self.relay_lists.entry(request.relay).or_default();
+        list.named.extend(request.named);
+        list.flows.push(FlowEntry {
+            flow,
+            knowledge: Knowledge::Unsure,
+        });
+    }
+
     /// Adds the flow to the lists for `agents`.
     pub fn add(&mut self, flow: FlowKey, agents: &[Ipv4Addr]) {
         for agent in agents {
@@ -54,6 +76,12 @@
         std::mem::take(&mut self.lists)
     }
 
+    /// Removes and returns the lists for relays that were collected since the last
+    /// call.
+    pub fn take_relay_lists(&mut self) -> IndexMap<Ipv4Addr, RelayList> {
+        std::mem::take(&mut self.relay_lists)
+    }
+
     /// Removes and returns the packet of a flow whose search has ended.
     pub fn take_packet(&mut self, flow: &FlowKey) -> Option<Vec<u8>> {
         self.packets.shift_remove(flow)
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -10,6 +10,8 @@
 use metrics::histogram;
 use ramp_coordination::passthrough::agent::Outbound;
 use ramp_coordination::passthrough::agent::UnansweredRequest;
+use ramp_coordination::passthrough::search_relay::FinishedQuery;
+use ramp_coordination::passthrough::search_relay::PeerQuery;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::RequestId;
 use ramp_protocol::frame::Frame;
@@ -26,6 +28,9 @@
     delivered: Counter,
     send_failed: Counter,
     lost: Counter,
+    relayed: Counter,
+    relay_full: Counter,
+    relay_unanswered: Counter,
     answer_s: Histogram,
 }
 
@@ -38,6 +43,9 @@
             delivered: counter!("passthrough_agent_delivered_total"),
             send_failed: counter!("passthrough_agent_send_failed_total"),
             lost: counter!("passthrough_agent_lost_total"),
+            relayed: counter!("passthrough_agent_relayed_total"),
+            relay_full: counter!("passthrough_agent_relay_full_total"),
+            relay_unanswered: counter!("passthrough_agent_relay_unanswered_total"),
             answer_s: histogram!("passthrough_agent_answer_seconds"),
         }
     }
@@ -161,6 +169,39 @@
         }
     }
 
+    /// A balancer has asked this agent to relay an owner query; `query` is none if the
+    /// query was dropped because too many flows are kept.
+    pub fn relay_query(&self, balancer: Ipv4Addr, flows: usize, query: Option<&PeerQuery>) {
+        let Some(query) = query else {
+            self.relay_full.increment(1);
+            log::warn!(balancer:% = balancer, flows; "relayed query dropped: too many flows");
+            return;
+        };
+        self.relayed.increment(1);
+        log::info!(
+            balancer:% = balancer,
+            flows,
+            agents_asked = query.agents.len();
+            "owner query relayed"
+        );
+    }
+
+    /// A relayed query has ended.
+    pub fn relay_finished(&self, finished: &FinishedQuery) {
+        if finished.unanswered_count == 0 {
+            return;
+        }
+        self.relay_unanswered
+            .increment(finished.unanswered_count as u64);
+        log::info!(
+            balancer:% = finished.balancer,
+            flows = finished.flow_count,
+            agents_asked = finished.asked_count,
+            unanswered = finished.unanswered_count;
+            "relayed query not answered by all agents"
+        );
+    }
+
     /// The operating system did not accept a datagram.
     pub fn send_failed(&self, to: impl Display, err: &io::Error) {
         self.send_failed.increment(1);
--- a/crates/transport/src/passthrough/telemetry/balancer.rs
+++ b/crates/transport/src/passthrough/telemetry/balancer.rs
@@ -9,6 +9,7 @@
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::OverdueReply;
 use ramp_coordination::passthrough::balancer::OwnershipUpdate;
+use ramp_coordination::passthrough::balancer::RelayRequest;
 use ramp_coordination::passthrough::balancer::Reset;
 use ramp_coordination::passthrough::balancer::StalledSearch;
 use ramp_coordination::passthrough::view::View;
@@ -31,6 +32,8 @@
     placed: Counter,
     inquired: Counter,
     asked: Counter,
+    relayed: Counter,
+    relay_replies: Counter,
     unanswered: Counter,
     send_failed: Counter,
     opening_s: Histogram,
@@ -44,6 +47,8 @@
             placed: counter!("passthrough_balancer_placed_total"),
             inquired: counter!("passthrough_balancer_inquired_total"),
             asked: counter!("passthrough_balancer_asked_total"),
+            relayed: counter!("passthrough_balancer_relayed_total"),
+            relay_replies: counter!("passthrough_balancer_relay_replies_total"),
             unanswered: counter!("passthrough_balancer_unanswered_total"),
             send_failed: counter!("passthrough_balancer_send_failed_total"),
             opening_s: histogram!("passthrough_balancer_opening_seconds"),
@@ -101,6 +106,9 @@
                     revision = view.newest.0;
                     "owner of a flow asked for"
                 );
+                if let Some(relay) = &query.relay {
+                    self.relayed(seg, relay);
+                }
                 if let Some(overdue) = query.overdue {
                     self.unanswered(seg, overdue);
                 }
@@ -146,6 +154,22 @@
         );
     }
 
+    fn relayed(&self, seg: &Segment, request: &RelayRequest) {
+        self.relayed.increment(1);
+        log::info!(
+            caller:% = seg.key.caller,
+            relay:% = request.relay,
+            agents_asked = request.holder_count,
+            agents_named = request.named.len();
+            "owner of a flow asked for through a relay"
+        );
+    }
+
+    /// A relay has returned answers.
+    pub fn relay_reply(&self) {
+        self.relay_replies.increment(1);
+    }
+
     fn unanswered(&self, seg: &Segment, overdue: OverdueReply) {
         self.unanswered.increment(1);
         log::info!(
