--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod reachability;
 mod readers;
+mod relayed_search;
 mod search_relay;
 mod server_liveness;
 mod simulation;
