--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -11,6 +11,7 @@
 mod reachability;
 mod readers;
 mod relayed_search;
+mod relayed_search_faults;
 mod search_relay;
 mod server_liveness;
 mod simulation;
--- a/crates/coordination/tests/passthrough/relayed_search.rs
+++ b/crates/coordination/tests/passthrough/relayed_search.rs
@@ -111,7 +111,7 @@
 }
 
 /// Outcomes of a relay's reply that gives the same answer for each agent.
-fn relayed(
+pub fn relayed(
     balancer: &mut Balancer,
     view: &View,
     now: u64,
