Search: ask another relay where the first returned few answers

A relay that reaches the balancer but no other agent answered only for itself, which ended the repeats, so the holders were asked only after the caller's next packet. Queries are now repeated until half of the holders have answered.

--- a/crates/coordination/src/passthrough/balancer/relayed.rs
+++ b/crates/coordination/src/passthrough/balancer/relayed.rs
@@ -45,8 +45,11 @@
     relays: Vec<Ipv4Addr>,
     /// Number of the first query.
     first_number: u32,
-    /// Whether no answer to the last query has arrived, if it was relayed.
-    unanswered: bool,
+    /// Number of holders that the last query asked through a relay; zero if it was
+    /// direct.
+    holder_count: usize,
+    /// Number of answers of relays since the last query.
+    answer_count: usize,
     /// Agents that got the packet itself with the last relayed query.
     packet_copies: Vec<Ipv4Addr>,
 }
@@ -96,14 +99,15 @@
 }
 
 impl RelayedQueries {
-    /// Whether a relay was asked last and has returned no answer.
+    /// Whether a relay was asked last and has returned the answers of less than half
+    /// of the holders. It is silent then, or can't reach the others.
     pub(super) fn is_unanswered(&self) -> bool {
-        self.unanswered
+        self.answer_count * 2 < self.holder_count
     }
 
     /// Records that the last query went directly to the holders.
     pub(super) fn record_direct_query(&mut self) {
-        self.unanswered = false;
+        self.holder_count = 0;
     }
 
     /// Replaces the query by key with one through `relay`, if it would go to many
@@ -120,17 +124,18 @@
         };
         let by_key = std::mem::take(&mut query.by_key);
         let unlisted = |agent: &Ipv4Addr| holders.iter().any(|c| c.agent == *agent && !c.listed);
-        query.relay = Some(RelayRequest {
-            relay: relay.address,
-            holder_count: by_key.len(),
-            named: by_key.into_iter().filter(unlisted).collect(),
-        });
         if self.relays.is_empty() {
             self.first_number = relay.number;
         }
         self.relays.push(relay.address);
-        self.unanswered = true;
+        self.holder_count = by_key.len();
+        self.answer_count = 0;
         self.packet_copies.clone_from(&query.packet_copies);
+        query.relay = Some(RelayRequest {
+            relay: relay.address,
+            holder_count: by_key.len(),
+            named: by_key.into_iter().filter(unlisted).collect(),
+        });
     }
 
     /// Whether a reply of `relay` belongs to a query of this search. `next_number` is
@@ -226,7 +231,7 @@
         });
         let asked = search.is_some();
         if let Some(search) = search {
-            search.relayed.unanswered = false;
+            search.relayed.answer_count += 1;
         }
         let agent = answer.agent;
         let frame = Frame {
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -170,7 +170,7 @@
 
     /// Whether the remaining holders may be queried without another packet of the
     /// caller. Repeated queries would cost too much where many holders are silent. If
-    /// only a relay is silent, the holders may not have been asked yet.
+    /// a relay returned few answers, the holders may not have been asked yet.
     pub(super) fn may_repeat_query(&self, remaining: &[Candidate]) -> bool {
         !self.has_queried() || has_few_listed(remaining) || self.relayed.is_unanswered()
     }
--- a/crates/coordination/tests/passthrough/relayed_search.rs
+++ b/crates/coordination/tests/passthrough/relayed_search.rs
@@ -156,22 +156,30 @@
     }
 }
 
-// Guards against a search that ends with a relay which is dead or of an older build.
+// Guards against a search that ends with a relay which is dead or of an older build, or
+// which reaches no other agent.
 #[test]
 fn silent_relays_cost_one_interval_each_and_no_packet_of_the_caller() {
-    let view = fleet_view(20);
-    let mut balancer = balancer(20, 10.0);
-    let seg = segment(flow(7));
-    let first = relay_of(&search(&mut balancer, &view, &seg));
-    balancer.next_relay_tag();
-    let mut repeat = |now| balancer.on_reply_timeout(&view, Millis(now), &seg);
-    let second = relay_of(&query_of(repeat(101).unwrap()));
-    assert_ne!(first, second);
-    let direct = query_of(repeat(301).unwrap());
-    assert_eq!((direct.by_key.len(), direct.packet_copies.len()), (19, 0));
-    // Agents that do not reply to a direct query either get the packet.
-    let action = balancer.on_packet(&view, Millis(401), &seg);
-    assert_eq!(query_of(action).packet_copies.len(), 8);
+    for answers_itself in [false, true] {
+        let view = fleet_view(20);
+        let mut balancer = balancer(20, 10.0);
+        let seg = segment(flow(7));
+        let first = relay_of(&search(&mut balancer, &view, &seg));
+        let frame = reply_frame(balancer.next_relay_tag().unwrap(), Knowledge::HasNot);
+        if answers_itself {
+            let from = (first, frame);
+            relayed(&mut balancer, &view, 41, from, &[first], seg.key);
+        }
+        let mut repeat = |now| balancer.on_reply_timeout(&view, Millis(now), &seg);
+        let second = relay_of(&query_of(repeat(101).unwrap()));
+        assert_ne!(first, second);
+        let direct = query_of(repeat(301).unwrap());
+        assert_eq!(direct.by_key.len(), 19 - usize::from(answers_itself));
+        assert!(direct.packet_copies.is_empty());
+        // Agents that do not reply to a direct query either get the packet.
+        let action = balancer.on_packet(&view, Millis(401), &seg);
+        assert_eq!(query_of(action).packet_copies.len(), 8);
+    }
 }
 
 // Guards against a reset because the relay's view lacks the flow's owner.
