--- a/crates/coordination/tests/passthrough/relayed_search.rs
+++ b/crates/coordination/tests/passthrough/relayed_search.rs
@@ -78,7 +78,7 @@
     }
 }
 
-pub fn query_of(action: Action) -> OwnerQuery {
+fn query_of(action: Action) -> OwnerQuery {
     match action {
         Action::QueryOwner(query) => query,
         _ => panic!("nobody was asked: {action:?}"),
@@ -86,14 +86,21 @@
 }
 
 /// Query after the member that ranks first has bounced a packet of the flow.
-pub fn search(balancer: &mut Balancer, view: &View, seg: &Segment) -> OwnerQuery {
-    let action = balancer.on_packet(view, Millis(1), seg);
+fn search(balancer: &mut Balancer, view: &View, now: u64, seg: &Segment) -> OwnerQuery {
+    let action = balancer.on_packet(view, Millis(now), seg);
     let Action::Forward { agent, .. } = action else {
         panic!("not forwarded: {action:?}")
     };
     let refusal = Refusal::Bounced;
     let frame = agent_frame(FrameKind::Returned(refusal), seg.key);
-    query_of(balancer.on_returned(view, Millis(1), agent, refusal, &frame, seg))
+    query_of(balancer.on_returned(view, Millis(now), agent, refusal, &frame, seg))
+}
+
+/// View of 20 members, and a balancer that searches for a flow through the relay.
+fn relayed_search(seg: &Segment) -> (View, Balancer, Ipv4Addr) {
+    let (view, mut balancer) = (fleet_view(20), balancer(20, 10.0));
+    let relay = relay_of(&search(&mut balancer, &view, 1, seg));
+    (view, balancer, relay)
 }
 
 fn relay_of(query: &OwnerQuery) -> Ipv4Addr {
@@ -150,7 +157,7 @@
         [(10, 10.0, true), (9, 10.0, false), (60, 100.0, false)]
     {
         let view = fleet_view(members);
-        let query = search(&mut balancer(members, link_mbps), &view, &seg);
+        let query = search(&mut balancer(members, link_mbps), &view, 1, &seg);
         assert_eq!(query.relay.is_some(), through_relay, "{members} members");
         assert_eq!(query.agent_count(), members as usize - 1);
     }
@@ -161,10 +168,8 @@
 #[test]
 fn silent_relays_cost_one_interval_each_and_no_packet_of_the_caller() {
     for answers_itself in [false, true] {
-        let view = fleet_view(20);
-        let mut balancer = balancer(20, 10.0);
         let seg = segment(flow(7));
-        let first = relay_of(&search(&mut balancer, &view, &seg));
+        let (view, mut balancer, first) = relayed_search(&seg);
         let frame = reply_frame(balancer.next_relay_tag().unwrap(), Knowledge::HasNot);
         if answers_itself {
             let from = (first, frame);
@@ -185,10 +190,8 @@
 // Guards against a reset because the relay's view lacks the flow's owner.
 #[test]
 fn holders_without_an_answer_are_asked_directly() {
-    let view = fleet_view(20);
-    let mut balancer = balancer(20, 10.0);
     let seg = segment(flow(7));
-    let relay = relay_of(&search(&mut balancer, &view, &seg));
+    let (view, mut balancer, relay) = relayed_search(&seg);
     let frame = reply_frame(balancer.next_relay_tag().unwrap(), Knowledge::HasNot);
     let agents: Vec<_> = (1..=18).map(member).collect();
     let outcomes = relayed(&mut balancer, &view, 50, (relay, frame), &agents, seg.key);
@@ -207,10 +210,8 @@
 // flow was opened.
 #[test]
 fn answers_to_an_earlier_search_do_not_count() {
-    let view = fleet_view(20);
-    let mut balancer = balancer(20, 10.0);
     let seg = segment(flow(7));
-    let relay = relay_of(&search(&mut balancer, &view, &seg));
+    let (view, mut balancer, relay) = relayed_search(&seg);
     let old = balancer.next_relay_tag().unwrap();
     // The owner is found elsewhere, and loses touch: a new search starts.
     let owned = agent_frame(FrameKind::Owned, seg.key);
@@ -245,10 +246,8 @@
 // Guards against a reset by a view that is older than an agent's behind the relay.
 #[test]
 fn a_newer_revision_behind_the_relay_prevents_a_reset() {
-    let view = fleet_view(20);
-    let mut balancer = balancer(20, 10.0);
     let seg = segment(flow(7));
-    let relay = relay_of(&search(&mut balancer, &view, &seg));
+    let (view, mut balancer, relay) = relayed_search(&seg);
     let frame = Frame {
         revision: 101,
         ..reply_frame(balancer.next_relay_tag().unwrap(), Knowledge::HasNot)
@@ -298,16 +297,10 @@
     let (unlisted, late) = (member(99), 5000);
     let heartbeat = agent_frame(FrameKind::Heartbeat, NO_FLOW);
     balancer.on_heartbeat(Millis(1), unlisted, &heartbeat);
-    balancer.on_packet(&view, Millis(late), &seg);
-    let refusal = Refusal::Bounced;
-    let frame = agent_frame(FrameKind::Returned(refusal), seg.key);
-    let first = balancer.on_returned(&view, Millis(late), member(1), refusal, &frame, &seg);
-    assert_eq!(query_of(first).relay.unwrap().named, [unlisted]);
-    relay_of(&query_of(balancer.on_packet(
-        &view,
-        Millis(late + 100),
-        &seg,
-    )));
+    let first = search(&mut balancer, &view, late, &seg);
+    assert_eq!(first.relay.unwrap().named, [unlisted]);
+    let second = query_of(balancer.on_packet(&view, Millis(late + 100), &seg));
+    assert_eq!(second.relay.unwrap().named, [unlisted]);
     for n in 1..=20 {
         let frame = agent_frame(FrameKind::Denied, seg.key);
         balancer.on_denied(&view, Millis(late + 150), member(n), &frame);
--- a/crates/coordination/tests/passthrough/relayed_search_faults.rs
+++ b/crates/coordination/tests/passthrough/relayed_search_faults.rs
@@ -38,11 +38,10 @@
 enum Event {
     Packet,
     ReplyCheck,
-    /// Query by key, or with a copy of the packet.
+    /// With a copy of the packet or without.
     ToAgent(Ipv4Addr, bool),
     FromAgent(Ipv4Addr, Knowledge),
     ToRelay(Ipv4Addr, ListTag),
-    ToPeer(Ipv4Addr, Ipv4Addr, ListTag),
     FromPeer(Ipv4Addr, Ipv4Addr, ListTag),
     RelayDue(Ipv4Addr),
     FromRelay(Ipv4Addr, RelayReply),
@@ -133,7 +132,6 @@
             }
             Event::FromAgent(agent, knowledge) => self.on_answer(agent, knowledge),
             Event::ToRelay(relay, tag) => self.on_relay_query(relay, tag),
-            Event::ToPeer(relay, agent, tag) => self.send(Event::FromPeer(relay, agent, tag)),
             Event::FromPeer(relay, agent, tag) => {
                 let entries = self.entries(agent);
                 let frame = &agent_frame(FrameKind::PeerReply, NO_FLOW);
@@ -212,7 +210,7 @@
         let state = self.relays.entry(relay).or_insert(SearchRelay::new(1));
         let query = state.on_query(Millis(self.now), tag, holders, own).unwrap();
         for agent in query.agents {
-            self.send(Event::ToPeer(relay, agent, query.tag));
+            self.send(Event::FromPeer(relay, agent, query.tag));
         }
         for after in [40, 80, 120, 160, 200] {
             self.schedule(after, Event::RelayDue(relay));
--- a/crates/coordination/tests/passthrough/search_relay.rs
+++ b/crates/coordination/tests/passthrough/search_relay.rs
@@ -46,16 +46,19 @@
     }
 }
 
-/// A relay that has asked the agents 2 to `last`; its own server has none of the flows.
-fn relay_of(flows: usize, last: u8) -> (SearchRelay, PeerQuery) {
-    let mut relay = SearchRelay::new(u32::MAX);
+/// Asks the agents 1 to `last` through the relay, whose server has none of the flows.
+fn ask(relay: &mut SearchRelay, now: u64, flows: usize, last: u8) -> Option<PeerQuery> {
     let own = PeerAnswer {
         agent: ip(RELAY),
         frame: &header(5000),
         entries: &entries(&vec![Knowledge::HasNot; flows]),
     };
-    let agents = (1..=last).map(ip);
-    let query = relay.on_query(Millis(0), tag(), agents, own).unwrap();
+    relay.on_query(Millis(now), tag(), (1..=last).map(ip), own)
+}
+
+fn relay_of(flows: usize, last: u8) -> (SearchRelay, PeerQuery) {
+    let mut relay = SearchRelay::new(u32::MAX);
+    let query = ask(&mut relay, 0, flows, last).unwrap();
     (relay, query)
 }
 
@@ -169,14 +172,7 @@
 #[test]
 fn queries_beyond_the_limit_are_dropped_until_others_end() {
     let (mut relay, _) = relay_of(MAX_FLOWS, 3);
-    let frame = header(5000);
-    let one = entries(&[Knowledge::HasNot]);
-    let own = PeerAnswer {
-        agent: ip(RELAY),
-        frame: &frame,
-        entries: &one,
-    };
-    assert!(relay.on_query(Millis(1), tag(), [ip(2)], own).is_none());
+    assert!(ask(&mut relay, 1, 1, 2).is_none());
     relay.take_due(Millis(200));
-    assert!(relay.on_query(Millis(201), tag(), [ip(2)], own).is_some());
+    assert!(ask(&mut relay, 201, 1, 2).is_some());
 }
