--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -17,6 +17,7 @@
 //! - [`reachability`]: whether a balancer still reaches any agent
 //! - [`link_rate`]: the rate of an instance's link
 //! - [`egress`]: the queue of datagrams that wait for a narrow link
+//! - [`search_relay`]: owner queries that an agent relays for a balancer
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
@@ -34,6 +35,7 @@
 mod rate_limit;
 pub mod reachability;
 pub mod readers;
+pub mod search_relay;
 mod suspects;
 mod sweep;
 mod unanswered;
