Read priority, aim and time limit of routes from the configuration

The platform's configuration states Priority, AimMs and TimeoutMs for each route, and nothing read them. They are now optional fields of published::Route and thus part of the view. Nothing depends on the fields yet. An older reader sends none and ignores them.

--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -62,6 +62,9 @@
     Route {
         address,
         shares: vec![Share { service, weight: 1 }],
+        priority: None,
+        aim: None,
+        time_limit: None,
     }
 }
 
