Order an agent's queue of openings by the priority of their routes

At full servers the newest opening went first whatever its route, so a burst of one kind of request took the slots of all others. A new opening no longer takes a free place before one that waits and outranks it.

When all servers are cold, an opening went from one to the next until each had refused it. After two such refusals it now waits at one cold server for a permit, by the same order, and is refused as soon as no permit can come before its deadline. The limit of a cold server also counts openings that were let in before the agent's first view.

Routes without a priority and a time limit are served as before.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -4,7 +4,8 @@
 //! takes no new flows (draining, evacuated, ended), does not respond, or gets
 //! more new flows than its limit in cold start. While the server is full
 //! ([`Member::is_full`]), the flow is refused so that the balancer tries another
-//! server; if no other server is less busy, it waits in the queue.
+//! server; if no other server is less busy, it waits in the queue. A flow with a
+//! priority also waits for its turn at a cold server if most servers are cold.
 //!
 //! [`Member::is_full`]: crate::passthrough::view::Member::is_full
 
@@ -23,7 +24,12 @@
 use super::action::Inbound;
 use super::flow::Flow;
 use super::flow::OwnerSubscriber;
+use crate::passthrough::opening_queue::Pace;
 use crate::passthrough::opening_queue::QueuedOpening;
+use crate::passthrough::opening_queue::RouteTerms;
+use crate::passthrough::priority_turns::Rank;
+use crate::passthrough::rate_limit::RateLimiter;
+use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
 /// Time that a server has to answer an opening packet before it counts as silent.
@@ -37,6 +43,22 @@
 /// as restarted, and is in cold start.
 const MIN_RESTART_SILENCE: Duration = Duration::from_millis(400);
 
+/// Limit on new flows of a cold server.
+#[derive(Clone, Copy, Debug)]
+struct ColdLimit {
+    per_s: usize,
+    /// End of the cold start; none while the server is not listed.
+    ends_at: Option<Millis>,
+}
+
+impl ColdLimit {
+    /// Time until the server may get the `turn`th new flow from now on.
+    fn time_to_permit(&self, limiter: &RateLimiter, now: Millis, turn: usize) -> Duration {
+        let wait = limiter.time_until(now, self.per_s, turn);
+        self.ends_at.map_or(wait, |end| wait.min(end.since(now)))
+    }
+}
+
 impl Agent {
     /// Refuses or queues a new flow that the server must not get now. `None`
     /// admits the flow.
@@ -55,12 +77,16 @@
         if let Err(refusal) = self.admit(view, now, frame, seg) {
             return Some(Inbound::Refuse(refusal));
         }
-        if let Some(inbound) = self.queue_if_full(view, now, from, inquiry, seg) {
-            return Some(inbound);
+        let terms = RouteTerms::of(view, seg);
+        let yields = self.yields_to_queue(view, now, terms);
+        let cold = self.cold_limit(view, now).is_some();
+        if self.is_full(view, now) || (yields && !cold) {
+            return Some(self.queue_while_full(view, now, from, inquiry, seg));
         }
-        if let Err(refusal) = self.admit_cold(view, now) {
-            return Some(Inbound::Refuse(refusal));
+        if yields || self.admit_cold(view, now).is_err() {
+            return Some(self.queue_while_cold(view, now, from, inquiry, seg));
         }
+        self.queue.note_admitted(terms.rank);
         self.note_opening(now);
         None
     }
@@ -103,29 +129,99 @@
         }
     }
 
-    /// Refuses or queues a new flow while the server is full; `None` otherwise.
-    fn queue_if_full(
+    /// Refuses or queues a new flow while the server is full.
+    fn queue_while_full(
         &mut self,
         view: Option<&View>,
         now: Millis,
         from: Ipv4Addr,
         inquiry: Inquiry,
         seg: &Segment,
-    ) -> Option<Inbound> {
-        if !self.is_full(view, now) {
-            return None;
-        }
+    ) -> Inbound {
         // The balancer may find a less busy server.
         if inquiry != Inquiry::OwnerEvenIfBusy {
-            return Some(Inbound::Refuse(Refusal::Busy));
+            return Inbound::Refuse(Refusal::Busy);
         }
-        if self.queue.add(seg, from, now) {
-            Some(Inbound::Queue)
+        let terms = RouteTerms::of(view, seg);
+        let pace = self.pace(view, now);
+        if self.queue.add(seg, from, terms, pace, now) {
+            Inbound::Queue
         } else {
-            Some(Inbound::Refuse(Refusal::Overloaded))
+            Inbound::Refuse(Refusal::Overloaded)
+        }
+    }
+
+    /// Refuses or queues a new flow while the rate of the cold server is used up. It
+    /// waits only if it has a priority, most other servers are cold too, and its turn
+    /// comes in time; otherwise the balancer tries another server.
+    fn queue_while_cold(
+        &mut self,
+        view: Option<&View>,
+        now: Millis,
+        from: Ipv4Addr,
+        inquiry: Inquiry,
+        seg: &Segment,
+    ) -> Inbound {
+        let refused = Inbound::Refuse(Refusal::Cold);
+        let terms = RouteTerms::of(view, seg);
+        let Some(limit) = self.cold_limit(view, now) else {
+            return refused;
+        };
+        let may_wait = inquiry == Inquiry::OwnerEvenIfBusy && terms.rank.has_priority();
+        if !may_wait || self.are_most_others_warm(view, now) {
+            return refused;
+        }
+        let pace = self.pace(view, now);
+        let (deadline, turn) = self.queue.prospect(seg, terms, pace, now);
+        let in_time = now + self.time_to_permit(limit, now, turn) < deadline;
+        if in_time && self.queue.add(seg, from, terms, pace, now) {
+            return Inbound::Queue;
+        }
+        refused
+    }
+
+    /// Whether openings that wait get the free places, and the permits of a cold server,
+    /// before a new one of this rank.
+    fn yields_to_queue(&mut self, view: Option<&View>, now: Millis, terms: RouteTerms) -> bool {
+        if self.queue.goes_first(terms.rank, now) {
+            return false;
+        }
+        let free = usize::from(self.free_places(view, now));
+        let cold = self.cold_limit(view, now);
+        let permits = cold.map_or(usize::MAX, |limit| {
+            self.cold_start_limiter.available(now, limit.per_s)
+        });
+        free.min(permits) <= self.queue.len()
+    }
+
+    fn free_places(&self, view: Option<&View>, now: Millis) -> u16 {
+        let member = view.and_then(|v| v.member_or_lapsed(self.server_ip, now));
+        let places = member.map_or(0, Member::places);
+        match places {
+            0 => u16::MAX,
+            places => places.saturating_sub(self.in_progress),
+        }
+    }
+
+    fn pace(&self, view: Option<&View>, now: Millis) -> Pace {
+        let member = view.and_then(|v| v.member_or_lapsed(self.server_ip, now));
+        Pace {
+            request_time: self.request_time.get(),
+            places: member.map_or(0, Member::places),
         }
     }
 
+    /// Whether more than half of the service's other servers that take new flows are
+    /// warm. Not whether any is: after a restart of all machines, a record that has not
+    /// lapsed yet may show a server as warm that has gone.
+    fn are_most_others_warm(&self, view: Option<&View>, now: Millis) -> bool {
+        let is_other = |m: &&Member| m.address != self.server_ip && m.accepts_new_flows();
+        let servers = view.iter().flat_map(|v| v.servers_of(self.service, now));
+        let (cold, warm): (Vec<&Member>, Vec<&Member>) =
+            servers.filter(is_other).partition(|m| m.is_cold(now));
+        warm.len() > cold.len()
+    }
+
     fn is_full(&self, view: Option<&View>, now: Millis) -> bool {
         let member = view.and_then(|v| v.member_or_lapsed(self.server_ip, now));
         member.is_some_and(|m| m.is_full(self.in_progress))
@@ -136,6 +232,7 @@
     /// until it returns `None`.
     pub fn poll_queue(&mut self, view: Option<&View>, now: Millis) -> Option<Dequeued> {
         self.expire_expected_requests(now);
+        self.permit_at = None;
         if self.queue.is_empty() {
             return None;
         }
@@ -143,16 +240,28 @@
             return Some(self.refuse_queued(queued, Refusal::Overloaded));
         }
         if let Err(refusal) = self.admit_by_state(view, now) {
-            let queued = self.queue.pop_oldest()?;
+            let queued = self.queue.pop_lowest()?;
             return Some(self.refuse_queued(queued, refusal));
         }
+        let cold = self.cold_limit(view, now);
+        if let Some(limit) = cold
+            && let Some(queued) = self.pop_without_permit(limit, now)
+        {
+            return Some(self.refuse_queued(queued, Refusal::Cold));
+        }
         if self.is_full(view, now) || self.admit_while_silent(now).is_err() {
             return None;
         }
-        let queued = self.queue.pop_newest()?;
+        if let Some(limit) = cold
+            && self.next_awaits_permit(limit, now)
+        {
+            return None;
+        }
+        let queued = self.queue.pop_next(now)?;
         if self.superseded.contains(&queued.flow) || self.admit_cold(view, now).is_err() {
             return Some(self.refuse_queued(queued, Refusal::Overloaded));
         }
+        self.queue.note_admitted(queued.rank);
         self.note_opening(now);
         let mut flow = Flow::new(now, queued.seq);
         flow.subscribe(OwnerSubscriber {
@@ -168,9 +277,43 @@
         Some(Dequeued::Forward(queued.flow, mark))
     }
 
-    /// Time until the next queued flow times out; `None` if the queue is empty.
+    /// Time until the next queued flow times out, or gets a permit of the cold server;
+    /// `None` if the queue is empty.
     pub fn time_to_queue_timeout(&self, now: Millis) -> Option<Duration> {
-        self.queue.time_left(now)
+        let left = self.queue.time_left(now)?;
+        let permit = self.permit_at.map(|at| at.since(now));
+        Some(permit.map_or(left, |permit| left.min(permit)))
+    }
+
+    /// Number of new flows in the queue.
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether new flows have had to be queued for longer than a burst lasts.
+    pub fn is_overloaded(&self, now: Millis) -> bool {
+        self.queue.is_overloaded(now)
+    }
+
+    /// Takes a flow out of the queue that can't get a permit of the cold server before
+    /// its wait is over.
+    fn pop_without_permit(&mut self, limit: ColdLimit, now: Millis) -> Option<QueuedOpening> {
+        let limiter = &self.cold_start_limiter;
+        let time_to_turn = |turn| limit.time_to_permit(limiter, now, turn);
+        self.queue.pop_hopeless(now, time_to_turn)
+    }
+
+    /// Whether the next flow of the queue has to wait for a permit of the cold server.
+    /// One without a priority does not wait for it but is refused.
+    fn next_awaits_permit(&mut self, limit: ColdLimit, now: Millis) -> bool {
+        let wait = self.time_to_permit(limit, now, 1);
+        let waits = !wait.is_zero() && self.queue.peek_rank(now).is_some_and(Rank::has_priority);
+        self.permit_at = waits.then(|| now + wait);
+        waits
+    }
+
+    fn time_to_permit(&self, limit: ColdLimit, now: Millis, turn: usize) -> Duration {
+        limit.time_to_permit(&self.cold_start_limiter, now, turn)
     }
 
     /// Refuses a flow from the queue; drops it if its caller already has an answer
@@ -205,26 +348,28 @@
     }
 
     fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
-        let Some(view) = view else {
+        let Some(limit) = self.cold_limit(view, now) else {
+            // The server may turn out to be cold within the next second.
+            self.cold_start_limiter.record(now);
             return Ok(());
         };
-        let Some(rate) = view.cold_rate_per_s(self.service) else {
+        if self.cold_start_limiter.try_acquire(now, limit.per_s) {
             return Ok(());
-        };
+        }
+        Err(Refusal::Cold)
+    }
+
+    /// Limit on new flows while the server is cold; `None` while it is not.
+    fn cold_limit(&self, view: Option<&View>, now: Millis) -> Option<ColdLimit> {
+        let view = view?;
+        let rate = view.cold_rate_per_s(self.service)?;
         let member = view.member_or_lapsed(self.server_ip, now);
         // A server that is not listed yet has just started, so it is cold.
         let cold = member.is_none_or(|m| m.is_cold(now)) || now < self.cold_until;
-        if !cold {
-            self.cold_start_limiter.record(now);
-            return Ok(());
-        }
-        if self
-            .cold_start_limiter
-            .try_acquire(now, rate.floor().max(1.0) as usize)
-        {
-            return Ok(());
-        }
-        Err(Refusal::Cold)
+        cold.then(|| ColdLimit {
+            per_s: rate.floor().max(1.0) as usize,
+            ends_at: member.map(|m| m.cold_until.max(self.cold_until)),
+        })
     }
 
     fn note_opening(&mut self, now: Millis) {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -34,6 +34,7 @@
 use self::server_liveness::ServerLiveness;
 use super::mark::Mark;
 use super::mark::Senders;
+use super::mean_time::MeanTime;
 use super::opening_queue::OpeningQueue;
 use super::rate_limit::RateLimiter;
 use super::sweep::Sweep;
@@ -77,6 +78,10 @@
     last_opening_at: Millis,
     cold_until: Millis,
     queue: OpeningQueue,
+    /// When the next queued flow gets a permit of the cold server, if it waits for one.
+    permit_at: Option<Millis>,
+    /// Mean time of a request at the server.
+    request_time: MeanTime,
     /// Queued flows whose callers already have an answer to another copy of the
     /// opening packet.
     superseded: IndexSet<FlowKey>,
@@ -120,6 +125,8 @@
             last_opening_at: Millis(0),
             cold_until: Millis(0),
             queue: OpeningQueue::default(),
+            permit_at: None,
+            request_time: MeanTime::default(),
             superseded: IndexSet::new(),
             flow_sweep: Sweep::default(),
             unanswered_requests: Vec::new(),
@@ -224,9 +231,13 @@
         let since = flow.request_since.take();
         flow.request_received = false;
         self.in_progress = self.in_progress.saturating_sub(u16::from(since.is_some()));
+        let response_time = since.map(|at| now.since(at));
+        if let Some(time) = response_time {
+            self.request_time.record(time);
+        }
         Outbound {
             notify,
-            response_time: since.map(|at| now.since(at)),
+            response_time,
             reset: false,
         }
     }
--- a/crates/coordination/src/passthrough/balancer/placement.rs
+++ b/crates/coordination/src/passthrough/balancer/placement.rs
@@ -4,6 +4,10 @@
 //! A member that refuses is not tried again, unless it was only busy. A member that
 //! does not reply may have the flow all the same: until the caller retransmits the
 //! opening, which is then tried there again, the flow is not refused.
+//!
+//! If only cold members are left, a flow with a priority waits at one of them for its
+//! turn. Each of them takes a limited number of flows a second, so trying one after
+//! another seldom finds room and costs two messages each.
 
 use std::net::Ipv4Addr;
 
@@ -12,6 +16,7 @@
 use ramp_protocol::frame::Refusal;
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
+use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
 use super::Balancer;
@@ -21,12 +26,18 @@
 use super::flow::Flow;
 use super::search::Search;
 use crate::passthrough::choice::Choice;
+use crate::passthrough::choice::Chosen;
+use crate::passthrough::choice::first_ranked;
 use crate::passthrough::view::Member;
 use crate::passthrough::view::View;
 
 /// Silent members after which the balancer waits for the caller's retransmission.
 const MAX_SILENT_MEMBERS: usize = 3;
 
+/// Cold members that may refuse a new flow with a priority before the others are taken
+/// to have used up their rates too.
+const MAX_COLD_REFUSALS: usize = 2;
+
 /// Members that one new flow has been forwarded to without success.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PlacementAttempt {
@@ -36,11 +47,20 @@
     silent: Vec<Ipv4Addr>,
     /// Members that refused because they are busy; they may be tried again.
     busy: Vec<Ipv4Addr>,
+    /// Members that refused because they are cold and their rate is used up.
+    cold: Vec<Ipv4Addr>,
+    /// Whether the flow was sent to a cold member to wait there.
+    waited_cold: bool,
     pub(super) seen_at: Millis,
 }
 
 impl PlacementAttempt {
     fn may_try(&self, member: &Member) -> bool {
+        self.may_wait_at(member) && !self.cold.contains(&member.address)
+    }
+
+    /// Whether a member may be tried again if it refused only because it is cold.
+    fn may_wait_at(&self, member: &Member) -> bool {
         let tried = [&self.refused, &self.silent];
         member.accepts_new_flows() && !tried.iter().any(|list| list.contains(&member.address))
     }
@@ -106,10 +126,10 @@
             return Action::Drop(DropReason::PlacedElsewhere);
         }
         let attempt = self.placement_attempt(now, seg.key);
-        if refusal == Refusal::Busy {
-            attempt.busy.push(from);
-        } else {
-            attempt.refused.push(from);
+        match refusal {
+            Refusal::Busy => attempt.busy.push(from),
+            Refusal::Cold => attempt.cold.push(from),
+            _ => attempt.refused.push(from),
         }
         let placed_elsewhere = |f: &Flow| f.agent != from || f.past_opening;
         if self.flows.get(&seg.key).is_some_and(placed_elsewhere) {
@@ -123,10 +143,8 @@
 
     /// Forwards the opening packet to the best member that has not refused the flow.
     pub(super) fn place(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
-        let service = view
-            .route(seg.key.service)
-            .and_then(|r| r.service_of(&seg.key));
-        let Some(service) = service else {
+        let route = view.route(seg.key.service);
+        let Some(service) = route.and_then(|r| r.service_of(&seg.key)) else {
             return self.handle_missing_route(view, now, seg);
         };
         let no_attempt = PlacementAttempt::default();
@@ -136,7 +154,14 @@
             return Action::Drop(DropReason::Unanswered);
         }
         let members = view.servers_of(service, now);
-        let candidates: Vec<&Member> = members.filter(|m| attempt.may_try(m)).collect();
+        let mut candidates: Vec<&Member> = members.filter(|m| attempt.may_try(m)).collect();
+        let has_priority = route.is_some_and(|r| r.priority.is_some());
+        if has_priority && attempt.cold.len() >= MAX_COLD_REFUSALS {
+            candidates.retain(|m| !m.is_cold(now) && !self.suspects.contains(m.address, now));
+        }
+        if has_priority && candidates.is_empty() && !attempt.cold.is_empty() {
+            return self.wait_at_cold_member(view, now, seg, service);
+        }
         let choice = Choice {
             flow: &seg.key,
             candidates: &candidates,
@@ -148,6 +173,16 @@
         let Some(chosen) = choice.choose() else {
             return self.refuse_unless_silent(view, now, seg);
         };
+        self.forward_opening(now, seg, chosen, service)
+    }
+
+    fn forward_opening(
+        &mut self,
+        now: Millis,
+        seg: &Segment,
+        chosen: Chosen,
+        service: ServiceId,
+    ) -> Action {
         // Replies to queries from before this placement no longer apply.
         self.searches.swap_remove(&seg.key);
         self.loads.note_sent(chosen.agent);
@@ -159,6 +194,35 @@
         }
     }
 
+    /// Sends a new flow to the cold member that ranks first for it, to wait there until
+    /// the member may take it; refuses the flow if it has been at one already. The rank
+    /// spreads the flows evenly, while the load of cold members says nothing.
+    fn wait_at_cold_member(
+        &mut self,
+        view: &View,
+        now: Millis,
+        seg: &Segment,
+        service: ServiceId,
+    ) -> Action {
+        let attempt = self.placement_attempt(now, seg.key);
+        let waited = std::mem::replace(&mut attempt.waited_cold, true);
+        let attempt = attempt.clone();
+        let reachable = |m: &&Member| {
+            let cold = m.is_cold(now) || attempt.cold.contains(&m.address);
+            cold && attempt.may_wait_at(m) && !self.suspects.contains(m.address, now)
+        };
+        let members = view.servers_of(service, now).filter(reachable);
+        let agent = first_ranked(&seg.key, members).filter(|_| !waited);
+        let Some(agent) = agent else {
+            return self.refuse_unless_silent(view, now, seg);
+        };
+        let chosen = Chosen {
+            agent,
+            inquiry: Inquiry::OwnerEvenIfBusy,
+        };
+        self.forward_opening(now, seg, chosen, service)
+    }
+
     /// Refuses a new flow that no member accepts, unless a member that has not
     /// replied may have it.
     fn refuse_unless_silent(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
--- a/crates/coordination/src/passthrough/rate_limit.rs
+++ b/crates/coordination/src/passthrough/rate_limit.rs
@@ -37,6 +37,25 @@
         self.recorded_at.push_back(now);
     }
 
+    /// Number of events that are allowed now.
+    pub(super) fn available(&mut self, now: Millis, limit: usize) -> usize {
+        self.evict_old(now);
+        limit.saturating_sub(self.recorded_at.len())
+    }
+
+    /// Time until the `n`th event from now on is allowed, if each one before it
+    /// happens as soon as it is allowed. `limit` must not be zero.
+    pub(super) fn time_until(&self, now: Millis, limit: usize, n: usize) -> Duration {
+        if n > limit {
+            return self.time_until(now, limit, n - limit) + WINDOW;
+        }
+        let Some(at) = (self.recorded_at.len() + n).checked_sub(limit + 1) else {
+            return Duration::ZERO;
+        };
+        let freed_by = self.recorded_at.get(at);
+        freed_by.map_or(Duration::ZERO, |by| (*by + WINDOW).since(now))
+    }
+
     fn evict_old(&mut self, now: Millis) {
         while self
             .recorded_at
--- a/crates/coordination/src/passthrough/view.rs
+++ b/crates/coordination/src/passthrough/view.rs
@@ -66,7 +66,13 @@
     /// there are slots, so that no slot is idle while the next request is on
     /// its way.
     pub fn is_full(&self, in_progress: u16) -> bool {
-        self.slots > 0 && in_progress >= self.slots + self.slots / 2
+        self.slots > 0 && in_progress >= self.places()
+    }
+
+    /// Requests that it holds when it is full, those in its queue included; zero if
+    /// it does not say.
+    pub fn places(&self) -> u16 {
+        self.slots.saturating_add(self.slots / 2)
     }
 
     /// Whether its new flows are limited because it is in its cold start.
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -51,6 +51,7 @@
                 }
             }
             Inbound::Queue => {
+                self.telemetry.queued(view, &segment.key);
                 self.queued_packets.insert(segment.key, packet.to_vec());
                 self.send_frame(from, FrameKind::Queued, segment.key, &[]);
             }
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -87,6 +87,8 @@
     shutdown_since: Option<Millis>,
     /// Whether all flows of the server were known when this was last logged.
     knows_all_flows: Option<bool>,
+    /// Length of the queue, and whether the server was overloaded, when last reported.
+    reported_queue: (usize, bool),
     telemetry: Telemetry,
     send_buf: Vec<u8>,
     format: PhantomData<F>,
@@ -114,6 +116,7 @@
             reported_revision: Revision(0),
             shutdown_since: None,
             knows_all_flows: None,
+            reported_queue: (0, false),
             telemetry: Telemetry::default(),
             send_buf: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
@@ -210,6 +213,7 @@
             self.telemetry.unanswered(&unanswered);
         }
         self.handle_queue();
+        self.report_queue();
         self.request_connect_check();
         self.send_heartbeats();
         self.log_knowledge();
@@ -244,6 +248,21 @@
         }
     }
 
+    /// Updates the metric of the queue's length, and logs when the server becomes
+    /// overloaded and when it no longer is.
+    fn report_queue(&mut self) {
+        let length = self.agent.queue_len();
+        let overloaded = self.agent.is_overloaded(self.traffic.clock.now());
+        let reported = std::mem::replace(&mut self.reported_queue, (length, overloaded));
+        if reported.0 != length {
+            self.telemetry.queue_length(length);
+        }
+        if reported.1 != overloaded {
+            let in_progress = self.agent.in_progress();
+            self.telemetry.overloaded(overloaded, length, in_progress);
+        }
+    }
+
     /// Sends heartbeats to the balancers while the platform does not list the server,
     /// and for a while afterwards.
     fn send_heartbeats(&mut self) {
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -30,7 +30,9 @@
                 Dequeued::Refuse(flow, to, refusal) => {
                     let packet = self.queued_packets.swap_remove(&flow).unwrap_or_default();
                     let in_progress = self.agent.in_progress();
-                    self.telemetry.refused_queued(&flow, refusal, in_progress);
+                    let view = self.view.as_deref();
+                    self.telemetry
+                        .refused_queued(view, &flow, refusal, in_progress);
                     self.send_frame(to, FrameKind::Returned(refusal), flow, &packet);
                 }
                 Dequeued::Drop(flow) => {
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -1,12 +1,15 @@
 //! Metrics and log lines of an agent's traffic thread.
 
+use std::borrow::Cow;
 use std::fmt::Display;
 use std::io;
 use std::net::Ipv4Addr;
 
 use metrics::Counter;
+use metrics::Gauge;
 use metrics::Histogram;
 use metrics::counter;
+use metrics::gauge;
 use metrics::histogram;
 use ramp_coordination::passthrough::agent::Outbound;
 use ramp_coordination::passthrough::agent::UnansweredRequest;
@@ -27,6 +30,7 @@
     send_failed: Counter,
     lost: Counter,
     answer_s: Histogram,
+    queue_length: Gauge,
 }
 
 impl Default for Telemetry {
@@ -39,6 +43,7 @@
             send_failed: counter!("passthrough_agent_send_failed_total"),
             lost: counter!("passthrough_agent_lost_total"),
             answer_s: histogram!("passthrough_agent_answer_seconds"),
+            queue_length: gauge!("passthrough_agent_queue_length"),
         }
     }
 }
@@ -81,11 +86,13 @@
         in_progress: u16,
     ) {
         let reason = refusal_name(refusal);
-        counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
+        let priority = priority_of(view, &frame.flow);
+        count_refusal(reason, priority.clone());
         log::info!(
             caller:% = frame.flow.caller,
             balancer:% = balancer,
             reason,
+            priority:%,
             in_progress,
             version = view.map_or(0, |v| v.version.0),
             revision = view.map_or(0, |v| v.newest.0),
@@ -105,13 +112,42 @@
         }
     }
 
+    /// A new flow was queued.
+    pub fn queued(&self, view: Option<&View>, flow: &FlowKey) {
+        let priority = priority_of(view, flow);
+        counter!("passthrough_agent_queued_total", "priority" => priority).increment(1);
+    }
+
+    /// Number of new flows in the queue.
+    pub fn queue_length(&self, length: usize) {
+        self.queue_length.set(length as f64);
+    }
+
+    /// The queue has lasted for longer than a burst, or has ended after that.
+    pub fn overloaded(&self, overloaded: bool, queue_length: usize, in_progress: u16) {
+        if overloaded {
+            log::warn!(queue_length, in_progress; "server overloaded: openings wait only briefly");
+        } else {
+            log::info!(queue_length, in_progress; "server no longer overloaded");
+        }
+    }
+
     /// A queued flow was refused.
-    pub fn refused_queued(&self, flow: &FlowKey, refusal: Refusal, in_progress: u16) {
+    pub fn refused_queued(
+        &self,
+        view: Option<&View>,
+        flow: &FlowKey,
+        refusal: Refusal,
+        in_progress: u16,
+    ) {
         let reason = refusal_name(refusal);
-        counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
+        let priority = priority_of(view, flow);
+        count_refusal(reason, priority.clone());
         log::info!(
             caller:% = flow.caller,
             reason,
+            priority:%,
+            queued = true,
             in_progress;
             "new flow refused"
         );
@@ -168,6 +204,18 @@
     }
 }
 
+/// Priority of a flow's route as written in logs and metrics.
+fn priority_of(view: Option<&View>, flow: &FlowKey) -> Cow<'static, str> {
+    let priority = view.and_then(|v| v.route(flow.service)?.priority);
+    priority.map_or(Cow::Borrowed("none"), |p| Cow::Owned(p.to_string()))
+}
+
+fn count_refusal(reason: &'static str, priority: Cow<'static, str>) {
+    counter!("passthrough_agent_refused_total", "reason" => reason).increment(1);
+    let labels = [("reason", Cow::Borrowed(reason)), ("priority", priority)];
+    counter!("passthrough_agent_refused_by_priority_total", &labels).increment(1);
+}
+
 /// Text of a request id; empty if no packet contained one.
 fn id_text(request: Option<&RequestId>) -> &str {
     request.map_or("", RequestId::as_str)
