Test the order, share, eviction and cold start of queued openings

The tests found two faults, which are mended: the age of an opening did not count fully in the first second of a process, as points in time are not negative, and an opening of a priority whose turn was due was refused at a cold server as if it had to wait for four turns more.

--- a/crates/coordination/src/passthrough/opening_queue.rs
+++ b/crates/coordination/src/passthrough/opening_queue.rs
@@ -176,10 +176,10 @@
         let Some(time_limit) = terms.time_limit else {
             return now + limit;
         };
-        let first_sent_at = now - seg.opening_age;
         let burst_limit = BURST_WAIT_LIMIT.min(time_limit / TIME_LIMIT_PER_WAIT);
         let answerable = time_limit.saturating_sub(pace.request_time);
-        (now + limit).min(first_sent_at + burst_limit.min(answerable))
+        let rest = burst_limit.min(answerable).saturating_sub(seg.opening_age);
+        now + limit.min(rest)
     }
 
     /// When the opening `seg` could be served at the latest if it were queued now, and
@@ -205,7 +205,7 @@
     fn turns_until(&self, at: usize, rank: Rank) -> usize {
         let ahead = &self.openings[at..];
         let same = ahead.iter().take_while(|o| o.rank == rank).count();
-        (ahead.len() + 1).min(TURNS_PER_SHARE * (same + 1))
+        (ahead.len() + 1).min(self.turns.turns_by_share(rank, same + 1))
     }
 
     /// Evicts the lowest-ranking opening if there are too many; false if that is `new`.
--- a/crates/coordination/src/passthrough/priority_turns.rs
+++ b/crates/coordination/src/passthrough/priority_turns.rs
@@ -75,6 +75,14 @@
         }
     }
 
+    /// Turns after which the `n`th opening of this rank leaves at the latest, as long as
+    /// no more than [`TURNS_PER_SHARE`] priorities are present.
+    pub(super) fn turns_by_share(&self, rank: Rank, n: usize) -> usize {
+        let lane = self.lanes.iter().find(|l| l.rank == rank);
+        let passed_over = lane.map_or(0, |l| l.passed_over);
+        n * TURNS_PER_SHARE - passed_over.min(TURNS_PER_SHARE - 1)
+    }
+
     /// Whether a lower rank was seen a moment ago.
     pub(super) fn outranks_any(&self, rank: Rank, now: Millis) -> bool {
         let recent = |l: &Lane| now.since(l.seen_at) <= PRESENCE_GAP;
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -68,6 +68,30 @@
     }
 }
 
+/// Address of a route of priority `priority`, whose flows [`FEEDS`] serves.
+pub fn priority_address(priority: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, priority), 443)
+}
+
+/// Flow of a route of priority `priority`.
+pub fn priority_flow(priority: u8, port: u16) -> FlowKey {
+    FlowKey {
+        service: priority_address(priority),
+        ..flow(port)
+    }
+}
+
+/// Configuration 2, which adds routes of the priorities 0 to 3 with this time limit.
+pub fn configuration_with_priorities(time_limit_ms: u64) -> Configuration {
+    let mut configuration = configuration(2);
+    configuration.routes.extend((0..4).map(|priority| Route {
+        priority: Some(priority),
+        time_limit: Some(Duration::from_millis(time_limit_ms)),
+        ..route(priority_address(priority), FEEDS)
+    }));
+    configuration
+}
+
 pub fn policy(service: ServiceId, cold_rate_per_s: Option<f64>) -> ServicePolicy {
     ServicePolicy {
         service,
--- /dev/null
+++ b/crates/coordination/tests/passthrough/opening_queue.rs
@@ -0,0 +1,294 @@
+//! Openings of routes with a priority and a time limit that wait at one agent, and
+//! their placement by a balancer while all servers are cold.
+
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Dequeued;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::balancer::Action;
+use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::frame::FrameKind;
+use ramp_protocol::frame::Inquiry;
+use ramp_protocol::frame::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::key::Version;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+/// Priority 0 to 3 of the routes in [`configuration_with_priorities`], and the port of
+/// a caller.
+type Opening = (u8, u16);
+
+/// View of servers 1 to `count`, of which the first `cold` are in cold start.
+fn view(count: u8, cold: u8, time_limit_ms: u64) -> View {
+    let mut catalog = catalog(&[]);
+    let configuration = Record::Configuration(configuration_with_priorities(time_limit_ms));
+    catalog.apply(Millis(0), written(101, configuration));
+    for last in 1..=count {
+        let mut server = server(last, FEEDS);
+        if last <= cold {
+            server.cold_for = COLD_START;
+        }
+        catalog.apply(Millis(0), written(102, Record::Server(id(last), server)));
+    }
+    catalog.view(Millis(0)).unwrap()
+}
+
+fn send(agent: &mut Agent, view: &View, now: u64, inquiry: Inquiry, seg: &Segment) -> Inbound {
+    let mut frame = frame(FrameKind::Forward(inquiry), seg.key);
+    frame.version = Version(2);
+    agent.on_balancer_packet(
+        Some(view),
+        Millis(now),
+        balancer_ip(1),
+        &frame,
+        inquiry,
+        seg,
+    )
+}
+
+fn open(agent: &mut Agent, view: &View, now: u64, (priority, port): Opening, age: u64) -> Inbound {
+    let seg = opening(priority_flow(priority, port), age);
+    send(agent, view, now, Inquiry::OwnerEvenIfBusy, &seg)
+}
+
+/// The server answers the request of a flow.
+fn answer(agent: &mut Agent, view: &View, now: u64, key: FlowKey) {
+    agent.on_server_packet(Some(view), Millis(now), &segment(key));
+}
+
+/// An agent whose server, with four slots, got six requests of route 3 at time 0.
+fn full_agent(view: &View) -> Agent {
+    let mut agent = Agent::new(ip(1), FEEDS, 7, 1, Millis(0));
+    for port in 1..=6 {
+        let inbound = open(&mut agent, view, 0, (3, port), 0);
+        assert!(matches!(inbound, Inbound::Forward { .. }), "{inbound:?}");
+        let key = priority_flow(3, port);
+        let syn_ack = Segment {
+            syn: true,
+            len: 0,
+            ..segment(key)
+        };
+        agent.on_server_packet(Some(view), Millis(0), &syn_ack);
+        let request = Segment {
+            seq: 1001,
+            ..segment(key)
+        };
+        send(&mut agent, view, 0, Inquiry::None, &request);
+    }
+    agent
+}
+
+/// Priorities of the openings that are let in, one for each of `turns` answers.
+fn priorities_let_in(agent: &mut Agent, view: &View, now: u64, turns: usize) -> Vec<u8> {
+    let mut served = priority_flow(3, 1);
+    let turn = |_| {
+        answer(agent, view, now, served);
+        let Some(Dequeued::Forward(key, _)) = agent.poll_queue(Some(view), Millis(now)) else {
+            panic!("none is let in")
+        };
+        served = key;
+        key.service.ip().octets()[3]
+    };
+    (0..turns).map(turn).collect()
+}
+
+fn refusals(agent: &mut Agent, view: &View, now: u64) -> Vec<(FlowKey, Refusal)> {
+    let polls = std::iter::from_fn(|| agent.poll_queue(Some(view), Millis(now)));
+    let refused = polls.filter_map(|dequeued| match dequeued {
+        Dequeued::Refuse(key, _, refusal) => Some((key, refusal)),
+        _ => None,
+    });
+    refused.collect()
+}
+
+/// Guards against a priority that has no effect, or that starves the lower ones.
+#[test]
+fn the_highest_priority_goes_first_and_each_gets_a_quarter_of_the_turns() {
+    let view = view(1, 0, 3000);
+    for lanes in 2..=4_usize {
+        let mut agent = full_agent(&view);
+        for port in 100..116 {
+            for priority in 0..lanes as u8 {
+                let inbound = open(
+                    &mut agent,
+                    &view,
+                    1,
+                    (priority, port + 50 * u16::from(priority)),
+                    0,
+                );
+                assert_eq!(inbound, Inbound::Queue);
+            }
+        }
+        let order = priorities_let_in(&mut agent, &view, 2, 16);
+        assert_eq!(order[0], 0);
+        for window in order.windows(4) {
+            let all = (0..lanes as u8).all(|priority| window.contains(&priority));
+            assert!(all, "{lanes} priorities: {order:?}");
+        }
+        let highest = order.iter().filter(|p| **p == 0).count();
+        assert!(highest >= 16 - 4 * (lanes - 1), "{order:?}");
+    }
+}
+
+/// Guards against an opening that takes the free place of one that waits and outranks
+/// it, because it arrives between an answer and the next look at the queue.
+#[test]
+fn a_new_opening_takes_no_place_before_one_that_outranks_it() {
+    let view = view(1, 0, 3000);
+    let mut agent = full_agent(&view);
+    assert_eq!(open(&mut agent, &view, 1, (1, 10), 0), Inbound::Queue);
+    answer(&mut agent, &view, 2, priority_flow(3, 1));
+    assert_eq!(open(&mut agent, &view, 2, (2, 11), 0), Inbound::Queue);
+    let first = agent.poll_queue(Some(&view), Millis(2));
+    assert!(matches!(first, Some(Dequeued::Forward(key, _)) if key == priority_flow(1, 10)));
+    answer(&mut agent, &view, 3, priority_flow(3, 2));
+    assert!(matches!(
+        open(&mut agent, &view, 3, (0, 12), 0),
+        Inbound::Forward { .. }
+    ));
+}
+
+/// Guards against a high priority that is refused because lower ones fill the queue,
+/// and against a low one that is evicted altogether.
+#[test]
+fn a_full_queue_evicts_the_lowest_beyond_its_share() {
+    let view = view(1, 0, 3000);
+    let mut agent = full_agent(&view);
+    for port in 100..164 {
+        assert_eq!(open(&mut agent, &view, 1, (2, port), 0), Inbound::Queue);
+    }
+    assert_eq!(open(&mut agent, &view, 2, (0, 1000), 0), Inbound::Queue);
+    let oldest = (priority_flow(2, 100), Refusal::Overloaded);
+    assert_eq!(refusals(&mut agent, &view, 2), [oldest]);
+    for port in 1001..1100 {
+        assert_eq!(open(&mut agent, &view, 2, (0, port), 0), Inbound::Queue);
+    }
+    let evicted = refusals(&mut agent, &view, 2);
+    let of_low = evicted
+        .iter()
+        .filter(|(key, _)| key.service == priority_address(2));
+    assert_eq!((evicted.len(), of_low.count()), (99, 47));
+    assert_eq!(agent.queue_len(), 64);
+}
+
+/// Guards against openings that are held until the caller has given up.
+#[test]
+fn the_wait_is_a_third_of_the_time_limit_from_the_first_transmission() {
+    let view = view(1, 0, 1500);
+    let mut agent = full_agent(&view);
+    assert_eq!(open(&mut agent, &view, 10, (0, 10), 300), Inbound::Queue);
+    assert_eq!(refusals(&mut agent, &view, 209), []);
+    let refused = (priority_flow(0, 10), Refusal::Overloaded);
+    assert_eq!(refusals(&mut agent, &view, 210), [refused]);
+    let late = open(&mut agent, &view, 211, (0, 11), 600);
+    assert_eq!(late, Inbound::Refuse(Refusal::Overloaded));
+}
+
+/// Guards against a wait at a server too slow to answer within the time limit.
+#[test]
+fn an_opening_that_cannot_be_answered_in_time_is_refused_at_once() {
+    let view = view(1, 0, 1500);
+    let mut agent = full_agent(&view);
+    assert_eq!(open(&mut agent, &view, 1400, (0, 10), 0), Inbound::Queue);
+    answer(&mut agent, &view, 1450, priority_flow(3, 1));
+    assert!(agent.poll_queue(Some(&view), Millis(1450)).is_some());
+    let inbound = open(&mut agent, &view, 1450, (0, 11), 0);
+    assert_eq!(inbound, Inbound::Refuse(Refusal::Overloaded));
+}
+
+/// Guards against a restart after which a low priority gets a cold server's next
+/// permit while a higher one is refused, and against more new flows than the server
+/// bears. Of each priority, three openings a second come for each permit.
+#[test]
+fn the_permits_of_a_cold_server_go_to_the_highest_priority() {
+    let view = view(4, 4, 3000);
+    let mut agent = Agent::new(ip(1), FEEDS, 7, 1, Millis(0));
+    let mut let_in: Vec<(u64, u8)> = Vec::new();
+    let mut served = |agent: &mut Agent, now: u64, key: FlowKey| {
+        let_in.push((now, key.service.ip().octets()[3]));
+        answer(agent, &view, now, key);
+    };
+    for now in 0..2000_u64 {
+        for priority in [2, 0] {
+            let port = now as u16 + 1;
+            if now % 33 == u64::from(priority) {
+                let inbound = open(&mut agent, &view, now, (priority, port), 0);
+                if matches!(inbound, Inbound::Forward { .. }) {
+                    served(&mut agent, now, priority_flow(priority, port));
+                }
+            }
+        }
+        while let Some(dequeued) = agent.poll_queue(Some(&view), Millis(now)) {
+            match dequeued {
+                Dequeued::Forward(key, _) => served(&mut agent, now, key),
+                other => assert!(matches!(other, Dequeued::Refuse(_, _, Refusal::Cold))),
+            }
+        }
+    }
+    for (at, _) in &let_in {
+        let window = let_in.iter().filter(|(t, _)| (*at..at + 1000).contains(t));
+        assert!(window.count() <= 10);
+    }
+    assert_eq!(let_in.len(), 20);
+    let in_second = let_in.iter().filter(|(at, _)| *at >= 1000);
+    let low = in_second.filter(|(_, priority)| *priority == 2).count();
+    assert!((2..=3).contains(&low), "{let_in:?}");
+}
+
+/// Guards against a wait at a cold server while warm ones could serve the opening, or
+/// while no permit comes in time.
+#[test]
+fn an_opening_waits_at_a_cold_server_only_with_a_prospect() {
+    for (cold, now, expected) in [
+        (1, 500, Inbound::Refuse(Refusal::Cold)),
+        (4, 500, Inbound::Queue),
+        (4, 100, Inbound::Refuse(Refusal::Cold)),
+    ] {
+        let view = view(4, cold, 3000);
+        let mut agent = Agent::new(ip(1), FEEDS, 7, 1, Millis(0));
+        for port in 1..=10 {
+            assert!(matches!(
+                open(&mut agent, &view, 0, (3, port), 0),
+                Inbound::Forward { .. }
+            ));
+            answer(&mut agent, &view, 0, priority_flow(3, port));
+        }
+        assert_eq!(open(&mut agent, &view, now, (0, 20), 0), expected);
+        let seg = opening(flow(21), 0);
+        let without_priority = send(&mut agent, &view, now, Inquiry::OwnerEvenIfBusy, &seg);
+        assert_eq!(without_priority, Inbound::Refuse(Refusal::Cold));
+    }
+}
+
+/// Inquiries of a balancer whose opening every agent refuses as cold, in turn.
+fn inquiries_while_cold(key: FlowKey, view: &View) -> Vec<Inquiry> {
+    let seg = opening(key, 0);
+    let mut balancer = Balancer::new();
+    let mut action = balancer.on_packet(view, Millis(0), &seg);
+    let mut inquiries = Vec::new();
+    while let Action::Forward { agent, inquiry, .. } = action {
+        inquiries.push(inquiry);
+        let refusal = Refusal::Cold;
+        let returned = frame(FrameKind::Returned(refusal), key);
+        action = balancer.on_returned(view, Millis(1), agent, refusal, &returned, &seg);
+    }
+    assert!(matches!(action, Action::Reset(_)), "{action:?}");
+    inquiries
+}
+
+/// Guards against an opening that visits every server after a restart of all, and
+/// fills narrow links with two messages for each.
+#[test]
+fn an_opening_waits_after_two_cold_servers() {
+    let view = view(20, 20, 3000);
+    let inquiries = inquiries_while_cold(priority_flow(0, 1), &view);
+    assert_eq!(
+        inquiries,
+        [Inquiry::Owner, Inquiry::Owner, Inquiry::OwnerEvenIfBusy]
+    );
+    assert_eq!(inquiries_while_cold(flow(1), &view), [Inquiry::Owner; 20]);
+}
