Share the slots and permits of several servers between priorities

A priority whose turn is due now waits up to 100 ms, and keeps what it is owed. Permits for openings with a priority are now spread evenly over the second.

The simulation of the fleet also runs with a priority and a time limit.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -44,9 +44,13 @@
 const MIN_RESTART_SILENCE: Duration = Duration::from_millis(400);
 
 /// Limit on new flows of a cold server.
+///
+/// Those with a priority are spread evenly over the second. Otherwise the first ones
+/// after a start use up its permits at once, and as the limit holds for each second,
+/// none is left for most of every later second either.
 #[derive(Clone, Copy, Debug)]
 struct ColdLimit {
-    per_s: usize,
+    per_s: u32,
     /// End of the cold start; none while the server is not listed.
     ends_at: Option<Millis>,
 }
@@ -54,7 +58,11 @@
 impl ColdLimit {
     /// Time until the server may get the `turn`th new flow from now on.
     fn time_to_permit(&self, limiter: &RateLimiter, now: Millis, turn: usize) -> Duration {
-        let wait = limiter.time_until(now, self.per_s, turn);
+        let interval = Duration::from_secs(1) / self.per_s;
+        let first = limiter.last().map_or(now, |at| now.max(at + interval));
+        let spread = first + interval * turn.saturating_sub(1) as u32;
+        let wait = limiter.time_until(now, self.per_s as usize, turn);
+        let wait = wait.max(spread.since(now));
         self.ends_at.map_or(wait, |end| wait.min(end.since(now)))
     }
 }
@@ -83,7 +91,7 @@
         if self.is_full(view, now) || (yields && !cold) {
             return Some(self.queue_while_full(view, now, from, inquiry, seg));
         }
-        if yields || self.admit_cold(view, now).is_err() {
+        if yields || self.admit_cold(view, now, terms.rank).is_err() {
             return Some(self.queue_while_cold(view, now, from, inquiry, seg));
         }
         self.queue.note_admitted(terms.rank);
@@ -180,18 +188,14 @@
         refused
     }
 
-    /// Whether openings that wait get the free places, and the permits of a cold server,
-    /// before a new one of this rank.
+    /// Whether openings that wait get the free places, or the next permit of a cold
+    /// server, before a new one.
     fn yields_to_queue(&mut self, view: Option<&View>, now: Millis, terms: RouteTerms) -> bool {
         if self.queue.goes_first(terms.rank, now) {
             return false;
         }
-        let free = usize::from(self.free_places(view, now));
-        let cold = self.cold_limit(view, now);
-        let permits = cold.map_or(usize::MAX, |limit| {
-            self.cold_start_limiter.available(now, limit.per_s)
-        });
-        free.min(permits) <= self.queue.len()
+        let cold = self.cold_limit(view, now).is_some();
+        cold || usize::from(self.free_places(view, now)) <= self.queue.len()
     }
 
     fn free_places(&self, view: Option<&View>, now: Millis) -> u16 {
@@ -258,7 +262,9 @@
             return None;
         }
         let queued = self.queue.pop_next(now)?;
-        if self.superseded.contains(&queued.flow) || self.admit_cold(view, now).is_err() {
+        if self.superseded.contains(&queued.flow)
+            || self.admit_cold(view, now, queued.rank).is_err()
+        {
             return Some(self.refuse_queued(queued, Refusal::Overloaded));
         }
         self.queue.note_admitted(queued.rank);
@@ -347,13 +353,18 @@
         Err(Refusal::Silent)
     }
 
-    fn admit_cold(&mut self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
+    fn admit_cold(&mut self, view: Option<&View>, now: Millis, rank: Rank) -> Result<(), Refusal> {
         let Some(limit) = self.cold_limit(view, now) else {
             // The server may turn out to be cold within the next second.
             self.cold_start_limiter.record(now);
             return Ok(());
         };
-        if self.cold_start_limiter.try_acquire(now, limit.per_s) {
+        let too_early = rank.has_priority() && !self.time_to_permit(limit, now, 1).is_zero();
+        if !too_early
+            && self
+                .cold_start_limiter
+                .try_acquire(now, limit.per_s as usize)
+        {
             return Ok(());
         }
         Err(Refusal::Cold)
@@ -367,7 +378,7 @@
         // A server that is not listed yet has just started, so it is cold.
         let cold = member.is_none_or(|m| m.is_cold(now)) || now < self.cold_until;
         cold.then(|| ColdLimit {
-            per_s: rate.floor().max(1.0) as usize,
+            per_s: rate.floor().clamp(1.0, f64::from(u32::MAX)) as u32,
             ends_at: member.map(|m| m.cold_until.max(self.cold_until)),
         })
     }
--- a/crates/coordination/src/passthrough/opening_queue.rs
+++ b/crates/coordination/src/passthrough/opening_queue.rs
@@ -49,9 +49,9 @@
 const OVERLOAD_WAIT_LIMIT: Duration = Duration::from_millis(10);
 
 /// Wait after which an opening that arrived in the burst is given up once the
-/// server is overloaded. An opening that outranks others waits as long: slots
-/// become free at longer intervals than [`OVERLOAD_WAIT_LIMIT`], so with that
-/// limit its priority would have no effect.
+/// server is overloaded. An opening that outranks others, or whose priority's
+/// share is due, waits as long: slots become free at longer intervals than
+/// [`OVERLOAD_WAIT_LIMIT`], so most would be refused before their turn.
 const OVERLOAD_GIVE_UP_AFTER: Duration = Duration::from_millis(100);
 
 /// Limit on the length of the queue.
@@ -170,7 +170,7 @@
     fn deadline(&self, seg: &Segment, terms: RouteTerms, pace: Pace, now: Millis) -> Millis {
         let limit = match self.is_overloaded(now) {
             false => BURST_WAIT_LIMIT,
-            true if self.turns.outranks_any(terms.rank, now) => OVERLOAD_GIVE_UP_AFTER,
+            true if self.waits_longer(terms.rank, now) => OVERLOAD_GIVE_UP_AFTER,
             true => OVERLOAD_WAIT_LIMIT,
         };
         let Some(time_limit) = terms.time_limit else {
@@ -182,6 +182,12 @@
         now + limit.min(rest)
     }
 
+    /// Whether openings of this rank wait longer than others in overload, as one of the
+    /// next turns is theirs.
+    fn waits_longer(&self, rank: Rank, now: Millis) -> bool {
+        self.turns.outranks_any(rank, now) || self.turns.is_due(rank)
+    }
+
     /// When the opening `seg` could be served at the latest if it were queued now, and
     /// the turn in which it would leave.
     pub(super) fn prospect(
--- a/crates/coordination/src/passthrough/priority_turns.rs
+++ b/crates/coordination/src/passthrough/priority_turns.rs
@@ -21,10 +21,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank(u16);
 
-/// A priority that is present, and how many turns have gone to others since its last.
+/// Limit on the turns that a priority is owed, so that one that could not use them
+/// does not get many in a row.
+const MAX_PASSED_OVER: usize = 2 * TURNS_PER_SHARE;
+
+/// A priority that is present.
 #[derive(Clone, Copy, Debug)]
 struct Lane {
     rank: Rank,
+    /// Turns of others since its last one, less those that belong to them by its share.
     passed_over: usize,
     seen_at: Millis,
 }
@@ -68,13 +73,18 @@
     pub(super) fn note_admitted(&mut self, rank: Rank) {
         for lane in &mut self.lanes {
             lane.passed_over = if lane.rank == rank {
-                0
+                lane.passed_over.saturating_sub(TURNS_PER_SHARE - 1)
             } else {
-                lane.passed_over.saturating_add(1)
+                MAX_PASSED_OVER.min(lane.passed_over + 1)
             };
         }
     }
 
+    /// Whether the next turn of this rank is due by its share.
+    pub(super) fn is_due(&self, rank: Rank) -> bool {
+        self.turns_by_share(rank, 1) == 1
+    }
+
     /// Turns after which the `n`th opening of this rank leaves at the latest, as long as
     /// no more than [`TURNS_PER_SHARE`] priorities are present.
     pub(super) fn turns_by_share(&self, rank: Rank, n: usize) -> usize {
--- a/crates/coordination/src/passthrough/rate_limit.rs
+++ b/crates/coordination/src/passthrough/rate_limit.rs
@@ -37,10 +37,9 @@
         self.recorded_at.push_back(now);
     }
 
-    /// Number of events that are allowed now.
-    pub(super) fn available(&mut self, now: Millis, limit: usize) -> usize {
-        self.evict_old(now);
-        limit.saturating_sub(self.recorded_at.len())
+    /// Time of the last event.
+    pub(super) fn last(&self) -> Option<Millis> {
+        self.recorded_at.back().copied()
     }
 
     /// Time until the `n`th event from now on is allowed, if each one before it
--- a/crates/coordination/tests/passthrough/opening_queue.rs
+++ b/crates/coordination/tests/passthrough/opening_queue.rs
@@ -251,11 +251,10 @@
         let view = view(4, cold, 3000);
         let mut agent = Agent::new(ip(1), FEEDS, 7, 1, Millis(0));
         for port in 1..=10 {
-            assert!(matches!(
-                open(&mut agent, &view, 0, (3, port), 0),
-                Inbound::Forward { .. }
-            ));
-            answer(&mut agent, &view, 0, priority_flow(3, port));
+            let seg = opening(flow(port), 0);
+            let inbound = send(&mut agent, &view, 0, Inquiry::Owner, &seg);
+            assert!(matches!(inbound, Inbound::Forward { .. }), "{inbound:?}");
+            answer(&mut agent, &view, 0, flow(port));
         }
         assert_eq!(open(&mut agent, &view, now, (0, 20), 0), expected);
         let seg = opening(flow(21), 0);
--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use ramp_coordination::passthrough::agent::Agent;
@@ -39,6 +40,8 @@
 const REORDER_RETRY_MS: u64 = 10;
 /// Time from a server's crash until its record lapses.
 const LEASE_MS: u64 = 2_000;
+/// Time limit of a route that has one.
+const TIME_LIMIT: Duration = Duration::from_secs(3);
 /// Start of every server and of its first agent, Unix milliseconds.
 const SERVER_START_MS: u64 = 1;
 /// Start of an agent that is restarted while its server runs, Unix
@@ -154,6 +157,8 @@
     /// immediately.
     pub work_ms: u64,
     pub queued_fault: QueuedFault,
+    /// Whether the callers' route has a priority and a time limit.
+    pub has_priority: bool,
 }
 
 /// Counts and violations of one run.
@@ -306,6 +311,13 @@
             outcome: Outcome::default(),
         };
         fleet.network.queued_fault = fleet.scenario.queued_fault;
+        if fleet.scenario.has_priority {
+            let mut configuration = configuration(2);
+            configuration.routes[0].priority = Some(1);
+            configuration.routes[0].time_limit = Some(TIME_LIMIT);
+            let configuration = Record::Configuration(configuration);
+            fleet.store.apply(Millis(0), written(100, configuration));
+        }
         for last in 1..=5 {
             fleet.add(last);
         }
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -227,6 +227,7 @@
         operations: routing_changes(),
         work_ms: SLOW_WORK_MS,
         queued_fault,
+        ..Scenario::default()
     }
 }
 
@@ -238,6 +239,21 @@
     assert!(outcomes.iter().any(|o| o.waited > 0), "servers are full");
 }
 
+// Guards against a reset of an open flow by an agent that refused a copy of its
+// opening because of the route's time limit, or let another one in first.
+#[test]
+fn copies_of_an_opening_with_a_time_limit_reset_no_open_flow() {
+    let queued_fault = QueuedFault {
+        lost_percent: 30,
+        late_ms: 90,
+    };
+    let outcomes = run_all_seeds(|_| Scenario {
+        has_priority: true,
+        ..full_servers(queued_fault)
+    });
+    assert!(outcomes.iter().any(|o| o.waited > 0), "servers are full");
+}
+
 // Guards against a reset of an open flow by an agent at which a copy of the
 // flow's opening waited too long. The opening was placed again because the frame
 // that said it waits was lost.
