--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -56,9 +56,14 @@
 }
 
 impl ColdLimit {
+    /// Time between two new flows that are spread evenly.
+    fn interval(&self) -> Duration {
+        Duration::from_secs(1) / self.per_s
+    }
+
     /// Time until the server may get the `turn`th new flow from now on.
     fn time_to_permit(&self, limiter: &RateLimiter, now: Millis, turn: usize) -> Duration {
-        let interval = Duration::from_secs(1) / self.per_s;
+        let interval = self.interval();
         let first = limiter.last().map_or(now, |at| now.max(at + interval));
         let spread = first + interval * turn.saturating_sub(1) as u32;
         let wait = limiter.time_until(now, self.per_s as usize, turn);
@@ -209,9 +214,13 @@
 
     fn pace(&self, view: Option<&View>, now: Millis) -> Pace {
         let member = view.and_then(|v| v.member_or_lapsed(self.server_ip, now));
+        let places = u32::from(member.map_or(0, Member::places));
+        let request_time = self.request_time.get();
+        let turn = request_time.checked_div(places).unwrap_or_default();
+        let cold = self.cold_limit(view, now);
         Pace {
-            request_time: self.request_time.get(),
-            places: member.map_or(0, Member::places),
+            request_time,
+            turn: cold.map_or(turn, |limit| turn.max(limit.interval())),
         }
     }
 
--- a/crates/coordination/src/passthrough/opening_queue.rs
+++ b/crates/coordination/src/passthrough/opening_queue.rs
@@ -50,7 +50,7 @@
 
 /// Wait after which an opening that arrived in the burst is given up once the
 /// server is overloaded. An opening that outranks others, or whose priority's
-/// share is due, waits as long: slots become free at longer intervals than
+/// share is due, waits at least as long: slots become free at longer intervals than
 /// [`OVERLOAD_WAIT_LIMIT`], so most would be refused before their turn.
 const OVERLOAD_GIVE_UP_AFTER: Duration = Duration::from_millis(100);
 
@@ -64,13 +64,13 @@
     pub(super) time_limit: Option<Duration>,
 }
 
-/// How fast a server works, for an estimate of the wait.
+/// How fast a server takes new flows, for an estimate of the wait.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
     /// Mean time of a request at the server; zero if unknown.
     pub(super) request_time: Duration,
-    /// Requests that the server holds when it is full; zero if it is never full.
-    pub(super) places: u16,
+    /// Time between two new flows; zero if unknown.
+    pub(super) turn: Duration,
 }
 
 /// An opening that waits, and when it must be let in or refused.
@@ -88,6 +88,8 @@
     queued_at: Millis,
     /// When the opening has waited for too long.
     deadline: Millis,
+    /// Longest wait once the server is overloaded.
+    overload_limit: Duration,
 }
 
 /// Order of the queue, the opening that leaves last first.
@@ -123,9 +125,7 @@
 impl Pace {
     /// Expected time until `turns` openings have been let in.
     fn time_for(&self, turns: usize) -> Duration {
-        let places = u32::from(self.places);
-        let time = self.request_time.saturating_mul(turns as u32);
-        time.checked_div(places).unwrap_or_default()
+        self.turn.saturating_mul(turns as u32)
     }
 }
 
@@ -155,6 +155,9 @@
             first_sent_at: now - seg.opening_age,
             queued_at: now,
             deadline: self.deadline(seg, terms, pace, now),
+            overload_limit: self
+                .overload_limit(terms.rank, pace, now)
+                .max(OVERLOAD_GIVE_UP_AFTER),
         };
         let at = self.position(opening.order());
         let wait = pace.time_for(self.turns_until(at, opening.rank));
@@ -168,10 +171,10 @@
 
     /// When the opening `seg` will have waited for too long if it is queued now.
     fn deadline(&self, seg: &Segment, terms: RouteTerms, pace: Pace, now: Millis) -> Millis {
-        let limit = match self.is_overloaded(now) {
-            false => BURST_WAIT_LIMIT,
-            true if self.waits_longer(terms.rank, now) => OVERLOAD_GIVE_UP_AFTER,
-            true => OVERLOAD_WAIT_LIMIT,
+        let limit = if self.is_overloaded(now) {
+            self.overload_limit(terms.rank, pace, now)
+        } else {
+            BURST_WAIT_LIMIT
         };
         let Some(time_limit) = terms.time_limit else {
             return now + limit;
@@ -182,10 +185,15 @@
         now + limit.min(rest)
     }
 
-    /// Whether openings of this rank wait longer than others in overload, as one of the
-    /// next turns is theirs.
-    fn waits_longer(&self, rank: Rank, now: Millis) -> bool {
-        self.turns.outranks_any(rank, now) || self.turns.is_due(rank)
+    /// Longest wait of an opening of this rank that arrives while the server is
+    /// overloaded. One of the next turns is due to an opening that outranks others, or
+    /// whose priority was passed over.
+    fn overload_limit(&self, rank: Rank, pace: Pace, now: Millis) -> Duration {
+        if self.turns.outranks_any(rank, now) || self.turns.is_due(rank) {
+            let share = pace.time_for(TURNS_PER_SHARE).min(BURST_WAIT_LIMIT);
+            return share.max(OVERLOAD_GIVE_UP_AFTER);
+        }
+        OVERLOAD_WAIT_LIMIT
     }
 
     /// When the opening `seg` could be served at the latest if it were queued now, and
@@ -307,8 +315,7 @@
             return Some(evicted);
         }
         let overloaded = self.is_overloaded(now);
-        let stale =
-            |o: &QueuedOpening| overloaded && now.since(o.queued_at) >= OVERLOAD_GIVE_UP_AFTER;
+        let stale = |o: &QueuedOpening| overloaded && now.since(o.queued_at) >= o.overload_limit;
         let expired = |o: &QueuedOpening| now >= o.deadline || stale(o);
         let at = self.openings.iter().position(expired)?;
         Some(self.openings.remove(at))
