Ask the holders before a flow is reset whose opening waited at a cold server

A flow that every member refused was reset without a question if its opening was the caller's first transmission. An opening that waits at a cold server can be refused so late that the caller has sent a copy, which may have opened the flow through another balancer. More than 150 ms after the first refusal the holders are now asked first.

--- a/crates/coordination/src/passthrough/balancer/placement.rs
+++ b/crates/coordination/src/passthrough/balancer/placement.rs
@@ -10,6 +10,7 @@
 //! another seldom finds room and costs two messages each.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::Inquiry;
@@ -38,6 +39,10 @@
 /// to have used up their rates too.
 const MAX_COLD_REFUSALS: usize = 2;
 
+/// Time from an opening's first refusal within which the caller can't have sent another
+/// copy: it retransmits after 200 ms, and the opening may have been on its way for some.
+const MAX_SINGLE_COPY_TIME: Duration = Duration::from_millis(150);
+
 /// Members that one new flow has been forwarded to without success.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PlacementAttempt {
@@ -51,6 +56,7 @@
     cold: Vec<Ipv4Addr>,
     /// Whether the flow was sent to a cold member to wait there.
     waited_cold: bool,
+    began_at: Millis,
     pub(super) seen_at: Millis,
 }
 
@@ -239,8 +245,10 @@
     /// now.
     fn refuse(&mut self, view: &View, now: Millis, seg: &Segment, reason: ResetReason) -> Action {
         self.flows.swap_remove(&seg.key);
-        self.placement_attempts.swap_remove(&seg.key);
-        if reason == ResetReason::NoMember && seg.opening_age.is_zero() {
+        let attempt = self.placement_attempts.swap_remove(&seg.key);
+        let took = attempt.map_or(Duration::ZERO, |a| now.since(a.began_at));
+        let single_copy = seg.opening_age.is_zero() && took < MAX_SINGLE_COPY_TIME;
+        if reason == ResetReason::NoMember && single_copy {
             return self.reset_unless_view_outdated(view, seg, reason);
         }
         self.searches.insert(seg.key, Search::new(now, seg, reason));
@@ -252,7 +260,11 @@
         now: Millis,
         flow: FlowKey,
     ) -> &mut PlacementAttempt {
-        let attempt = self.placement_attempts.entry(flow).or_default();
+        let attempt = self.placement_attempts.entry(flow);
+        let attempt = attempt.or_insert_with(|| PlacementAttempt {
+            began_at: now,
+            ..PlacementAttempt::default()
+        });
         attempt.seen_at = now;
         attempt
     }
--- a/crates/coordination/tests/passthrough/opening_queue.rs
+++ b/crates/coordination/tests/passthrough/opening_queue.rs
@@ -1,8 +1,11 @@
-//! Openings of routes with a priority and a time limit that wait at one agent.
+//! Openings of routes with a priority and a time limit that wait at one agent, and
+//! the refusal of one that waited in vain.
 
 use ramp_coordination::passthrough::agent::Agent;
 use ramp_coordination::passthrough::agent::Dequeued;
 use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::balancer::Action;
+use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
@@ -179,3 +182,26 @@
         assert_eq!(without_priority, Inbound::Refuse(Refusal::Cold));
     }
 }
+
+/// Guards against the reset of a flow whose opening waited at a cold server in vain,
+/// while a copy of it that came through another balancer opened the flow.
+#[test]
+fn the_holders_are_asked_before_an_opening_that_waited_is_refused() {
+    let (view, seg) = (view(20, 20, 3000), opening(priority_flow(0, 1), 0));
+    for (refused_at, resets) in [(100, true), (300, false)] {
+        let mut balancer = Balancer::new();
+        let mut action = balancer.on_packet(&view, Millis(0), &seg);
+        let mut inquiries = Vec::new();
+        while let Action::Forward { agent, inquiry, .. } = action {
+            inquiries.push(inquiry);
+            let now = Millis(if inquiries.len() == 3 { refused_at } else { 1 });
+            let (refusal, view) = (Refusal::Cold, &view);
+            let returned = frame(FrameKind::Returned(refusal), seg.key);
+            action = balancer.on_returned(view, now, agent, refusal, &returned, &seg);
+        }
+        let expected = [Inquiry::Owner, Inquiry::Owner, Inquiry::OwnerEvenIfBusy];
+        assert_eq!(inquiries, expected);
+        assert_eq!(matches!(action, Action::Reset(_)), resets, "{action:?}");
+        assert_eq!(matches!(action, Action::QueryOwner(_)), !resets);
+    }
+}
--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -40,6 +40,8 @@
 const REORDER_RETRY_MS: u64 = 10;
 /// Time from a server's crash until its record lapses.
 const LEASE_MS: u64 = 2_000;
+/// Limit on new flows a second of each cold server.
+const COLD_PER_S: f64 = 3.0;
 /// Time limit of a route that has one.
 const TIME_LIMIT: Duration = Duration::from_secs(3);
 /// Start of every server and of its first agent, Unix milliseconds.
@@ -159,6 +161,8 @@
     pub queued_fault: QueuedFault,
     /// Whether the callers' route has a priority and a time limit.
     pub has_priority: bool,
+    /// Whether all servers are cold, and get fewer new flows than there are.
+    pub cold: bool,
 }
 
 /// Counts and violations of one run.
@@ -315,6 +319,7 @@
             let mut configuration = configuration(2);
             configuration.routes[0].priority = Some(1);
             configuration.routes[0].time_limit = Some(TIME_LIMIT);
+            configuration.services[0].cold_rate_per_s = Some(COLD_PER_S);
             let configuration = Record::Configuration(configuration);
             fleet.store.apply(Millis(0), written(100, configuration));
         }
@@ -384,7 +389,11 @@
     fn add(&mut self, last: u8) {
         let agent = Agent::new(ip(last), FEEDS, last, SERVER_START_MS, Millis(self.now));
         self.servers.insert(ip(last), Server::new(agent));
-        self.publish(Change::Written(record(last, FEEDS)));
+        let mut server = server(last, FEEDS);
+        if self.scenario.cold {
+            server.cold_for = Duration::from_millis(RUN_MS);
+        }
+        self.publish(Change::Written(Record::Server(id(last), server)));
         self.start_process(process_of(ip(last)));
     }
 
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -247,11 +247,14 @@
         lost_percent: 30,
         late_ms: 90,
     };
-    let outcomes = run_all_seeds(|_| Scenario {
-        has_priority: true,
-        ..full_servers(queued_fault)
-    });
-    assert!(outcomes.iter().any(|o| o.waited > 0), "servers are full");
+    for cold in [false, true] {
+        let outcomes = run_all_seeds(|_| Scenario {
+            has_priority: true,
+            cold,
+            ..full_servers(queued_fault)
+        });
+        assert!(outcomes.iter().any(|o| o.waited > 0), "cold: {cold}");
+    }
 }
 
 // Guards against a reset of an open flow by an agent at which a copy of the
