--- a/crates/coordination/benches/search_messages.rs
+++ b/crates/coordination/benches/search_messages.rs
@@ -331,6 +331,9 @@
     let route = Route {
         address: ADDRESS,
         shares: vec![share],
+        priority: None,
+        aim: None,
+        time_limit: None,
     };
     let mut records = vec![Record::Configuration(Configuration {
         version: Version(1),
--- a/crates/transport/src/passthrough/balancer/egress.rs
+++ b/crates/transport/src/passthrough/balancer/egress.rs
@@ -9,6 +9,7 @@
 use ramp_coordination::passthrough::egress::Datagram;
 use ramp_coordination::passthrough::egress::EgressQueue;
 use ramp_coordination::passthrough::link_rate::LinkRate;
+use ramp_coordination::passthrough::view::View;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::packet::Segment;
@@ -17,9 +18,6 @@
 use super::Worker;
 use crate::passthrough::telemetry::egress::Telemetry;
 
-/// Priority of data until routes have one.
-const ROUTE_PRIORITY: Option<u8> = None;
-
 /// Socket through which a datagram leaves.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Outlet {
@@ -65,6 +63,7 @@
     pub(super) fn frame_class<F: PacketFormat>(
         &self,
         now: Millis,
+        view: &View,
         kind: FrameKind,
         packet: &[u8],
     ) -> Class {
@@ -75,7 +74,8 @@
             return Class::Control;
         };
         let Segment { key, len, .. } = parsed.segment;
-        self.bulk_meter.class_of(now, &key, len, ROUTE_PRIORITY)
+        let priority = view.route(key.service).and_then(|route| route.priority);
+        self.bulk_meter.class_of(now, &key, len, priority)
     }
 
     /// Time after which the queue is to be drained again; none if it is empty.
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -343,7 +343,7 @@
         }
         let to = SocketAddrV4::new(agent, self.traffic.settings.data_port);
         self.send(Outlet::Agents, to, |egress, now| {
-            egress.frame_class::<F>(now, kind, packet)
+            egress.frame_class::<F>(now, view, kind, packet)
         });
     }
 
