--- a/crates/coordination/src/passthrough/platform_client.rs
+++ b/crates/coordination/src/passthrough/platform_client.rs
@@ -19,6 +19,16 @@
         HistoryExpired {
             display("the platform no longer has the changes after this revision")
         }
+        /// The platform's store was restored from a copy since the given revision
+        /// was read, or during a listing. All records must be listed again.
+        EpochChanged {
+            display("the platform's store was restored from a copy")
+        }
+        /// The answer is from before a restoration of the store that is already
+        /// known, so it is ignored.
+        EpochOutdated {
+            display("the answer is from before the restoration of the platform's store")
+        }
         /// The platform refused the call with this HTTP status; a retry may
         /// succeed.
         Refused(status: u16) {
@@ -49,8 +59,8 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError`]; after [`PlatformError::HistoryExpired`] the caller has
-    /// to list all records again.
+    /// [`PlatformError`]; after [`PlatformError::HistoryExpired`] and
+    /// [`PlatformError::EpochChanged`] the caller has to list all records again.
     fn watch(
         &mut self,
         after: Revision,
--- a/crates/coordination/src/passthrough/published.rs
+++ b/crates/coordination/src/passthrough/published.rs
@@ -19,10 +19,48 @@
 /// record lapsed in the outage, is listed again.
 pub const RELIST_LIMIT: Duration = Duration::from_millis(2500);
 
-/// Position in the platform's history of changes; it only increases.
+/// Number of low bits of a [`Revision`] that hold its number.
+const REVISION_NUMBER_BITS: u32 = 48;
+
+/// Number of restorations of the platform's store from a copy. Each may discard
+/// the newest records and reuse their numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Epoch(pub u16);
+
+/// Position in the platform's history of changes; it only increases. The upper 16
+/// bits hold the epoch of the store, the lower 48 the store's own number, so
+/// positions are ordered by epoch first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// The position with the store's own `number` in `epoch`; `None` if the number
+    /// has more than 48 bits.
+    pub fn new(epoch: Epoch, number: u64) -> Option<Revision> {
+        if number >> REVISION_NUMBER_BITS != 0 {
+            return None;
+        }
+        Some(Revision(
+            u64::from(epoch.0) << REVISION_NUMBER_BITS | number,
+        ))
+    }
+
+    /// The position before all changes of `epoch`.
+    pub fn start_of(epoch: Epoch) -> Revision {
+        Revision(u64::from(epoch.0) << REVISION_NUMBER_BITS)
+    }
+
+    /// Epoch of the store.
+    pub fn epoch(self) -> Epoch {
+        Epoch((self.0 >> REVISION_NUMBER_BITS) as u16)
+    }
+
+    /// The store's own number, which is reused after a restoration.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << REVISION_NUMBER_BITS) - 1)
+    }
+}
+
 /// A service's share of the new flows of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -161,3 +199,14 @@
         current: bool,
     },
 }
+
+impl FeedMessage {
+    /// Revision up to which the reader had read when it sent this.
+    pub fn cursor(&self) -> Revision {
+        match self {
+            FeedMessage::Listing(listing) => listing.cursor,
+            FeedMessage::Changes(changes) => changes.cursor,
+            FeedMessage::Alive { cursor, .. } => *cursor,
+        }
+    }
+}
--- a/crates/transport/src/passthrough/http.rs
+++ b/crates/transport/src/passthrough/http.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -41,6 +42,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -128,13 +131,14 @@
             .send_request(request)
             .await
             .map_err(unreachable)?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
             .map_err(|err| PlatformError::Unreachable(err.to_string()))?;
         Ok(Answer {
-            status,
+            status: head.status.as_u16(),
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
