Keep acknowledged records in effect after a restoration of the store

Cause: the first listing of a new epoch comes from a stale copy. It lacks servers, drains and evacuations that the store had acknowledged, and contains entries of servers that have ended.

Change: the catalog compares the records in force with the copy. The control thread lists again after a restoration and follows no reader of an older epoch. A gauge and log lines show the epoch and what is held.

--- a/crates/coordination/src/passthrough/catalog.rs
+++ b/crates/coordination/src/passthrough/catalog.rs
@@ -4,6 +4,9 @@
 //! an older revision are ignored. The version of the configuration never goes
 //! back. A server whose record is removed is remembered for a while: only its
 //! lease may have expired, and it may still be running with open flows.
+//!
+//! The first listing of a newer epoch comes from a stale copy of the store. What was
+//! acknowledged before and is missing in it remains in effect for a while.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -27,6 +30,8 @@
 use super::published::RecordKey;
 use super::published::Revision;
 use super::published::ServerState;
+use super::restoration::HeldRecords;
+use super::restoration::Restoration;
 use super::view::LapsedServer;
 use super::view::Member;
 use super::view::PlatformAnswers;
@@ -53,6 +58,9 @@
     /// When the evacuation of each data centre ended.
     evacuation_ended_at: IndexMap<DataCentreId, Millis>,
     unlisted: UnlistedServers,
+    /// What remains in effect since the store was restored; none: it was not, as
+    /// far as this process has seen.
+    restoration: Option<Restoration>,
     /// Start of the current span without a failure of the platform; none while
     /// it fails.
     answering_since: Option<Millis>,
@@ -120,11 +128,21 @@
         if listing.cursor < self.cursor {
             return;
         }
+        let epoch = listing.cursor.epoch();
+        if self.cursor > Revision(0) && epoch > self.cursor.epoch() {
+            self.store_restored(now, &listing);
+        }
         self.note_answer(now);
         let old = std::mem::take(&mut self.servers);
         let evacuated = std::mem::take(&mut self.evacuated);
+        let mut listed_ids = IndexSet::new();
         for record in listing.records {
-            self.insert_record(now, record, &old);
+            if let Record::Server(id, _) = &record {
+                listed_ids.insert(*id);
+            }
+            if let Some(record) = self.read_listed(now, record) {
+                self.insert_record(now, record, &old);
+            }
         }
         for (id, listed) in old {
             if !self.servers.contains_key(&id) {
@@ -132,23 +150,31 @@
             }
         }
         for data_centre in evacuated {
-            if !self.evacuated.contains(&data_centre) {
+            if !self.is_evacuated(data_centre) {
                 self.evacuation_ended_at.insert(data_centre, now);
             }
         }
+        if let Some(restoration) = &mut self.restoration {
+            restoration.listing_read(&listed_ids, &self.servers);
+        }
         self.cursor = listing.cursor;
-        self.newest = self.newest.max(listing.newest);
+        // Without any record, the start of the epoch still shows other instances
+        // that there is a new one.
+        let newest = listing.newest.max(Revision::start_of(epoch));
+        self.newest = self.newest.max(newest);
     }
 
     /// Applies changes, unless they end at an older revision than the catalog:
-    /// those are known already and would undo newer ones.
+    /// those are known already and would undo newer ones. Changes of a newer epoch
+    /// are ignored too, since a listing must precede them.
     pub fn apply(&mut self, now: Millis, changes: Changes) {
-        if changes.cursor < self.cursor {
+        if changes.cursor < self.cursor || self.needs_listing_for(changes.cursor) {
             return;
         }
         self.note_answer(now);
         let none = IndexMap::new();
         for change in changes.changes {
+            self.note_change(&change);
             match change {
                 Change::Written(record) => self.insert_record(now, record, &none),
                 Change::Removed(key) => self.remove_record(now, key),
@@ -158,17 +184,59 @@
         self.newest = self.newest.max(changes.newest);
     }
 
+    /// Whether changes up to `cursor` can be applied only after a listing, because
+    /// the store was restored since the catalog was read.
+    pub fn needs_listing_for(&self, cursor: Revision) -> bool {
+        cursor.epoch() > self.cursor.epoch()
+    }
+
+    /// Records that remain in effect since the store was restored.
+    pub fn held_records(&self) -> HeldRecords {
+        let restoration = self.restoration.as_ref();
+        restoration.map(Restoration::held).unwrap_or_default()
+    }
+
+    /// Ends what remained in effect after a restoration and whose time is over. If
+    /// anything has ended, returns the changes for processes that got these records
+    /// from this one.
+    pub fn end_holds(&mut self, now: Millis) -> Option<Changes> {
+        let restoration = self.restoration.as_mut()?;
+        let accepted = restoration.take_accepted(now);
+        let mut ended = restoration.take_ended_evacuations(now);
+        ended.retain(|data_centre| !self.evacuated.contains(data_centre));
+        if accepted.is_empty() && ended.is_empty() {
+            return None;
+        }
+        for (id, listed) in accepted {
+            self.unlisted.server_listed(id, listed.address());
+            self.servers.insert(id, listed);
+        }
+        for data_centre in &ended {
+            self.evacuation_ended_at.insert(*data_centre, now);
+        }
+        let ended = ended.into_iter().map(RecordKey::Evacuation);
+        Some(Changes {
+            cursor: self.cursor,
+            changes: ended.map(Change::Removed).collect(),
+            ..Changes::default()
+        })
+    }
+
     /// All records, for a process that follows this one.
     pub fn listing(&self, now: Millis) -> Listing {
         let configuration = self.configuration.iter();
         let configuration = configuration.map(|c| Record::Configuration(Configuration::clone(c)));
-        let evacuated = self.evacuated.iter().copied().map(Record::Evacuation);
+        let evacuated = self.all_evacuated().into_iter().map(Record::Evacuation);
         let servers = self.servers.iter();
         let servers = servers.map(|(id, listed)| Record::Server(*id, listed.server_at(now)));
+        // The follower can't tell which server has the address now.
+        let set_aside = self.restoration.iter().flat_map(Restoration::set_aside);
+        let set_aside = set_aside.map(|(id, server)| Record::Server(id, server));
+        let records = configuration.chain(evacuated).chain(servers);
         Listing {
             cursor: self.cursor,
             newest: self.newest,
-            records: configuration.chain(evacuated).chain(servers).collect(),
+            records: records.chain(set_aside).collect(),
         }
     }
 
@@ -234,6 +302,49 @@
         self.unlisted.evict_expired(now);
     }
 
+    /// Prepares the catalog for the first listing of a new epoch.
+    fn store_restored(&mut self, now: Millis, listing: &Listing) {
+        let evacuated = self.all_evacuated().into_iter();
+        let restoration = Restoration::new(now, &self.servers, &self.unlisted, evacuated, listing);
+        self.restoration = Some(restoration);
+        // Servers that are missing in the copy are treated like those whose records
+        // lapsed in an outage that ends now.
+        self.unlisted.call_failed(now);
+        self.answering_since = None;
+    }
+
+    /// The reading of a listed record; `None` if it is not used for now.
+    fn read_listed(&self, now: Millis, record: Record) -> Option<Record> {
+        match (&self.restoration, record) {
+            (Some(restoration), Record::Server(id, server)) => {
+                let server = restoration.read_listed(now, id, server)?;
+                Some(Record::Server(id, server))
+            }
+            (_, record) => Some(record),
+        }
+    }
+
+    /// Records that a server's record was written or removed after the restoration.
+    fn note_change(&mut self, change: &Change) {
+        let id = match change {
+            Change::Written(Record::Server(id, _)) | Change::Removed(RecordKey::Server(id)) => *id,
+            _ => return,
+        };
+        if let Some(restoration) = &mut self.restoration {
+            restoration.server_changed(id);
+        }
+    }
+
+    fn all_evacuated(&self) -> IndexSet<DataCentreId> {
+        let held = self.restoration.iter().flat_map(Restoration::evacuations);
+        self.evacuated.iter().copied().chain(held).collect()
+    }
+
+    fn is_evacuated(&self, data_centre: DataCentreId) -> bool {
+        let mut held = self.restoration.iter().flat_map(Restoration::evacuations);
+        self.evacuated.contains(&data_centre) || held.any(|h| h == data_centre)
+    }
+
     fn insert_record(
         &mut self,
         now: Millis,
@@ -293,7 +404,9 @@
                 }
             }
             RecordKey::Evacuation(data_centre) => {
-                if self.evacuated.swap_remove(&data_centre) {
+                let restoration = self.restoration.as_mut();
+                let was_held = restoration.is_some_and(|r| r.evacuation_removed(data_centre));
+                if self.evacuated.swap_remove(&data_centre) || was_held {
                     self.evacuation_ended_at.insert(data_centre, now);
                 }
             }
@@ -319,7 +432,7 @@
             service: server.service,
             slots: server.slots,
             draining: server.state == ServerState::Draining,
-            evacuated: self.evacuated.contains(&server.data_centre),
+            evacuated: self.is_evacuated(server.data_centre),
             cold_until,
             cold_rate_per_s: policy.and_then(|p| p.cold_rate_per_s),
             born_ms: server.born_ms,
--- a/crates/coordination/src/passthrough/listed.rs
+++ b/crates/coordination/src/passthrough/listed.rs
@@ -44,11 +44,20 @@
     until: Millis,
 }
 
+/// A server that drained before its removal.
+#[derive(Clone, Copy, Debug)]
+struct DrainedServer {
+    id: ServerId,
+    born_ms: u64,
+    removed_at: Millis,
+}
+
 /// Servers that are no longer listed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UnlistedServers {
     removed: Vec<RemovedServer>,
     lapsed_records: Vec<LapsedRecord>,
+    drained: Vec<DrainedServer>,
     /// When a call to the platform last failed.
     last_failure_at: Option<Millis>,
 }
@@ -61,9 +70,20 @@
         server
     }
 
-    fn address(&self) -> Ipv4Addr {
+    pub(super) fn address(&self) -> Ipv4Addr {
         *self.server.address.ip()
     }
+
+    /// Whether it drains and `server` is a record of the same start.
+    pub(super) fn drains_as(&self, server: &Server) -> bool {
+        self.server.state == ServerState::Draining && self.server.born_ms == server.born_ms
+    }
+}
+
+impl DrainedServer {
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.removed_at) < DRAINED_RETENTION
+    }
 }
 
 impl UnlistedServers {
@@ -83,6 +103,13 @@
             removed_at: now,
             was_ready,
         });
+        if !was_ready {
+            self.drained.push(DrainedServer {
+                id,
+                born_ms: listed.server.born_ms,
+                removed_at: now,
+            });
+        }
         let failed = |at: Millis| now.since(at) < RELIST_LIMIT;
         let after_failure = self.last_failure_at.is_some_and(failed);
         if after_failure && was_ready {
@@ -97,12 +124,20 @@
         self.removed.retain(|d| d.address != address);
         let other = |l: &LapsedRecord| l.id != id && l.listed.address() != address;
         self.lapsed_records.retain(other);
+        self.drained.retain(|d| d.id != id);
+    }
+
+    /// Whether this server drained before it was removed, not long ago.
+    pub(super) fn has_drained(&self, now: Millis, id: ServerId, born_ms: u64) -> bool {
+        let mut drained = self.drained.iter();
+        drained.any(|d| d.id == id && d.born_ms == born_ms && d.is_recent(now))
     }
 
     /// Forgets servers whose retention or grace period is over.
     pub(super) fn evict_expired(&mut self, now: Millis) {
         self.removed.retain(|d| may_have_flows(d, now));
         self.lapsed_records.retain(|l| now < l.until);
+        self.drained.retain(|d| d.is_recent(now));
     }
 
     /// Servers that may still be asked for their flows.
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -9,6 +9,8 @@
 //!
 //! - [`published`]: the records that the platform publishes, as types
 //! - [`catalog`]: one process's copy of those records
+//! - [`restoration`]: what remains in effect after the platform's store was
+//!   restored from a stale copy
 //! - [`view`]: immutable lookup tables compiled from the catalog
 //! - [`balancer`] and [`agent`]: the decision for each packet
 //! - [`readers`]: which processes read the platform, and which of them the
@@ -31,6 +33,7 @@
 mod rate_limit;
 pub mod reachability;
 pub mod readers;
+pub mod restoration;
 mod suspects;
 mod sweep;
 pub mod view;
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -2,7 +2,8 @@
 //!
 //! Reads the records of the platform, either directly or by following a reader,
 //! and sends each new view to the traffic thread. Falls back to the other source
-//! when one fails, and retries with backoff.
+//! when one fails, and retries with backoff. A reader whose records are of an older
+//! epoch of the store than the own ones is not followed.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use ramp_coordination::passthrough::platform_client::PlatformClient;
 use ramp_coordination::passthrough::platform_client::PlatformError;
 use ramp_coordination::passthrough::published::Changes;
+use ramp_coordination::passthrough::published::Epoch;
 use ramp_coordination::passthrough::published::FeedMessage;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::readers::Readers;
@@ -25,6 +27,7 @@
 use super::feed::Feed;
 use super::feed::FeedClient;
 use super::readiness::Readiness;
+use super::telemetry::store_epoch;
 use super::thread_messages::Event;
 use super::thread_messages::Update;
 use crate::clock::Clock;
@@ -47,8 +50,9 @@
 /// Maximum delay between failed calls of all other processes.
 const MAX_FOLLOWER_RETRY_DELAY: Duration = Duration::from_millis(1000);
 
-/// Interval of the check whether the records are stale.
-const STALENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of the check whether the records are stale, and whether the time of
+/// records is over that remained in effect after a restoration of the store.
+const TIME_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of failed calls in a row from which the platform is considered down.
 const OUTAGE_FAILURE_COUNT: u32 = 2;
@@ -84,6 +88,10 @@
     pub feed: Rc<Feed>,
     /// Readers that this process may follow.
     pub readers: Readers,
+    /// Whether the records come from a reader's listing, made in a newer epoch than
+    /// zero. It may contain evacuations that this reader holds since the restoration
+    /// of the store and whose end only this reader reports.
+    pub has_reader_listing: bool,
 }
 
 /// Result of one attempt to get records.
@@ -92,6 +100,9 @@
     Updated,
     /// A reader was followed up to the time limit for doing so.
     Followed,
+    /// The platform's store was restored from a copy, so all records must be
+    /// listed.
+    Restored,
     /// A call to the platform failed.
     Failed(PlatformError),
     /// The followed reader failed or is no longer current, for this reason.
@@ -106,10 +117,10 @@
     /// Runs until the traffic thread has finished.
     pub async fn run(mut self) {
         let feed = Rc::clone(&self.feed);
-        let watching_staleness = watch_staleness(feed, self.clock, self.updates.clone());
+        let watching_time = watch_time(feed, self.clock, self.updates.clone());
         tokio::select! {
             () = self.follow_platform() => {}
-            () = watching_staleness => {}
+            () = watching_time => {}
         }
     }
 
@@ -129,7 +140,7 @@
                 // No reader had any records when this process started, so it
                 // lists those of the platform first.
                 Some(reader) if !must_list || failures > 0 => self.follow_reader(reader).await,
-                _ if must_list => self.list().await,
+                _ if must_list || self.has_reader_listing => self.list().await,
                 None if readers_may_start && failures == 0 && now < readers_expected_until => {
                     if self.pause(READER_RETRY_DELAY).await {
                         return;
@@ -147,6 +158,10 @@
                     failures = 0;
                     must_list = false;
                 }
+                Outcome::Restored => {
+                    failures = 0;
+                    must_list = true;
+                }
                 Outcome::Followed => failures = 0,
                 Outcome::ReaderLost(reason) => {
                     readers_may_start = false;
@@ -176,8 +191,13 @@
 
     async fn list(&mut self) -> Outcome {
         match self.platform.list().await {
+            // A reader that was followed may have shown a newer epoch.
+            Ok(listing) if listing.cursor.epoch() < self.cursor().epoch() => {
+                Outcome::Failed(PlatformError::EpochOutdated)
+            }
             Ok(listing) => {
                 self.feed.record_platform_answer(true);
+                self.has_reader_listing = false;
                 self.apply(FeedMessage::Listing(listing));
                 Outcome::Updated
             }
@@ -199,6 +219,7 @@
                 }
                 Outcome::Updated
             }
+            Err(PlatformError::EpochChanged) => Outcome::Restored,
             Err(err) => Outcome::Failed(err),
         }
     }
@@ -213,7 +234,10 @@
             cause = until_interrupted(&self.events, &self.feed, &self.readiness) => cause,
         };
         match cause {
-            Interruption::PeerAhead => {
+            Interruption::PeerAhead(revision) if revision.epoch() > cursor.epoch() => {
+                Some(Err(PlatformError::EpochChanged))
+            }
+            Interruption::PeerAhead(_) => {
                 let result = timeout(CATCH_UP_TIMEOUT, &mut watch).await;
                 Some(result.unwrap_or_else(|_| Err(peer_ahead_error())))
             }
@@ -228,6 +252,7 @@
         let attempt = timeout(JOIN_TIMEOUT, FeedClient::connect_to_current(reader));
         let (client, messages) = attempt.await.ok()?.ok()?;
         for message in messages {
+            self.note_reader_listing(&message);
             self.apply(message);
         }
         let outcome = self.follow_client(reader, client).await;
@@ -256,7 +281,11 @@
     }
 
     async fn follow_reader(&mut self, reader: SocketAddrV4) -> Outcome {
-        match FeedClient::connect(reader, self.cursor()).await {
+        let has = match self.has_reader_listing {
+            true => Revision(0),
+            false => self.cursor(),
+        };
+        match FeedClient::connect(reader, has).await {
             Ok(client) => self.follow_client(reader, client).await,
             Err(err) => Outcome::ReaderMissing(err.to_string()),
         }
@@ -268,6 +297,7 @@
         let follow_until = sleep(limit);
         tokio::pin!(follow_until);
         let mut is_behind = false;
+        let mut is_first = true;
         loop {
             let next = async {
                 if is_behind {
@@ -279,7 +309,7 @@
                 message = next => message,
                 () = &mut follow_until => return Outcome::Followed,
                 cause = until_interrupted(&events, &self.feed, &self.readiness), if !is_behind => {
-                    let Interruption::PeerAhead = cause else {
+                    let Interruption::PeerAhead(_) = cause else {
                         return Outcome::Finished;
                     };
                     is_behind = true;
@@ -287,6 +317,13 @@
                 }
             };
             match message {
+                Ok(message) if self.is_of_other_epoch(&message) => {
+                    return Outcome::ReaderLost(format!(
+                        "it is in epoch {} of the store, and this process in {}",
+                        message.cursor().epoch().0,
+                        self.cursor().epoch().0,
+                    ));
+                }
                 Ok(FeedMessage::Alive { current: false, .. }) => {
                     return Outcome::ReaderLost("its records are stale".to_string());
                 }
@@ -296,6 +333,10 @@
                 Ok(message) => {
                     is_behind = false;
                     self.readers.followed(reader);
+                    // Later listings are as the platform made them.
+                    if std::mem::take(&mut is_first) {
+                        self.note_reader_listing(&message);
+                    }
                     self.apply(message);
                 }
                 Err(err) => return Outcome::ReaderLost(err.to_string()),
@@ -303,6 +344,22 @@
         }
     }
 
+    /// Whether a reader's message can't be applied: it is of an older epoch than the
+    /// records of this process, or of a newer one without listing them.
+    fn is_of_other_epoch(&self, message: &FeedMessage) -> bool {
+        let is_listing = matches!(message, FeedMessage::Listing(_));
+        let catalog = self.feed.catalog.borrow();
+        message.cursor().epoch() < catalog.cursor().epoch()
+            || (!is_listing && catalog.needs_listing_for(message.cursor()))
+    }
+
+    /// Records that a reader has sent all its records after the connection was made.
+    fn note_reader_listing(&mut self, message: &FeedMessage) {
+        if let FeedMessage::Listing(listing) = message {
+            self.has_reader_listing = listing.cursor.epoch() > Epoch::default();
+        }
+    }
+
     /// Applies a message to the catalog and passes it on to the followers, and sends
     /// the traffic thread a view if anything has changed.
     fn apply(&self, message: FeedMessage) {
@@ -310,6 +367,7 @@
         self.feed.broadcast(&message);
         let mut catalog = self.feed.catalog.borrow_mut();
         let was_current = catalog.is_current();
+        let epoch = catalog.cursor().epoch();
         match message {
             FeedMessage::Listing(listing) if listing.cursor == Revision(0) => return,
             FeedMessage::Listing(listing) => catalog.replace(now, listing),
@@ -331,6 +389,9 @@
                 }
             }
         }
+        if catalog.cursor().epoch() > epoch {
+            store_epoch::log_new_epoch(epoch, &catalog);
+        }
         self.publish(&catalog);
     }
 
@@ -391,17 +452,23 @@
     }
 }
 
-/// Sends the traffic thread a view once the records have become stale. Runs
+/// Sends the traffic thread a view once the records have become stale, or once
+/// something ends that remained in effect after a restoration of the store. Runs
 /// concurrently with the calls and readers, which may hang.
-async fn watch_staleness(feed: Rc<Feed>, clock: Clock, updates: Sender<Update>) {
+async fn watch_time(feed: Rc<Feed>, clock: Clock, updates: Sender<Update>) {
     loop {
-        sleep(STALENESS_CHECK_INTERVAL).await;
+        sleep(TIME_CHECK_INTERVAL).await;
         let now = clock.now();
         let mut catalog = feed.catalog.borrow_mut();
         if catalog.update_staleness(now) {
             log::warn!("records are stale: no server is considered gone until they are updated");
             send_view(&catalog, now, &updates);
         }
+        if let Some(changes) = catalog.end_holds(now) {
+            store_epoch::log_ended_holds(&changes);
+            feed.broadcast(&FeedMessage::Changes(changes));
+            send_view(&catalog, now, &updates);
+        }
     }
 }
 
@@ -417,8 +484,9 @@
 
 /// Why waiting for a message ended early.
 enum Interruption {
-    /// Another instance has newer records than this process.
-    PeerAhead,
+    /// Another instance has records up to this revision, which this process has
+    /// not.
+    PeerAhead(Revision),
     /// The traffic thread has finished.
     Finished,
 }
@@ -434,7 +502,7 @@
         match events.recv_async().await {
             Ok(Event::PeerRevision(revision)) => {
                 if revision > feed.catalog.borrow().cursor() {
-                    return Interruption::PeerAhead;
+                    return Interruption::PeerAhead(revision);
                 }
             }
             Ok(Event::PeersReachable(reachable)) => readiness.set_reachable(reachable),
--- a/crates/transport/src/passthrough/daemon.rs
+++ b/crates/transport/src/passthrough/daemon.rs
@@ -161,6 +161,7 @@
             settings.feed,
             &settings.readers,
         ),
+        has_reader_listing: false,
     };
     control.run().await;
     log::info!("stopped");
--- a/crates/transport/src/passthrough/telemetry/mod.rs
+++ b/crates/transport/src/passthrough/telemetry/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod store_epoch;
 pub mod view_changes;
 
 use ramp_coordination::passthrough::balancer::DropReason;
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -85,6 +85,7 @@
         readiness: Rc::new(Readiness::default()),
         feed: Rc::new(Feed::new(clock)),
         readers,
+        has_reader_listing: false,
     };
     spawn_local(control.run());
     let handle = ControlHandle {
