Soak and process tests: restorations of the store from a stale copy

Cause: no test with real processes restored the store.

Change: a process-level test restores the store from a copy that lacks a server, a drain and a configuration. The soak test has the drill as a fault of its own, drawn from a random sequence of its own so that the other faults of a seed stay the same; SOAK_RESTORATIONS=0 leaves it out.

--- a/bramleyramp/tests/on_platform/fixture.rs
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -1,6 +1,7 @@
 //! Fixture: runs a balancer and agents as real processes, each on its own loopback
 //! address. The test plays the backend servers and callers with UDP sockets.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::fs;
 use std::fs::File;
@@ -9,6 +10,7 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::ExitStatus;
@@ -145,15 +147,20 @@
             .put("op/config", &configuration_entry(3, "voucher"));
         for agent in 1..=agents {
             fleet.start_server(agent);
-            let address = format!("{}:{}", fleet.agent_ip(agent), ports.server);
-            let entry = server_entry("voucher", &address, "ready");
-            fleet.store.put(&format!("servers/i-{agent}"), &entry);
+            fleet.write_server(agent, "ready");
             fleet.start_agent(agent);
         }
         fleet.start_balancer();
         fleet
     }
 
+    /// Writes the record of the server beside an agent.
+    pub fn write_server(&self, agent: u8, state: &str) {
+        let address = format!("{}:{}", self.agent_ip(agent), self.ports.server);
+        let entry = server_entry("voucher", &address, state);
+        self.store.put(&format!("servers/i-{agent}"), &entry);
+    }
+
     pub fn start_balancer(&mut self) {
         self.start_process("balancer", None);
     }
@@ -287,19 +294,38 @@
     pub fn wait_for_log(&self, name: &str, parts: &[&str]) -> String {
         let mut found = None;
         wait_until(&format!("{name} logs {parts:?}"), || {
-            let logs = fs::read_dir(&self.dir).unwrap().flatten();
-            let logs = logs.map(|entry| entry.path()).filter(|path| {
-                let file = path.file_name().unwrap().to_string_lossy().into_owned();
-                file.starts_with(name) && file.ends_with(".log")
-            });
-            found = logs
-                .flat_map(|path| lines(&path))
-                .find(|line| parts.iter().all(|part| line.contains(part)));
+            found = self.find_log(name, parts);
             found.is_some()
         });
         found.unwrap()
     }
 
+    /// The first such line, if there is one already.
+    pub fn find_log(&self, name: &str, parts: &[&str]) -> Option<String> {
+        let logs = fs::read_dir(&self.dir).unwrap().flatten();
+        let logs = logs.map(|entry| entry.path()).filter(|path| {
+            let file = path.file_name().unwrap().to_string_lossy().into_owned();
+            file.starts_with(name) && file.ends_with(".log")
+        });
+        logs.flat_map(|path| lines(&path))
+            .find(|line| parts.iter().all(|part| line.contains(part)))
+    }
+
+    /// Opens flows from these ports and returns the agents that confirmed them.
+    pub fn agents_of_new_flows(&self, ports: Range<u16>) -> Vec<u8> {
+        for port in ports.clone() {
+            self.open(port);
+        }
+        let agents = ports.map(|port| {
+            let caller = format!(":{port}\"");
+            let line = self.wait_for_log("balancer", &["new flow placed", &caller]);
+            let agent: Ipv4Addr = field(&line, "agent").parse().unwrap();
+            agent.octets()[3] - 10
+        });
+        let agents: BTreeSet<u8> = agents.collect();
+        agents.into_iter().collect()
+    }
+
     fn remove_process(&mut self, name: &str) -> Process {
         let at = self.processes.iter().position(|p| p.name == name).unwrap();
         self.processes.remove(at)
--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -95,6 +95,50 @@
     assert_eq!(new.request("r-7"), Answer::Status(200));
 }
 
+// Guards against flows that are cut, and drains and configurations that are lost,
+// when the store returns from a copy that is some seconds old.
+#[test]
+fn a_store_restored_from_a_stale_copy_takes_nothing_back() {
+    let fleet = Fleet::start(3);
+    // As if the third server had registered after the copy was made.
+    let copy = fleet.store.copy().without("servers/i-3");
+    let mut flows: Vec<_> = (0..12).map(|n| fleet.open(2200 + n)).collect();
+    fleet
+        .store
+        .put("op/config", &configuration_entry(9, "voucher"));
+    fleet.write_server(1, "draining");
+    for process in ["balancer", "agent-1", "agent-2", "agent-3"] {
+        fleet.wait_for_log(process, &["configuration in force", "\"version\":9"]);
+        fleet.wait_for_log(process, &["backend server listed", "draining"]);
+    }
+    fleet.store.set_behavior(StoreBehavior::Status(503));
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.store.restore(&copy);
+    fleet.store.set_behavior(StoreBehavior::Normal);
+    for process in ["balancer", "agent-1", "agent-2", "agent-3"] {
+        let line = fleet.wait_for_log(process, &["records of a new epoch of the store"]);
+        assert_eq!(fixture::field(&line, "epoch"), "1");
+        assert_eq!(fixture::field(&line, "held_drains"), "1", "{process}");
+    }
+    for flow in &mut flows {
+        assert_eq!(flow.request("kept-1"), Answer::Status(200));
+    }
+    assert_eq!(fleet.agents_of_new_flows(2300..2330), [2, 3]);
+    for (agent, state) in [(1, "draining"), (2, "ready"), (3, "ready")] {
+        fleet.write_server(agent, state);
+    }
+    // Revisions of epoch 1 begin at 2 to the power of 48.
+    let relisted = ["backend server listed", "\"revision\":2814749767"];
+    fleet.wait_for_log("balancer", &relisted);
+    for flow in &mut flows {
+        assert_eq!(flow.request("kept-2"), Answer::Status(200));
+    }
+    let text = fleet.metrics("balancer");
+    assert!(text.contains("passthrough_store_epoch 1"), "{text}");
+    let no_step_back = fleet.find_log("balancer", &["configuration in force", "\"before\":9"]);
+    assert_eq!(no_step_back, None);
+}
+
 #[test]
 fn a_balancer_asked_to_end_is_not_ready_and_goes_on_until_nobody_sends() {
     let mut fleet = Fleet::start(1);
--- a/bramleyramp/tests/soak/faults.rs
+++ b/bramleyramp/tests/soak/faults.rs
@@ -8,9 +8,11 @@
 
 use crate::callers::record_missing;
 use crate::fake_store::StoreBehavior;
+use crate::fake_store::StoreCopy;
 use crate::fleet::AGENTS;
 use crate::fleet::BALANCERS;
 use crate::fleet::Fleet;
+use crate::fleet::entry_key;
 use crate::fleet::run_until;
 use crate::proxy::Mode;
 use crate::record::DisruptionId;
@@ -19,6 +21,10 @@
 /// Maximum pause between the starts of two faults.
 const MAX_FAULT_GAP_MS: u64 = 700;
 
+/// A restoration of the store begins with one in this many other faults, unless one
+/// is active.
+const RESTORATION_ONE_IN: u64 = 3;
+
 /// Time for which a server drains before it is replaced.
 const DRAIN_DURATION: Duration = Duration::from_millis(3400);
 
@@ -42,6 +48,12 @@
     Restart(usize),
     EndEvacuation(&'static str),
     RestoreRouters,
+    /// Make the store unavailable before it is restored from the copy.
+    BeginRestoration(Option<usize>),
+    /// Restore the store from the copy, which lacks the record of this server.
+    RestoreFromCopy(Option<usize>),
+    /// Write again what the restoration has lost.
+    Rewrite(Option<usize>),
 }
 
 struct ScheduledRecovery {
@@ -58,16 +70,29 @@
     store_failing: bool,
     /// Servers with an active fault.
     busy_servers: [bool; AGENTS],
+    restorations: Option<Restorations>,
+}
+
+/// Restorations of the store from a stale copy.
+struct Restorations {
+    /// Separate, so that the other faults of a seed are the same without them.
+    random: Random,
+    /// Copy from which the store is restored next, while a restoration is active.
+    copy: Option<StoreCopy>,
 }
 
 impl Faults {
-    pub fn new(seed: u64) -> Faults {
+    pub fn new(seed: u64, with_restorations: bool) -> Faults {
         Faults {
             random: Random::new(seed),
             scheduled: Vec::new(),
             evacuated: false,
             store_failing: false,
             busy_servers: [false; AGENTS],
+            restorations: with_restorations.then(|| Restorations {
+                random: Random::new(!seed),
+                copy: None,
+            }),
         }
     }
 
@@ -76,6 +101,7 @@
         let end = Instant::now() + duration;
         while Instant::now() < end {
             self.inject_fault(fleet);
+            self.inject_restoration(fleet);
             let gap = Duration::from_millis(self.random.below(MAX_FAULT_GAP_MS));
             self.run_until_due(fleet, Instant::now() + gap);
         }
@@ -299,6 +325,93 @@
         self.schedule(300, 2000, Recovery::RestoreRouters, Vec::new());
     }
 
+    /// Copies the store, which is restored from this copy a moment later. In every
+    /// second case the copy lacks a server, as if it had registered later.
+    fn inject_restoration(&mut self, fleet: &mut Fleet) {
+        let Some(restorations) = &mut self.restorations else {
+            return;
+        };
+        if restorations.copy.is_some() || restorations.random.below(RESTORATION_ONE_IN) != 0 {
+            return;
+        }
+        let copy = fleet.store.copy();
+        let mut idle: Vec<usize> = (0..AGENTS).filter(|n| !self.busy_servers[*n]).collect();
+        idle.retain(|_| restorations.random.below(2) == 0);
+        let missing = restorations.random.pick(&idle).copied();
+        restorations.copy = Some(match missing {
+            Some(server) => copy.without(&entry_key(server)),
+            None => copy,
+        });
+        let delay_ms = 500 + restorations.random.below(2500);
+        if let Some(server) = missing {
+            self.busy_servers[server] = true;
+        }
+        log_event(fleet, &format!("the store is copied without {missing:?}"));
+        self.schedule_after(delay_ms, Recovery::BeginRestoration(missing), Vec::new());
+    }
+
+    /// Not a disruption that excuses anything: what was acknowledged before must
+    /// remain in effect.
+    fn begin_restoration(&mut self, fleet: &mut Fleet, missing: Option<usize>) {
+        // Two failures of the store would end each other.
+        if self.store_failing {
+            let again = Recovery::BeginRestoration(missing);
+            return self.schedule_after(100, again, Vec::new());
+        }
+        self.store_failing = true;
+        fleet.store.set_behavior(StoreBehavior::Status(503));
+        let away_ms = 200 + self.restoration_delay_ms(300);
+        self.schedule_after(away_ms, Recovery::RestoreFromCopy(missing), Vec::new());
+    }
+
+    fn restore_from_copy(&mut self, fleet: &mut Fleet, missing: Option<usize>) {
+        if let Some(copy) = self.restorations.as_ref().and_then(|r| r.copy.as_ref()) {
+            fleet.store.restore(copy);
+        }
+        fleet.store.set_behavior(StoreBehavior::Normal);
+        self.store_failing = false;
+        let agent = missing.map(|server| fleet.nodes[BALANCERS + server].name.clone());
+        let missing_record = agent.map(|agent| record_missing(&agent));
+        let mut record = fleet.record.lock().unwrap();
+        let disruptions = missing_record.map(|target| record.begin(&target));
+        drop(record);
+        let delay_ms = 200 + self.restoration_delay_ms(800);
+        let disruptions = disruptions.into_iter().collect();
+        self.schedule_after(delay_ms, Recovery::Rewrite(missing), disruptions);
+    }
+
+    /// The operator and the servers write what is true now.
+    fn rewrite(&mut self, fleet: &mut Fleet, missing: Option<usize>) {
+        fleet.write_configuration();
+        for zone in ["west", "east"] {
+            let is_evacuated = |s: &ScheduledRecovery| matches!(s.recovery, Recovery::EndEvacuation(z) if z == zone);
+            if self.scheduled.iter().any(is_evacuated) {
+                fleet.store.put(&format!("op/evacuate/{zone}"), "{}");
+            } else {
+                fleet.store.remove(&format!("op/evacuate/{zone}"));
+            }
+        }
+        for server in 0..AGENTS {
+            let state = fleet.servers[server].lock().unwrap();
+            let (alive, drains) = (state.alive, state.draining_since.is_some());
+            drop(state);
+            if alive {
+                fleet.write_server(server, if drains { "draining" } else { "ready" });
+            }
+        }
+        if let Some(server) = missing {
+            self.busy_servers[server] = false;
+        }
+        if let Some(restorations) = &mut self.restorations {
+            restorations.copy = None;
+        }
+    }
+
+    fn restoration_delay_ms(&mut self, max_ms: u64) -> u64 {
+        let restorations = self.restorations.as_mut();
+        restorations.map_or(0, |r| r.random.below(max_ms))
+    }
+
     fn recover(&mut self, fleet: &mut Fleet, scheduled: ScheduledRecovery) {
         match &scheduled.recovery {
             Recovery::Start(node) => {
@@ -351,6 +464,9 @@
                 routers.loss_per_mille = 0;
                 routers.duplicate_per_mille = 0;
             }
+            Recovery::BeginRestoration(missing) => self.begin_restoration(fleet, *missing),
+            Recovery::RestoreFromCopy(missing) => self.restore_from_copy(fleet, *missing),
+            Recovery::Rewrite(missing) => self.rewrite(fleet, *missing),
         }
         log_event(fleet, &format!("done: {:?}", scheduled.recovery));
         let mut record = fleet.record.lock().unwrap();
@@ -367,6 +483,10 @@
         disruptions: Vec<DisruptionId>,
     ) {
         let ms = min_ms + self.random.below(max_ms - min_ms);
+        self.schedule_after(ms, recovery, disruptions);
+    }
+
+    fn schedule_after(&mut self, ms: u64, recovery: Recovery, disruptions: Vec<DisruptionId>) {
         let at = Instant::now() + Duration::from_millis(ms);
         self.scheduled.push(ScheduledRecovery {
             at,
--- a/bramleyramp/tests/soak/fleet.rs
+++ b/bramleyramp/tests/soak/fleet.rs
@@ -250,6 +250,11 @@
     /// Publishes the next version of the configuration.
     pub fn publish_configuration(&mut self) {
         self.version += 3;
+        self.write_configuration();
+    }
+
+    /// Writes the newest version of the configuration into the store.
+    pub fn write_configuration(&self) {
         let routes = SERVICES.map(|service| {
             let address = address_of(service);
             json!({"Name": service, "Host": address.ip().to_string(),
@@ -366,6 +371,6 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, last), 443)
 }
 
-fn entry_key(server: usize) -> String {
+pub fn entry_key(server: usize) -> String {
     format!("servers/i-{server}")
 }
--- a/bramleyramp/tests/soak/main.rs
+++ b/bramleyramp/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! invariants by what callers and backend servers observe.
 //!
 //! `SOAK_SEEDS=1-50 cargo test -p bramleyramp --test soak -- --nocapture` runs these
-//! seeds instead of those of CI; `SOAK_SECONDS` sets how long each injects faults.
+//! seeds instead of those of CI; `SOAK_SECONDS` sets how long each injects faults, and
+//! `SOAK_RESTORATIONS=0` leaves out the restorations of the store from stale copies.
 
 mod callers;
 #[path = "../../../platform/tests/fake_store/mod.rs"]
@@ -29,16 +30,33 @@
     seed: u64,
     /// Time for which faults are injected.
     faults_s: u64,
+    /// Whether the store is also restored from stale copies.
+    restorations: bool,
 }
 
 impl SoakRun {
     const fn new(seed: u64, faults_s: u64) -> SoakRun {
-        SoakRun { seed, faults_s }
+        SoakRun {
+            seed,
+            faults_s,
+            restorations: false,
+        }
+    }
+
+    const fn with_restorations(self) -> SoakRun {
+        SoakRun {
+            restorations: true,
+            ..self
+        }
     }
 }
 
 /// Runs of CI, in addition to the regressions.
-const CI_RUNS: [SoakRun; 2] = [SoakRun::new(1, 6), SoakRun::new(2, 6)];
+const CI_RUNS: [SoakRun; 3] = [
+    SoakRun::new(1, 6),
+    SoakRun::new(2, 6),
+    SoakRun::new(3, 6).with_restorations(),
+];
 
 /// Runs that failed once, each with the cause.
 const REGRESSIONS: [SoakRun; 3] = [
@@ -78,17 +96,24 @@
 
 /// Runs one soak; returns whether all invariants held.
 fn run_holds(run: SoakRun) -> bool {
-    let SoakRun { seed, faults_s } = run;
+    let SoakRun {
+        seed,
+        faults_s,
+        restorations,
+    } = run;
     let number = (std::process::id() as u64 + seed) % 250;
     let mut fleet = Fleet::start(number as u8, seed);
     run_until(&mut fleet, Instant::now() + Duration::from_millis(500));
-    Faults::new(seed).run(&mut fleet, Duration::from_secs(faults_s));
+    Faults::new(seed, restorations).run(&mut fleet, Duration::from_secs(faults_s));
     let during = take_outcomes(&fleet);
     run_until(&mut fleet, Instant::now() + RECOVERY_PERIOD);
     let recovering = take_outcomes(&fleet);
     run_until(&mut fleet, Instant::now() + STABLE_PERIOD);
     let stable = take_outcomes(&fleet);
-    println!("seed {seed}: faults {during:?}; recovery {recovering:?}; after {stable:?}");
+    let restored = fleet.store.epoch();
+    println!(
+        "seed {seed}: restored {restored} times; faults {during:?}; recovery {recovering:?}; after {stable:?}"
+    );
     check_recovery(&fleet, stable);
     let violations = fleet.record.lock().unwrap().violations.clone();
     if violations.is_empty() {
@@ -118,5 +143,11 @@
     let faults_s = faults_s.map_or(MANUAL_FAULTS_S, |text| number(&text));
     let (first, last) = text.split_once('-').unwrap_or((text, text));
     let seeds = number(first)..=number(last);
-    seeds.map(|seed| SoakRun::new(seed, faults_s)).collect()
+    let restorations = std::env::var("SOAK_RESTORATIONS").map_or(true, |text| text != "0");
+    let runs = seeds.map(|seed| SoakRun::new(seed, faults_s));
+    runs.map(|run| match restorations {
+        true => run.with_restorations(),
+        false => run,
+    })
+    .collect()
 }
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -116,6 +116,7 @@
 impl<S: PlatformClient> Control<S> {
     /// Runs until the traffic thread has finished.
     pub async fn run(mut self) {
+        store_epoch::record_start();
         let feed = Rc::clone(&self.feed);
         let watching_time = watch_time(feed, self.clock, self.updates.clone());
         tokio::select! {
--- a/crates/transport/src/passthrough/telemetry/store_epoch.rs
+++ b/crates/transport/src/passthrough/telemetry/store_epoch.rs
@@ -8,13 +8,22 @@
 use ramp_coordination::passthrough::published::Epoch;
 use ramp_coordination::passthrough::published::RecordKey;
 
+/// Sets the metric of a process that has no records yet.
+pub fn record_start() {
+    set_epoch(Epoch::default());
+}
+
+fn set_epoch(epoch: Epoch) {
+    gauge!("passthrough_store_epoch").set(f64::from(epoch.0));
+}
+
 /// Logs that the records are of a newer epoch than `before`, and what remains in
 /// effect although the restored copy does not show it.
 pub fn log_new_epoch(before: Epoch, catalog: &Catalog) {
     let revision = catalog.cursor();
-    gauge!("passthrough_store_epoch").set(f64::from(revision.epoch().0));
+    set_epoch(revision.epoch());
     let held = catalog.held_records();
-    log::warn!(
+    log::info!(
         epoch = revision.epoch().0,
         before = before.0,
         revision = revision.0,
--- a/crates/transport/tests/feed.rs
+++ b/crates/transport/tests/feed.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use ramp_coordination::passthrough::published::Changes;
+use ramp_coordination::passthrough::published::Epoch;
 use ramp_coordination::passthrough::published::FeedMessage;
 use ramp_coordination::passthrough::published::Listing;
 use ramp_coordination::passthrough::published::Revision;
@@ -69,6 +70,27 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against a follower that keeps the records of an older epoch because its
+/// number is higher.
+#[tokio::test]
+async fn a_follower_with_a_higher_number_of_an_older_epoch_gets_the_listing() {
+    let run = async {
+        let (feed, address) = start_reader().await;
+        let restored = Revision::new(Epoch(1), 90).unwrap();
+        let listing = Listing {
+            cursor: restored,
+            ..Listing::default()
+        };
+        feed.catalog.borrow_mut().replace(Millis(2), listing);
+        for has in [Revision(500), Revision(restored.number())] {
+            let mut client = FeedClient::connect(address, has).await.unwrap();
+            let first = client.next().await.unwrap();
+            assert!(matches!(first, FeedMessage::Listing(l) if l.cursor == restored));
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a process that takes a reader's outdated data for current: the
 /// platform does not answer this reader.
 #[tokio::test]
