Soak: a drain that the copy lacks must hold from the restoration on

Change: one server begins to drain after each copy, and from the restoration on no new flow may reach a server whose drain or evacuation was acknowledged 2 s before. The lost records are written again after up to 1.6 s.

--- a/bramleyramp/tests/soak/faults.rs
+++ b/bramleyramp/tests/soak/faults.rs
@@ -25,6 +25,9 @@
 /// is active.
 const RESTORATION_ONE_IN: u64 = 3;
 
+/// Minimum age of the copy, so that a drain that it lacks was read by the processes.
+const MIN_COPY_AGE_MS: u64 = 2200;
+
 /// Time for which a server drains before it is replaced.
 const DRAIN_DURATION: Duration = Duration::from_millis(3400);
 
@@ -277,17 +280,17 @@
         let Some(server) = self.idle_server() else {
             return;
         };
+        let extra_ms = self.random.below(1500);
+        self.start_drain(fleet, server, extra_ms);
+    }
+
+    fn start_drain(&mut self, fleet: &mut Fleet, server: usize, extra_ms: u64) {
         log_event(fleet, &format!("server {server} drains"));
         self.busy_servers[server] = true;
         fleet.write_server(server, "draining");
         fleet.servers[server].lock().unwrap().draining_since = Some(Instant::now());
         let drain_ms = DRAIN_DURATION.as_millis() as u64;
-        self.schedule(
-            drain_ms,
-            drain_ms + 1500,
-            Recovery::Replace(server),
-            Vec::new(),
-        );
+        self.schedule_after(drain_ms + extra_ms, Recovery::Replace(server), Vec::new());
     }
 
     fn crash(&mut self, fleet: &mut Fleet) {
@@ -325,8 +328,9 @@
         self.schedule(300, 2000, Recovery::RestoreRouters, Vec::new());
     }
 
-    /// Copies the store, which is restored from this copy a moment later. In every
-    /// second case the copy lacks a server, as if it had registered later.
+    /// Copies the store, which is restored from this copy a moment later. One server
+    /// begins to drain after the copy, and in every second case the copy lacks
+    /// another one, as if it had registered later.
     fn inject_restoration(&mut self, fleet: &mut Fleet) {
         let Some(restorations) = &mut self.restorations else {
             return;
@@ -334,19 +338,26 @@
         if restorations.copy.is_some() || restorations.random.below(RESTORATION_ONE_IN) != 0 {
             return;
         }
-        let copy = fleet.store.copy();
+        let random = &mut restorations.random;
         let mut idle: Vec<usize> = (0..AGENTS).filter(|n| !self.busy_servers[*n]).collect();
-        idle.retain(|_| restorations.random.below(2) == 0);
-        let missing = restorations.random.pick(&idle).copied();
+        let draining = random.pick(&idle).copied();
+        idle.retain(|n| Some(*n) != draining);
+        let missing = random.pick(&idle).copied();
+        let missing = missing.filter(|_| random.below(2) == 0);
+        let copy = fleet.store.copy();
         restorations.copy = Some(match missing {
             Some(server) => copy.without(&entry_key(server)),
             None => copy,
         });
-        let delay_ms = 500 + restorations.random.below(2500);
+        log_event(fleet, &format!("the store is copied without {missing:?}"));
         if let Some(server) = missing {
             self.busy_servers[server] = true;
         }
-        log_event(fleet, &format!("the store is copied without {missing:?}"));
+        let extra_ms = self.restoration_delay_ms(1500);
+        if let Some(server) = draining {
+            self.start_drain(fleet, server, extra_ms);
+        }
+        let delay_ms = MIN_COPY_AGE_MS + self.restoration_delay_ms(800);
         self.schedule_after(delay_ms, Recovery::BeginRestoration(missing), Vec::new());
     }
 
@@ -370,12 +381,15 @@
         }
         fleet.store.set_behavior(StoreBehavior::Normal);
         self.store_failing = false;
+        for server in &fleet.servers {
+            server.lock().unwrap().end_deadlines(Instant::now());
+        }
         let agent = missing.map(|server| fleet.nodes[BALANCERS + server].name.clone());
         let missing_record = agent.map(|agent| record_missing(&agent));
         let mut record = fleet.record.lock().unwrap();
         let disruptions = missing_record.map(|target| record.begin(&target));
         drop(record);
-        let delay_ms = 200 + self.restoration_delay_ms(800);
+        let delay_ms = 200 + self.restoration_delay_ms(1400);
         let disruptions = disruptions.into_iter().collect();
         self.schedule_after(delay_ms, Recovery::Rewrite(missing), disruptions);
     }
--- a/bramleyramp/tests/soak/servers.rs
+++ b/bramleyramp/tests/soak/servers.rs
@@ -28,6 +28,9 @@
 /// Time after the start of an evacuation from which no new flow may arrive.
 const EVACUATION_DEADLINE: Duration = Duration::from_millis(5000);
 
+/// Time within which all undisturbed processes have read a record.
+const READ_TIME: Duration = Duration::from_millis(2000);
+
 /// A flow at a server.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
@@ -65,6 +68,21 @@
         self.draining_since = None;
     }
 
+    /// Ends the time in which new flows may arrive in spite of a drain or evacuation,
+    /// if it was acknowledged [`READ_TIME`] ago: a restoration of the store must not
+    /// give it back.
+    pub fn end_deadlines(&mut self, now: Instant) {
+        let limits = [
+            (&mut self.draining_since, DRAIN_DEADLINE),
+            (&mut self.evacuated_since, EVACUATION_DEADLINE),
+        ];
+        for (since, limit) in limits {
+            if since.is_some_and(|since| now.duration_since(since) >= READ_TIME) {
+                *since = now.checked_sub(limit).min(*since);
+            }
+        }
+    }
+
     /// Stops the server, so that its flows are lost.
     pub fn crash(&mut self) {
         self.alive = false;
