Keep the drain of an entry that was set aside; no empty messages to followers

Cause: an entry of a server that had drained and whose address another server uses was set aside and then used as ready. A reader told its followers of the end of its own entries with a message without changes, which counts as news.

Change: the drain is part of the entry that is set aside; a message without changes is not sent.

--- a/crates/coordination/src/passthrough/restoration.rs
+++ b/crates/coordination/src/passthrough/restoration.rs
@@ -75,14 +75,15 @@
         for record in &copy.records {
             match record {
                 Record::Server(id, server) => {
-                    if is_replaced(servers, &by_address, *id, server) {
-                        restoration.set_aside.insert(*id, *server);
-                    }
                     let drained = servers.get(id).is_some_and(|l| l.drains_as(server))
                         || unlisted.has_drained(now, *id, server.born_ms);
                     if drained && server.state == ServerState::Ready {
                         restoration.drains.insert(*id, server.born_ms);
                     }
+                    if is_replaced(servers, &by_address, *id, server) {
+                        let server = restoration.with_drain(*id, *server);
+                        restoration.set_aside.insert(*id, server);
+                    }
                 }
                 Record::Evacuation(data_centre) => {
                     restoration.evacuations.swap_remove(data_centre);
@@ -95,17 +96,23 @@
 
     /// The reading of a listed server's record; `None` while it is set aside.
     pub(super) fn read_listed(&self, now: Millis, id: ServerId, server: Server) -> Option<Server> {
+        let server = self.with_drain(id, server);
         let may_return = now.since(self.answered_at) < RELIST_LIMIT;
         let content = |s: &Server| (s.born_ms, s.address, s.state);
         let is_aside = |s: &Server| content(s) == content(&server);
         if may_return && self.set_aside.get(&id).is_some_and(is_aside) {
             return None;
         }
+        Some(server)
+    }
+
+    /// The record with the drain that is held for its server, if any.
+    fn with_drain(&self, id: ServerId, server: Server) -> Server {
         let state = match self.drains.get(&id) {
             Some(born_ms) if *born_ms == server.born_ms => ServerState::Draining,
             _ => server.state,
         };
-        Some(Server { state, ..server })
+        Server { state, ..server }
     }
 
     /// Records that a server's record was written or removed in the new epoch, so
--- a/crates/coordination/tests/passthrough/restoration.rs
+++ b/crates/coordination/tests/passthrough/restoration.rs
@@ -207,8 +207,21 @@
     let mut catalog = catalog_with(Record::Server(id(2), draining));
     let removed = Change::Removed(RecordKey::Server(id(2)));
     catalog.apply(Millis(5000), changes(160, vec![removed]));
+    let mut reused = catalog.clone();
     catalog.replace(RESTORED, copy(vec![record(2, FEEDS)]));
     assert!(view_at(&catalog, 0).member(ip(2)).unwrap().draining);
+
+    let later = Record::Server(id(77), started(2, 500, ServerState::Ready));
+    reused.apply(Millis(6000), written(161, later));
+    for ms in [0, 2400, 2600] {
+        let mut stale = copy(vec![record(2, FEEDS)]);
+        stale.cursor = at_epoch(1, 90 + ms);
+        reused.replace(ms_after(ms), stale);
+        reused.end_holds(ms_after(ms));
+        let member = view_at(&reused, ms).member(ip(2)).copied();
+        assert!(member.is_none_or(|m| m.draining), "after {ms} ms");
+        assert_eq!(member.is_some(), ms == 2600, "set aside for its time");
+    }
 }
 
 /// Guards against new flows of one service to a server of another one: the copy
--- a/crates/transport/src/passthrough/control.rs
+++ b/crates/transport/src/passthrough/control.rs
@@ -467,7 +467,9 @@
         }
         if let Some(changes) = catalog.end_holds(now) {
             store_epoch::log_ended_holds(&changes);
-            feed.broadcast(&FeedMessage::Changes(changes));
+            if !changes.changes.is_empty() {
+                feed.broadcast(&FeedMessage::Changes(changes));
+            }
             send_view(&catalog, now, &updates);
         }
     }
