--- a/bramleyramp/tests/soak/main.rs
+++ b/bramleyramp/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! `SOAK_SEEDS=1-50 cargo test -p bramleyramp --test soak -- --nocapture` runs these
 //! seeds instead of those of CI; `SOAK_SECONDS` sets how long each injects faults, and
-//! `SOAK_LINK_MBPS` limits the balancers' links.
+//! `SOAK_LINK_MBPS` limits the balancers' links. `SOAK_RESTORATIONS=0` leaves out the
+//! restorations of the store from stale copies.
 
 mod callers;
 #[path = "../../../platform/tests/fake_store/mod.rs"]
@@ -32,6 +33,8 @@
     faults_s: u64,
     /// Rate of the balancers' links, in Mbit/s; `None` if it is not limited.
     link_mbps: Option<u64>,
+    /// Whether the store is also restored from stale copies.
+    restorations: bool,
 }
 
 impl SoakRun {
@@ -40,6 +43,7 @@
             seed,
             faults_s,
             link_mbps: None,
+            restorations: false,
         }
     }
 
@@ -49,14 +53,22 @@
             ..self
         }
     }
+
+    const fn with_restorations(self) -> SoakRun {
+        SoakRun {
+            restorations: true,
+            ..self
+        }
+    }
 }
 
 /// Runs of CI, in addition to the regressions.
-const CI_RUNS: [SoakRun; 3] = [
+const CI_RUNS: [SoakRun; 4] = [
     SoakRun::new(1, 6),
     SoakRun::new(2, 6),
     // The balancers' datagrams go through their egress queues.
     SoakRun::new(3, 6).with_link(10),
+    SoakRun::new(3, 6).with_restorations(),
 ];
 
 /// Runs that failed once, each with the cause.
@@ -101,17 +113,21 @@
         seed,
         faults_s,
         link_mbps,
+        restorations,
     } = run;
     let number = (std::process::id() as u64 + seed) % 250;
     let mut fleet = Fleet::start(number as u8, seed, link_mbps);
     run_until(&mut fleet, Instant::now() + Duration::from_millis(500));
-    Faults::new(seed).run(&mut fleet, Duration::from_secs(faults_s));
+    Faults::new(seed, restorations).run(&mut fleet, Duration::from_secs(faults_s));
     let during = take_outcomes(&fleet);
     run_until(&mut fleet, Instant::now() + RECOVERY_PERIOD);
     let recovering = take_outcomes(&fleet);
     run_until(&mut fleet, Instant::now() + STABLE_PERIOD);
     let stable = take_outcomes(&fleet);
-    println!("seed {seed}: faults {during:?}; recovery {recovering:?}; after {stable:?}");
+    let restored = fleet.store.epoch();
+    println!(
+        "seed {seed}: restored {restored} times; faults {during:?}; recovery {recovering:?}; after {stable:?}"
+    );
     check_recovery(&fleet, stable);
     let violations = fleet.record.lock().unwrap().violations.clone();
     if violations.is_empty() {
@@ -143,10 +159,11 @@
     let link_mbps = link_mbps.map(|text| number(&text));
     let (first, last) = text.split_once('-').unwrap_or((text, text));
     let seeds = number(first)..=number(last);
+    let restorations = std::env::var("SOAK_RESTORATIONS").map_or(true, |text| text != "0");
     let runs = seeds.map(|seed| SoakRun {
-        seed,
-        faults_s,
         link_mbps,
+        restorations,
+        ..SoakRun::new(seed, faults_s)
     });
     runs.collect()
 }
