Add the codec of the capacity report behind frame headers

Agents are to tell balancers what their servers can do, but Owned, Queued and Heartbeat frames carry nothing after the header. A report of six bytes (limit, time of a request, age) is now defined and tested; nothing sends it yet.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`header`]: header of packets that one instance forwards to another
 //! - [`frame`], [`mod@format`]: the same for passthrough mode, in which connections
 //!   run end to end between caller and backend server
+//! - [`capacity_report`]: what an agent reports about its server's capacity
 //! - [`auth`]: authentication tags on datagrams between instances
 
 #[allow(
@@ -27,6 +28,7 @@
 #[rustfmt::skip]
 pub mod operator_capnp;
 pub mod auth;
+pub mod capacity_report;
 pub mod codec;
 pub mod format;
 pub mod frame;
--- a/crates/protocol/tests/frame.rs
+++ b/crates/protocol/tests/frame.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
+use ramp_protocol::capacity_report::CAPACITY_REPORT_LEN_BYTES;
+use ramp_protocol::capacity_report::CapacityReport;
+use ramp_protocol::capacity_report::read_capacity_report;
+use ramp_protocol::capacity_report::write_capacity_report;
 use ramp_protocol::frame::FRAME_LEN_BYTES;
 use ramp_protocol::frame::FlowEntry;
 use ramp_protocol::frame::Frame;
@@ -111,7 +115,30 @@
     assert_eq!(read_list(truncated).count(), 2);
 }
 
+// Guards against a layout that processes of another build read differently.
+#[test]
+fn a_capacity_report_has_the_layout_of_the_specification() {
+    let report = CapacityReport {
+        limit: 3,
+        request_time: Duration::from_millis(258),
+        age: Duration::from_millis(400),
+    };
+    let bytes = write_capacity_report(Some(report));
+    assert_eq!(bytes, [0, 3, 1, 2, 0, 4]);
+    assert_eq!(read_capacity_report(&bytes), Some(report));
+    let unknown = write_capacity_report(None);
+    assert_eq!(read_capacity_report(&unknown), None);
+    // An older build sends nothing after the header.
+    assert_eq!(read_capacity_report(&[]), None);
+}
+
 quickcheck! {
+    fn any_bytes_are_a_capacity_report_or_none(buf: Vec<u8>) -> bool {
+        read_capacity_report(&buf).is_none_or(|report| {
+            buf.len() >= CAPACITY_REPORT_LEN_BYTES && report.limit > 0
+        })
+    }
+
     fn any_bytes_are_read_or_refused(buf: Vec<u8>) -> bool {
         let entries = read_list(&buf).count();
         entries <= LIST_LIMIT_FLOWS && (Frame::read(&buf).is_err() || buf.len() >= FRAME_LEN_BYTES)
