Estimate the capacity of an agent's server from its packets

Agents know neither when a server gets slow nor how fast it is, so servers of different speed get equal shares. An estimator now learns the limit of stable concurrency and the time of a request, from the last packet of its data to the first of the response. Beyond the learned limit the agent sends openings back to balancers that can try another server; it queues and refuses only by the slots, as before.

--- a/crates/coordination/src/passthrough/agent/action.rs
+++ b/crates/coordination/src/passthrough/agent/action.rs
@@ -8,6 +8,7 @@
 use ramp_state::key::FlowKey;
 
 use crate::passthrough::mark::Mark;
+use crate::passthrough::server_capacity::CompletedRequest;
 
 /// How to handle a packet from a balancer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +62,9 @@
     pub notify: Option<Ipv4Addr>,
     /// Time from the request to this packet, if its answer begins here.
     pub response_time: Option<Duration>,
+    /// Request whose response begins here, to be passed to
+    /// [`super::Agent::record_response`].
+    pub completed: Option<CompletedRequest>,
     /// Whether the server reset the flow.
     pub reset: bool,
 }
--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -4,7 +4,9 @@
 //! takes no new flows (draining, evacuated, ended), does not respond, or gets
 //! more new flows than its limit in cold start. While the server is full
 //! ([`Member::is_full`]), the flow is refused so that the balancer tries another
-//! server; if no other server is less busy, it waits in the queue.
+//! server; if no other server is less busy, it waits in the queue. It is also sent
+//! back to the balancer while the server is beyond its learned limit, but never
+//! queued for that.
 //!
 //! [`Member::is_full`]: crate::passthrough::view::Member::is_full
 
@@ -113,7 +115,8 @@
         seg: &Segment,
     ) -> Option<Inbound> {
         if !self.is_full(view, now) {
-            return None;
+            let exceeds = self.exceeds_learned_limit(view, now, inquiry);
+            return exceeds.then_some(Inbound::Refuse(Refusal::Busy));
         }
         // The balancer may find a less busy server.
         if inquiry != Inquiry::OwnerEvenIfBusy {
@@ -248,6 +251,7 @@
             flow.request_received = false;
         }
         self.in_progress = 0;
+        self.capacity.reset();
         let cold_start = view.and_then(|v| v.cold_start(self.service));
         self.cold_until = now + cold_start.unwrap_or_default();
     }
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -150,6 +150,12 @@
         Some(subscriber.balancer)
     }
 
+    /// Whether data is missing before that of a caller's packet. The opening packet
+    /// counts as one byte.
+    pub(super) fn has_gap_before(&self, seg: &Segment) -> bool {
+        seg.seq.wrapping_sub(self.next_seq) as i32 > 1
+    }
+
     /// Whether a packet of the caller opens the flow or brings new data.
     ///
     /// The first request counts from the opening packet on: it follows soon, and
@@ -211,6 +217,7 @@
     }
 
     pub(super) fn remove_flow(&mut self, key: &FlowKey) {
+        self.capacity.abandon(key);
         if let Some(flow) = self.flows.swap_remove(key) {
             self.in_progress = self
                 .in_progress
@@ -222,6 +229,7 @@
     /// Returns those that it owned.
     pub(super) fn remove_all_flows(&mut self) -> Vec<LostFlow> {
         self.expected_requests.clear();
+        self.capacity.reset();
         self.in_progress = 0;
         self.unanswered_opening_since = None;
         let flows = std::mem::take(&mut self.flows);
@@ -236,8 +244,11 @@
     pub(super) fn sweep_flows(&mut self, view: Option<&View>, now: Millis) {
         let idle_limit = view.map_or(Duration::ZERO, |v| v.idle_limit);
         let kept = MIN_FLOW_RETENTION.max(idle_limit + CALLER_RETRANSMIT_TIMEOUT);
-        let (in_progress, unanswered_requests) =
-            (&mut self.in_progress, &mut self.unanswered_requests);
+        let (in_progress, unanswered_requests, capacity) = (
+            &mut self.in_progress,
+            &mut self.unanswered_requests,
+            &mut self.capacity,
+        );
         self.flow_sweep
             .evict(&mut self.flows, SWEEP_FLOWS_PER_PACKET, |key, flow| {
                 let silence = now.since(flow.last_packet_at);
@@ -248,6 +259,7 @@
                     *in_progress = in_progress.saturating_sub(1);
                 }
                 if std::mem::take(&mut flow.request_received) {
+                    capacity.abandon(key);
                     unanswered_requests.push(UnansweredRequest {
                         flow: *key,
                         request: flow.request_id,
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -12,6 +12,7 @@
 
 mod action;
 mod admission;
+mod capacity;
 mod flow;
 mod knowledge;
 mod server_liveness;
@@ -36,6 +37,7 @@
 use super::mark::Senders;
 use super::opening_queue::OpeningQueue;
 use super::rate_limit::RateLimiter;
+use super::server_capacity::ServerCapacity;
 use super::sweep::Sweep;
 use super::view::View;
 
@@ -88,6 +90,7 @@
     last_unlisted_at: Option<Millis>,
     last_heartbeats_at: Millis,
     liveness: ServerLiveness,
+    capacity: ServerCapacity,
 }
 
 impl Agent {
@@ -127,6 +130,7 @@
             last_unlisted_at: None,
             last_heartbeats_at: Millis(0),
             liveness: ServerLiveness::default(),
+            capacity: ServerCapacity::default(),
         }
     }
 
@@ -178,7 +182,12 @@
                 opening: seg.opens,
             });
         }
-        if flow.starts_request(seg) && flow.request_since.is_none() {
+        let has_gap = flow.has_gap_before(seg);
+        let starts_request = flow.starts_request(seg);
+        if starts_request && !seg.opens {
+            self.capacity.on_request_data(now, seg.key, has_gap);
+        }
+        if starts_request && flow.request_since.is_none() {
             if seg.opens {
                 self.expected_requests.push_back((now, seg.key));
             }
@@ -201,6 +210,10 @@
         self.on_server_reply(view, now);
         self.mark_superseded(&seg.key);
         if seg.rst {
+            if self.capacity.on_response(now, &seg.key).is_some() {
+                self.capacity
+                    .on_refusal(now, self.capacity.in_progress() + 1);
+            }
             self.remove_flow(&seg.key);
             return Outbound {
                 reset: true,
@@ -221,12 +234,15 @@
                 ..Outbound::default()
             };
         }
+        let completed = self.capacity.on_response(now, &seg.key);
+        let completed = completed.filter(|_| seg.len > 0);
         let since = flow.request_since.take();
         flow.request_received = false;
         self.in_progress = self.in_progress.saturating_sub(u16::from(since.is_some()));
         Outbound {
             notify,
             response_time: since.map(|at| now.since(at)),
+            completed,
             reset: false,
         }
     }
@@ -251,6 +267,9 @@
         let Some((sender, copy)) = self.senders.sender_of(Mark(mark)) else {
             return Bounce::UnknownMark;
         };
+        if seg.opens && !open && !copy {
+            self.capacity.on_refusal(now, self.capacity.in_progress());
+        }
         if owned && !seg.opens {
             Bounce::Lost(sender)
         } else if copy {
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -16,6 +16,7 @@
 //! - [`platform_client`]: the trait that a client of the platform implements
 //! - [`reachability`]: whether a balancer still reaches any agent
 //! - [`link_rate`]: the rate of an instance's link
+//! - [`server_capacity`]: the estimated capacity of an agent's server
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
@@ -31,6 +32,9 @@
 mod rate_limit;
 pub mod reachability;
 pub mod readers;
+pub mod server_capacity;
+mod service_times;
 mod suspects;
 mod sweep;
+mod trimmed_mean;
 pub mod view;
--- /dev/null
+++ b/crates/coordination/src/passthrough/service_times.rs
@@ -0,0 +1,94 @@
+//! Time that a new request is expected to take at each member of a service, by the
+//! capacity reports of the agents.
+
+use std::time::Duration;
+
+use ramp_protocol::capacity_report::CapacityReport;
+
+use super::view::Member;
+
+/// Age from which an estimate is no longer used; the member then counts as an
+/// average one, so that it gets flows and reports again.
+pub(super) const ESTIMATE_MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Ratio of the slowest to the fastest member up to which all count as equal.
+const EQUAL_RATIO: f64 = 1.2;
+
+/// Ratio of a member's expected time to the median from which another member is
+/// considered.
+const OVERLOAD_RATIO: f64 = 4.0 / 3.0;
+
+/// A member, the estimate for it and the requests in progress there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MemberLoad<'a> {
+    pub(super) member: &'a Member,
+    pub(super) estimate: Option<CapacityReport>,
+    pub(super) in_progress: u16,
+}
+
+/// Expected times at the members of a service that are not equally fast.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceTimes {
+    /// Median time of a request, for members without an estimate.
+    typical_ms: f64,
+    /// Median expected time.
+    median_ms: f64,
+}
+
+impl MemberLoad<'_> {
+    /// The estimated limit, never above the slots; the slots without an estimate.
+    fn limit(&self) -> f64 {
+        let slots = self.member.slots.max(1);
+        let limit = self.estimate.map_or(slots, |e| e.limit.min(slots));
+        f64::from(limit.max(1))
+    }
+
+    fn request_ms(&self) -> Option<f64> {
+        let estimate = self.estimate?;
+        Some(estimate.request_time.as_millis() as f64)
+    }
+
+    /// Time of a request if all slots were in use, which also shows a server that
+    /// slows down before that.
+    fn full_load_ms(&self) -> Option<f64> {
+        Some(self.request_ms()? * f64::from(self.member.slots.max(1)) / self.limit())
+    }
+}
+
+impl ServiceTimes {
+    /// None if the members are equally fast as far as is known.
+    pub(super) fn new(loads: &[MemberLoad]) -> Option<ServiceTimes> {
+        let full_load = || loads.iter().filter_map(MemberLoad::full_load_ms);
+        let slowest = full_load().reduce(f64::max)?;
+        let fastest = full_load().reduce(f64::min)?;
+        if slowest <= EQUAL_RATIO * fastest {
+            return None;
+        }
+        let typical_ms = median(loads.iter().filter_map(MemberLoad::request_ms).collect());
+        let mut times = ServiceTimes {
+            typical_ms,
+            median_ms: 0.0,
+        };
+        times.median_ms = median(loads.iter().map(|l| times.expected_ms(l)).collect());
+        Some(times)
+    }
+
+    /// Whether a member's expected time is far above that of the others.
+    pub(super) fn is_overloaded(&self, load: &MemberLoad) -> bool {
+        self.expected_ms(load) > OVERLOAD_RATIO * self.median_ms
+    }
+
+    /// Expected time of a new request, which counts as in progress as well: otherwise
+    /// all idle servers would look alike, whatever their speed.
+    pub(super) fn expected_ms(&self, load: &MemberLoad) -> f64 {
+        let request_ms = load.request_ms().unwrap_or(self.typical_ms);
+        request_ms * (f64::from(load.in_progress) + 1.0) / load.limit()
+    }
+}
+
+/// Lower median; zero without values.
+fn median(mut values: Vec<f64>) -> f64 {
+    let middle = values.len().saturating_sub(1) / 2;
+    values.sort_by(f64::total_cmp);
+    values.get(middle).copied().unwrap_or_default()
+}
