Choose the members of new flows by the reported capacity

Balancers chose by free slots alone, which treats a server of half the speed as equal. Agents export the estimate as metrics and log changes of the limit.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -32,6 +32,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::Inquiry;
 use ramp_protocol::frame::Refusal;
@@ -256,6 +257,17 @@
         }
     }
 
+    /// Handles what an `Owned`, `Queued` or `Heartbeat` frame says about the capacity
+    /// of the agent's server. To be called after the frame itself was handled.
+    pub fn on_capacity_report(
+        &mut self,
+        now: Millis,
+        from: Ipv4Addr,
+        report: Option<CapacityReport>,
+    ) {
+        self.loads.update_capacity(from, report, now);
+    }
+
     /// Resets the caller of an address without a route, unless the view may lack a
     /// newer route. A packet of an open flow shows that a route existed, so the
     /// caller is reset only if this process saw that route dropped.
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -7,11 +7,18 @@
 //! spread over all members. The known loads lag behind by a few openings, so
 //! an agent whose server is full sends the opening back. After
 //! [`MAX_BUSY_RETURNS`] of these the least loaded member must take the flow.
+//!
+//! Where the servers of a service differ in speed, and a request would take far
+//! longer at the first-ranked member than at the median one, the flow goes to the
+//! better of the members that rank second and third for it. A member is an
+//! alternative only for the flows that rank it there, so balancers that learn the
+//! same estimate at once do not all choose the same member.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
@@ -19,6 +26,9 @@
 use ramp_state::time::Millis;
 
 use super::published::RELIST_LIMIT;
+use super::service_times::ESTIMATE_MAX_AGE;
+use super::service_times::MemberLoad;
+use super::service_times::ServiceTimes;
 use super::suspects::Suspects;
 use super::view::Member;
 use super::view::rank;
@@ -29,6 +39,10 @@
 /// Number of members that may send a new flow back because they are busy.
 const MAX_BUSY_RETURNS: usize = 2;
 
+/// Number of members, beside the first-ranked one, that a new flow may go to
+/// because of the expected times.
+const ALTERNATIVES: usize = 2;
+
 /// What an agent last reported about itself and its server.
 #[derive(Clone, Copy, Debug)]
 struct AgentReport {
@@ -43,6 +57,8 @@
     /// Whether the agent has ended, with no server left beside it.
     gone: bool,
     heard_at: Millis,
+    /// Last capacity report, and when it arrived. Most frames carry none.
+    capacity: Option<(CapacityReport, Millis)>,
 }
 
 /// The last report of each agent, by the agent's address.
@@ -78,10 +94,31 @@
             misses_servers: frame.misses_servers,
             gone: frame.kind == FrameKind::Shutdown,
             heard_at: now,
+            capacity: self.0.get(&agent).and_then(|held| held.capacity),
         };
         self.0.insert(agent, report);
     }
 
+    /// Stores the capacity report that follows a frame's header; none: the agent
+    /// says that it knows nothing.
+    pub(super) fn update_capacity(
+        &mut self,
+        agent: Ipv4Addr,
+        capacity: Option<CapacityReport>,
+        now: Millis,
+    ) {
+        if let Some(report) = self.0.get_mut(&agent) {
+            report.capacity = capacity.map(|capacity| (capacity, now));
+        }
+    }
+
+    /// The estimate of an agent for its server, unless it is too old.
+    fn estimate_of(&self, agent: Ipv4Addr, now: Millis) -> Option<CapacityReport> {
+        let (capacity, heard_at) = self.0.get(&agent)?.capacity?;
+        let age = capacity.age + now.since(heard_at);
+        (age < ESTIMATE_MAX_AGE).then_some(capacity)
+    }
+
     /// Counts a new flow that was sent to an agent since its last report.
     pub(super) fn note_sent(&mut self, agent: Ipv4Addr) {
         if let Some(report) = self.0.get_mut(&agent) {
@@ -167,11 +204,57 @@
         let members = || self.candidates.iter().copied().filter(&eligible);
         let preferred = members().max_by_key(|m| rank(self.flow, m.address))?;
         if !preferred.is_busy(self.loads.load_of(preferred.address, self.now)) {
-            return Some(preferred.address);
+            let members: Vec<MemberLoad> = members().map(|m| self.load(m)).collect();
+            return Some(self.preferred_or_faster(preferred, &members));
         }
         self.least_loaded(eligible)
     }
 
+    fn load<'m>(&self, member: &'m Member) -> MemberLoad<'m> {
+        MemberLoad {
+            member,
+            estimate: self.loads.estimate_of(member.address, self.now),
+            in_progress: self.loads.load_of(member.address, self.now),
+        }
+    }
+
+    /// The preferred member, or the better of its alternatives if a request would
+    /// take far longer there than at the median member.
+    fn preferred_or_faster(&self, preferred: &Member, members: &[MemberLoad]) -> Ipv4Addr {
+        let load = self.load(preferred);
+        let Some(times) = ServiceTimes::new(members).filter(|t| t.is_overloaded(&load)) else {
+            return preferred.address;
+        };
+        let alternatives = self.alternatives(preferred, members).into_iter().flatten();
+        let free = alternatives.filter(|l| !l.member.is_busy(l.in_progress));
+        let faster = std::iter::once(load)
+            .chain(free)
+            .min_by(|a, b| times.expected_ms(a).total_cmp(&times.expected_ms(b)));
+        faster.map_or(preferred.address, |l| l.member.address)
+    }
+
+    /// The members that rank next after the preferred one.
+    fn alternatives<'m>(
+        &self,
+        preferred: &Member,
+        members: &[MemberLoad<'m>],
+    ) -> [Option<MemberLoad<'m>>; ALTERNATIVES] {
+        let rank_of = |l: &MemberLoad| rank(self.flow, l.member.address);
+        let mut best = [None; ALTERNATIVES];
+        for load in members {
+            if load.member.address == preferred.address {
+                continue;
+            }
+            let lower =
+                |held: &Option<MemberLoad>| held.is_none_or(|h| rank_of(&h) < rank_of(load));
+            if let Some(at) = best.iter().position(lower) {
+                best[at..].rotate_right(1);
+                best[at] = Some(*load);
+            }
+        }
+        best
+    }
+
     fn least_loaded(&self, eligible: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
         let members = self.candidates.iter().copied().filter(eligible);
         let least = members.min_by_key(|m| {
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -22,6 +22,9 @@
 use ramp_coordination::passthrough::agent::LostFlow;
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::capacity_report::CapacityReport;
+use ramp_protocol::capacity_report::carries_capacity_report;
+use ramp_protocol::capacity_report::write_capacity_report;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
@@ -87,6 +90,8 @@
     shutdown_since: Option<Millis>,
     /// Whether all flows of the server were known when this was last logged.
     knows_all_flows: Option<bool>,
+    /// Capacity report that the metrics show.
+    shown_capacity: Option<CapacityReport>,
     telemetry: Telemetry,
     send_buf: Vec<u8>,
     format: PhantomData<F>,
@@ -114,6 +119,7 @@
             reported_revision: Revision(0),
             shutdown_since: None,
             knows_all_flows: None,
+            shown_capacity: None,
             telemetry: Telemetry::default(),
             send_buf: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
@@ -213,6 +219,7 @@
         self.request_connect_check();
         self.send_heartbeats();
         self.log_knowledge();
+        self.show_capacity();
         Ok(())
     }
 
@@ -244,6 +251,21 @@
         }
     }
 
+    /// Updates the metrics of the server's capacity, and logs changes of its limit.
+    fn show_capacity(&mut self) {
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let report = self.agent.capacity_report(view, now);
+        if report == self.shown_capacity {
+            return;
+        }
+        self.shown_capacity = report;
+        self.telemetry.capacity(report);
+        if let Some(change) = self.agent.take_limit_change(view, now) {
+            self.telemetry.limit_changed(&change);
+        }
+    }
+
     /// Sends heartbeats to the balancers while the platform does not list the server,
     /// and for a while afterwards.
     fn send_heartbeats(&mut self) {
@@ -301,7 +323,10 @@
             misses_servers: view.is_some_and(|v| v.misses_servers(now)),
             uptime: self.agent.uptime(now),
         };
-        frame.write(packet, &mut self.send_buf);
+        let capacity = carries_capacity_report(kind)
+            .then(|| write_capacity_report(self.agent.capacity_report(view, now)));
+        let body = capacity.as_ref().map_or(packet, |bytes| bytes.as_slice());
+        frame.write(body, &mut self.send_buf);
         let to = SocketAddrV4::new(to, self.traffic.settings.peer_port);
         if let Err(err) = self.traffic.data.send_to(&self.send_buf, to) {
             self.telemetry.send_failed(to, &err);
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -55,6 +55,9 @@
         self.send_to_caller(key, packet);
         let failure = F::error_status(packet);
         self.telemetry.delivered(&key, request, &outbound, failure);
+        if let Some(completed) = outbound.completed {
+            self.agent.record_response(now, completed, failure);
+        }
         if let Some(to) = outbound.notify {
             self.send_frame(to, FrameKind::Owned, key, &[]);
         }
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -4,6 +4,8 @@
 
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::capacity_report::carries_capacity_report;
+use ramp_protocol::capacity_report::read_capacity_report;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::FRAME_LEN_BYTES;
 use ramp_protocol::frame::Frame;
@@ -46,6 +48,10 @@
                 self.telemetry.unreadable()
             }
         }
+        if carries_capacity_report(frame.kind) {
+            let report = read_capacity_report(&buf[FRAME_LEN_BYTES..]);
+            self.balancer.on_capacity_report(now, from, report);
+        }
     }
 
     pub(super) fn handle_owned(&mut self, view: &View, from: Ipv4Addr, frame: &Frame) {
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -5,12 +5,16 @@
 use std::net::Ipv4Addr;
 
 use metrics::Counter;
+use metrics::Gauge;
 use metrics::Histogram;
 use metrics::counter;
+use metrics::gauge;
 use metrics::histogram;
 use ramp_coordination::passthrough::agent::Outbound;
 use ramp_coordination::passthrough::agent::UnansweredRequest;
+use ramp_coordination::passthrough::server_capacity::LimitChange;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::format::RequestId;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::Refusal;
@@ -27,6 +31,9 @@
     send_failed: Counter,
     lost: Counter,
     answer_s: Histogram,
+    capacity_limit: Gauge,
+    capacity_request_s: Gauge,
+    capacity_age_s: Gauge,
 }
 
 impl Default for Telemetry {
@@ -39,6 +46,9 @@
             send_failed: counter!("passthrough_agent_send_failed_total"),
             lost: counter!("passthrough_agent_lost_total"),
             answer_s: histogram!("passthrough_agent_answer_seconds"),
+            capacity_limit: gauge!("passthrough_agent_capacity_limit"),
+            capacity_request_s: gauge!("passthrough_agent_capacity_request_seconds"),
+            capacity_age_s: gauge!("passthrough_agent_capacity_age_seconds"),
         }
     }
 }
@@ -51,6 +61,26 @@
         log::info!(complete, born_ms:?, started_ms; "what is known of the server's flows");
     }
 
+    /// The estimated capacity of the server; none: unknown.
+    pub fn capacity(&self, report: Option<CapacityReport>) {
+        let (limit, request_time, age) = report.map_or_else(Default::default, |report| {
+            (report.limit, report.request_time, report.age)
+        });
+        self.capacity_limit.set(f64::from(limit));
+        self.capacity_request_s.set(request_time.as_secs_f64());
+        self.capacity_age_s.set(age.as_secs_f64());
+    }
+
+    /// The server's limit has changed by a quarter or more.
+    pub fn limit_changed(&self, change: &LimitChange) {
+        log::info!(
+            limit_before = change.before,
+            limit = change.after,
+            request_ms = change.request_time.as_millis() as u64;
+            "estimated capacity of the server changed"
+        );
+    }
+
     /// A datagram is not a valid frame or packet.
     pub fn unreadable(&self) {
         self.unreadable.increment(1);
