Project the loads of members of unequal speed to the present

Where the servers of a service differ, the load now falls from the last report to the mean of the reports as the reported requests end.

--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -28,6 +28,7 @@
 use super::published::RELIST_LIMIT;
 use super::service_times::ESTIMATE_MAX_AGE;
 use super::service_times::MemberLoad;
+use super::service_times::RecentLoad;
 use super::service_times::ServiceTimes;
 use super::suspects::Suspects;
 use super::view::Member;
@@ -36,6 +37,9 @@
 /// Age from which a reported load is no longer used.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1000);
 
+/// Time over which the reported loads of an agent are averaged.
+const MEAN_LOAD_TIME: Duration = Duration::from_millis(1000);
+
 /// Number of members that may send a new flow back because they are busy.
 const MAX_BUSY_RETURNS: usize = 2;
 
@@ -57,6 +61,8 @@
     /// Whether the agent has ended, with no server left beside it.
     gone: bool,
     heard_at: Millis,
+    /// Mean of the reported requests in progress over [`MEAN_LOAD_TIME`].
+    mean_in_progress: f64,
     /// Last capacity report, and when it arrived. Most frames carry none.
     capacity: Option<(CapacityReport, Millis)>,
 }
@@ -87,6 +93,13 @@
 impl AgentReports {
     /// Stores the report in a frame of an agent.
     pub(super) fn update(&mut self, agent: Ipv4Addr, frame: &Frame, now: Millis) {
+        let held = self.0.get(&agent);
+        let in_progress = f64::from(frame.in_progress);
+        let mean_in_progress = held.map_or(in_progress, |held| {
+            let gap = now.since(held.heard_at).as_secs_f64();
+            let kept = (-gap / MEAN_LOAD_TIME.as_secs_f64()).exp();
+            in_progress + (held.mean_in_progress - in_progress) * kept
+        });
         let report = AgentReport {
             in_progress: frame.in_progress,
             sent_since: 0,
@@ -94,7 +107,8 @@
             misses_servers: frame.misses_servers,
             gone: frame.kind == FrameKind::Shutdown,
             heard_at: now,
-            capacity: self.0.get(&agent).and_then(|held| held.capacity),
+            mean_in_progress,
+            capacity: held.and_then(|held| held.capacity),
         };
         self.0.insert(agent, report);
     }
@@ -168,6 +182,16 @@
             .any(|report| report.misses_servers)
     }
 
+    /// What is known of the requests in progress at an agent's server.
+    fn recent_load(&self, agent: Ipv4Addr, now: Millis) -> RecentLoad {
+        let report = self.0.get(&agent);
+        report.map_or_else(RecentLoad::default, |report| RecentLoad {
+            last: f64::from(report.in_progress) + f64::from(report.sent_since),
+            mean: report.mean_in_progress,
+            age: now.since(report.heard_at),
+        })
+    }
+
     /// Requests in progress and new flows sent since; zero if the report is too
     /// old.
     fn load_of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
@@ -203,34 +227,44 @@
     fn preferred_or_least_loaded(&self, eligible: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
         let members = || self.candidates.iter().copied().filter(&eligible);
         let preferred = members().max_by_key(|m| rank(self.flow, m.address))?;
-        if !preferred.is_busy(self.loads.load_of(preferred.address, self.now)) {
-            let members: Vec<MemberLoad> = members().map(|m| self.load(m)).collect();
-            return Some(self.preferred_or_faster(preferred, &members));
-        }
-        self.least_loaded(eligible)
+        let loads: Vec<MemberLoad> = members().map(|m| self.load(m)).collect();
+        let chosen = match ServiceTimes::new(&loads) {
+            Some(times) => self.preferred_or_faster(preferred, &loads, &times),
+            None => {
+                let in_progress = self.loads.load_of(preferred.address, self.now);
+                (!preferred.is_busy(in_progress)).then_some(preferred.address)
+            }
+        };
+        chosen.or_else(|| self.least_loaded(eligible))
     }
 
     fn load<'m>(&self, member: &'m Member) -> MemberLoad<'m> {
         MemberLoad {
             member,
             estimate: self.loads.estimate_of(member.address, self.now),
-            in_progress: self.loads.load_of(member.address, self.now),
+            recent: self.loads.recent_load(member.address, self.now),
         }
     }
 
-    /// The preferred member, or the better of its alternatives if a request would
-    /// take far longer there than at the median member.
-    fn preferred_or_faster(&self, preferred: &Member, members: &[MemberLoad]) -> Ipv4Addr {
+    /// The preferred member, or the better of its alternatives if it has no free slot
+    /// or a request would take far longer there than at the median member. None if
+    /// all of these have no free slot.
+    fn preferred_or_faster(
+        &self,
+        preferred: &Member,
+        members: &[MemberLoad],
+        times: &ServiceTimes,
+    ) -> Option<Ipv4Addr> {
         let load = self.load(preferred);
-        let Some(times) = ServiceTimes::new(members).filter(|t| t.is_overloaded(&load)) else {
-            return preferred.address;
-        };
+        if !times.is_busy(&load) && !times.is_overloaded(&load) {
+            return Some(preferred.address);
+        }
         let alternatives = self.alternatives(preferred, members).into_iter().flatten();
-        let free = alternatives.filter(|l| !l.member.is_busy(l.in_progress));
         let faster = std::iter::once(load)
-            .chain(free)
+            .chain(alternatives)
+            .filter(|l| !times.is_busy(l))
             .min_by(|a, b| times.expected_ms(a).total_cmp(&times.expected_ms(b)));
-        faster.map_or(preferred.address, |l| l.member.address)
+        faster.map(|l| l.member.address)
     }
 
     /// The members that rank next after the preferred one.
--- a/crates/coordination/src/passthrough/service_times.rs
+++ b/crates/coordination/src/passthrough/service_times.rs
@@ -23,7 +23,28 @@
 pub(super) struct MemberLoad<'a> {
     pub(super) member: &'a Member,
     pub(super) estimate: Option<CapacityReport>,
-    pub(super) in_progress: u16,
+    pub(super) recent: RecentLoad,
+}
+
+/// Requests in progress at a member, by the reports of its agent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecentLoad {
+    /// Requests in progress by the last report, and new flows sent since.
+    pub(super) last: f64,
+    /// Mean of the reports, each of which counts the flow that caused it.
+    pub(super) mean: f64,
+    /// Age of the last report.
+    pub(super) age: Duration,
+}
+
+impl RecentLoad {
+    /// Requests in progress with a new one. The reports arrive only with new flows,
+    /// so the last one loses its meaning as the requests that it counts end.
+    fn with_new_request(&self, request_ms: f64) -> f64 {
+        let still_valid = (-(self.age.as_millis() as f64) / request_ms).exp();
+        let expected = self.mean + (self.last + 1.0 - self.mean) * still_valid;
+        expected.max(1.0)
+    }
 }
 
 /// Expected times at the members of a service that are not equally fast.
@@ -78,11 +99,21 @@
         self.expected_ms(load) > OVERLOAD_RATIO * self.median_ms
     }
 
+    /// Whether a member has no free slot for a new request.
+    pub(super) fn is_busy(&self, load: &MemberLoad) -> bool {
+        let in_progress = load.recent.with_new_request(self.request_ms(load));
+        load.member.slots > 0 && in_progress > f64::from(load.member.slots)
+    }
+
     /// Expected time of a new request, which counts as in progress as well: otherwise
     /// all idle servers would look alike, whatever their speed.
     pub(super) fn expected_ms(&self, load: &MemberLoad) -> f64 {
-        let request_ms = load.request_ms().unwrap_or(self.typical_ms);
-        request_ms * (f64::from(load.in_progress) + 1.0) / load.limit()
+        let request_ms = self.request_ms(load);
+        request_ms * load.recent.with_new_request(request_ms) / load.limit()
+    }
+
+    fn request_ms(&self, load: &MemberLoad) -> f64 {
+        load.request_ms().unwrap_or(self.typical_ms)
     }
 }
 
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod reachability;
 mod readers;
+mod server_capacity;
 mod server_liveness;
 mod simulation;
 mod stalled_search;
