Follow slower servers as soon as faster ones, and raise limits within 2 s

The limit rises by an eighth of the slots, so that one refusal does not hold a server with many slots back.

--- a/crates/coordination/src/passthrough/server_capacity.rs
+++ b/crates/coordination/src/passthrough/server_capacity.rs
@@ -11,8 +11,8 @@
 //! - Limit: where the third of the requests with the highest concurrency takes
 //!   significantly longer than the third with the lowest, the limit is the
 //!   concurrency at which their throughput would have kept the time of the latter
-//!   (Little's law). Otherwise it rises by one at a time up to the slots, so that a
-//!   slow server is probed again. A refusal lowers it to below the concurrency at
+//!   (Little's law). Otherwise it rises in steps up to the slots, so that a slow
+//!   server is probed again. A refusal lowers it to below the concurrency at
 //!   which it occurred.
 //! - Time: a trimmed mean, in which one caller has a limited weight. Times above
 //!   the limit are scaled down to it, so that time and limit do not count the same
@@ -44,9 +44,13 @@
 /// Minimum time between two computations of the estimate.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without signs of slowness after which the limit rises by one.
+/// Time without signs of slowness after which the limit rises by a step.
 const LIMIT_RAISE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of steps from zero to the slots, so that any limit is back at the slots
+/// within 2 s.
+const LIMIT_RAISE_STEPS: u16 = 8;
+
 /// Maximum number of requests that are kept in the window.
 const MAX_SAMPLES: usize = 128;
 
@@ -75,8 +79,13 @@
 /// Relative change of the mean that is followed at once, if it is significant.
 const MIN_MEAN_CHANGE: f64 = 0.2;
 
-/// Number of standard errors from which a difference is significant.
-const SIGNIFICANT_ERRORS: f64 = 4.0;
+/// Number of standard errors from which a change of the mean is followed at once. The
+/// windows of many servers are compared ten times a second.
+const SIGNIFICANT_CHANGE_ERRORS: f64 = 4.0;
+
+/// Number of standard errors from which the times at high concurrency count as longer.
+/// A wrong limit costs little, as the time is scaled with it.
+const SIGNIFICANT_RISE_ERRORS: f64 = 3.0;
 
 /// A request whose response has not begun.
 #[derive(Clone, Copy, Debug)]
@@ -355,13 +364,14 @@
         self.limit_changed_at = now;
     }
 
-    /// Raises the limit by one if there was no sign of slowness for a while.
+    /// Raises the limit by a step if there was no sign of slowness for a while.
     fn raise_limit(&mut self, now: Millis, slots: u16) {
         let Some(limit) = self.limit else {
             return;
         };
         if now.since(self.limit_changed_at) >= LIMIT_RAISE_INTERVAL {
-            self.limit = Some(limit.saturating_add(1)).filter(|limit| *limit < slots);
+            let step = slots.div_ceil(LIMIT_RAISE_STEPS);
+            self.limit = Some(limit.saturating_add(step)).filter(|limit| *limit < slots);
             self.limit_changed_at = now;
         }
     }
@@ -412,7 +422,11 @@
 
     fn updated(self, recent: TrimmedMean, elapsed: Duration) -> SmoothedMean {
         let change = recent.mean - self.mean_ms;
-        let significant = SIGNIFICANT_ERRORS * recent.standard_error;
+        // The error grows with the mean. That of the lower mean counts, so that a rise
+        // is found as soon as a fall.
+        let relative_error = recent.standard_error / recent.mean.max(f64::MIN_POSITIVE);
+        let lower_mean = recent.mean.min(self.mean_ms);
+        let significant = SIGNIFICANT_CHANGE_ERRORS * relative_error * lower_mean;
         let min_change = significant.max(MIN_MEAN_CHANGE * self.mean_ms);
         if change.abs() > min_change {
             return SmoothedMean::new(recent.mean);
@@ -469,6 +483,6 @@
     let (fast, slow) = (time(low), time(high));
     let error = fast.standard_error.hypot(slow.standard_error);
     let rise = slow.mean - fast.mean;
-    let is_slow = slow.mean > SLOW_RATIO * fast.mean && rise > SIGNIFICANT_ERRORS * error;
+    let is_slow = slow.mean > SLOW_RATIO * fast.mean && rise > SIGNIFICANT_RISE_ERRORS * error;
     is_slow.then(|| concurrency(high) * fast.mean / slow.mean)
 }
