--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -6,6 +6,8 @@
 //! ([`Member::is_full`]), the flow is refused so that the balancer tries another
 //! server; if no other server is less busy, it waits in the queue. A flow with a
 //! priority also waits for its turn at a cold server if most servers are cold.
+//! It is also sent back to the balancer while the server is beyond its learned limit,
+//! but never queued for that.
 //!
 //! [`Member::is_full`]: crate::passthrough::view::Member::is_full
 
@@ -96,6 +98,9 @@
         if self.is_full(view, now) || (yields && !cold) {
             return Some(self.queue_while_full(view, now, from, inquiry, seg));
         }
+        if self.exceeds_learned_limit(view, now, inquiry) {
+            return Some(Inbound::Refuse(Refusal::Busy));
+        }
         if yields || self.admit_cold(view, now, terms.rank).is_err() {
             return Some(self.queue_while_cold(view, now, from, inquiry, seg));
         }
@@ -413,6 +418,7 @@
             flow.request_received = false;
         }
         self.in_progress = 0;
+        self.capacity.reset();
         let cold_start = view.and_then(|v| v.cold_start(self.service));
         self.cold_until = now + cold_start.unwrap_or_default();
     }
--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -7,11 +7,18 @@
 //! spread over all members. The known loads lag behind by a few openings, so
 //! an agent whose server is full sends the opening back. After
 //! [`MAX_BUSY_RETURNS`] of these the least loaded member must take the flow.
+//!
+//! Where the servers of a service differ in speed, and a request would take far
+//! longer at the first-ranked member than at the median one, the flow goes to the
+//! better of the members that rank second and third for it. A member is an
+//! alternative only for the flows that rank it there, so balancers that learn the
+//! same estimate at once do not all choose the same member.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
@@ -19,6 +26,10 @@
 use ramp_state::time::Millis;
 
 use super::published::RELIST_LIMIT;
+use super::service_times::ESTIMATE_MAX_AGE;
+use super::service_times::MemberLoad;
+use super::service_times::RecentLoad;
+use super::service_times::ServiceTimes;
 use super::suspects::Suspects;
 use super::view::Member;
 use super::view::rank;
@@ -26,9 +37,16 @@
 /// Age from which a reported load is no longer used.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1000);
 
+/// Time over which the reported loads of an agent are averaged.
+const MEAN_LOAD_TIME: Duration = Duration::from_millis(1000);
+
 /// Number of members that may send a new flow back because they are busy.
 const MAX_BUSY_RETURNS: usize = 2;
 
+/// Number of members, beside the first-ranked one, that a new flow may go to
+/// because of the expected times.
+const ALTERNATIVES: usize = 2;
+
 /// What an agent last reported about itself and its server.
 #[derive(Clone, Copy, Debug)]
 struct AgentReport {
@@ -45,6 +63,10 @@
     heard_at: Millis,
     /// When the load was reported; a relayed answer carries none.
     load_at: Millis,
+    /// Mean of the reported requests in progress over [`MEAN_LOAD_TIME`].
+    mean_in_progress: f64,
+    /// Last capacity report, and when it arrived. Most frames carry none.
+    capacity: Option<(CapacityReport, Millis)>,
 }
 
 /// The last report of each agent, by the agent's address.
@@ -73,6 +95,13 @@
 impl AgentReports {
     /// Stores the report in a frame of an agent.
     pub(super) fn update(&mut self, agent: Ipv4Addr, frame: &Frame, now: Millis) {
+        let held = self.0.get(&agent);
+        let in_progress = f64::from(frame.in_progress);
+        let mean_in_progress = held.map_or(in_progress, |held| {
+            let gap = now.since(held.heard_at).as_secs_f64();
+            let kept = (-gap / MEAN_LOAD_TIME.as_secs_f64()).exp();
+            in_progress + (held.mean_in_progress - in_progress) * kept
+        });
         let report = AgentReport {
             in_progress: frame.in_progress,
             sent_since: 0,
@@ -81,6 +110,8 @@
             gone: frame.kind == FrameKind::Shutdown,
             heard_at: now,
             load_at: now,
+            mean_in_progress,
+            capacity: held.and_then(|held| held.capacity),
         };
         self.0.insert(agent, report);
     }
@@ -103,6 +134,8 @@
             gone: false,
             heard_at: now,
             load_at: now,
+            mean_in_progress: 0.0,
+            capacity: None,
         });
         report.heard_at = now;
         report.gone = false;
@@ -110,6 +143,26 @@
         report.knows_all_flows = knows_all_flows.unwrap_or(report.knows_all_flows);
     }
 
+    /// Stores the capacity report that follows a frame's header; none: the agent
+    /// says that it knows nothing.
+    pub(super) fn update_capacity(
+        &mut self,
+        agent: Ipv4Addr,
+        capacity: Option<CapacityReport>,
+        now: Millis,
+    ) {
+        if let Some(report) = self.0.get_mut(&agent) {
+            report.capacity = capacity.map(|capacity| (capacity, now));
+        }
+    }
+
+    /// The estimate of an agent for its server, unless it is too old.
+    fn estimate_of(&self, agent: Ipv4Addr, now: Millis) -> Option<CapacityReport> {
+        let (capacity, heard_at) = self.0.get(&agent)?.capacity?;
+        let age = capacity.age + now.since(heard_at);
+        (age < ESTIMATE_MAX_AGE).then_some(capacity)
+    }
+
     /// Counts a new flow that was sent to an agent since its last report.
     pub(super) fn note_sent(&mut self, agent: Ipv4Addr) {
         if let Some(report) = self.0.get_mut(&agent) {
@@ -159,6 +212,16 @@
             .any(|report| report.misses_servers)
     }
 
+    /// What is known of the requests in progress at an agent's server.
+    fn recent_load(&self, agent: Ipv4Addr, now: Millis) -> RecentLoad {
+        let report = self.0.get(&agent);
+        report.map_or_else(RecentLoad::default, |report| RecentLoad {
+            last: f64::from(report.in_progress) + f64::from(report.sent_since),
+            mean: report.mean_in_progress,
+            age: now.since(report.heard_at),
+        })
+    }
+
     /// Requests in progress and new flows sent since; zero if the report is too
     /// old.
     fn load_of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
@@ -194,10 +257,66 @@
     fn preferred_or_least_loaded(&self, eligible: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
         let members = || self.candidates.iter().copied().filter(&eligible);
         let preferred = members().max_by_key(|m| rank(self.flow, m.address))?;
-        if !preferred.is_busy(self.loads.load_of(preferred.address, self.now)) {
+        let loads: Vec<MemberLoad> = members().map(|m| self.load(m)).collect();
+        let chosen = match ServiceTimes::new(&loads) {
+            Some(times) => self.preferred_or_faster(preferred, &loads, &times),
+            None => {
+                let in_progress = self.loads.load_of(preferred.address, self.now);
+                (!preferred.is_busy(in_progress)).then_some(preferred.address)
+            }
+        };
+        chosen.or_else(|| self.least_loaded(eligible))
+    }
+
+    fn load<'m>(&self, member: &'m Member) -> MemberLoad<'m> {
+        MemberLoad {
+            member,
+            estimate: self.loads.estimate_of(member.address, self.now),
+            recent: self.loads.recent_load(member.address, self.now),
+        }
+    }
+
+    /// The preferred member, or the better of its alternatives if it has no free slot
+    /// or a request would take far longer there than at the median member. None if
+    /// all of these have no free slot.
+    fn preferred_or_faster(
+        &self,
+        preferred: &Member,
+        members: &[MemberLoad],
+        times: &ServiceTimes,
+    ) -> Option<Ipv4Addr> {
+        let load = self.load(preferred);
+        if !times.is_busy(&load) && !times.is_overloaded(&load) {
             return Some(preferred.address);
         }
-        self.least_loaded(eligible)
+        let alternatives = self.alternatives(preferred, members).into_iter().flatten();
+        let faster = std::iter::once(load)
+            .chain(alternatives)
+            .filter(|l| !times.is_busy(l))
+            .min_by(|a, b| times.expected_ms(a).total_cmp(&times.expected_ms(b)));
+        faster.map(|l| l.member.address)
+    }
+
+    /// The members that rank next after the preferred one.
+    fn alternatives<'m>(
+        &self,
+        preferred: &Member,
+        members: &[MemberLoad<'m>],
+    ) -> [Option<MemberLoad<'m>>; ALTERNATIVES] {
+        let rank_of = |l: &MemberLoad| rank(self.flow, l.member.address);
+        let mut best = [None; ALTERNATIVES];
+        for load in members {
+            if load.member.address == preferred.address {
+                continue;
+            }
+            let lower =
+                |held: &Option<MemberLoad>| held.is_none_or(|h| rank_of(&h) < rank_of(load));
+            if let Some(at) = best.iter().position(lower) {
+                best[at..].rotate_right(1);
+                best[at] = Some(*load);
+            }
+        }
+        best
     }
 
     fn least_loaded(&self, eligible: impl Fn(&&Member) -> bool) -> Option<Ipv4Addr> {
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -20,6 +20,7 @@
 //! - [`link_rate`]: the rate of an instance's link
 //! - [`egress`]: the queue of datagrams that wait for a narrow link
 //! - [`search_relay`]: owner queries that an agent relays for a balancer
+//! - [`server_capacity`]: the estimated capacity of an agent's server
 //! - [`mark`]: the number by which an agent recognises who sent a packet
 
 pub mod agent;
@@ -41,7 +42,10 @@
 pub mod readers;
 pub mod restoration;
 pub mod search_relay;
+pub mod server_capacity;
+mod service_times;
 mod suspects;
 mod sweep;
+mod trimmed_mean;
 mod unanswered;
 pub mod view;
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -18,6 +18,7 @@
 mod relayed_search_faults;
 mod restoration;
 mod search_relay;
+mod server_capacity;
 mod server_liveness;
 mod silent_holders;
 mod simulation;
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -24,6 +24,9 @@
 use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::search_relay::SearchRelay;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::capacity_report::CapacityReport;
+use ramp_protocol::capacity_report::carries_capacity_report;
+use ramp_protocol::capacity_report::write_capacity_report;
 use ramp_protocol::format::PacketFormat;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
@@ -93,6 +96,8 @@
     knows_all_flows: Option<bool>,
     /// Length of the queue, and whether the server was overloaded, when last reported.
     reported_queue: (usize, bool),
+    /// Capacity report that the metrics show.
+    shown_capacity: Option<CapacityReport>,
     telemetry: Telemetry,
     send_buf: Vec<u8>,
     format: PhantomData<F>,
@@ -125,6 +130,7 @@
             shutdown_since: None,
             knows_all_flows: None,
             reported_queue: (0, false),
+            shown_capacity: None,
             telemetry: Telemetry::default(),
             send_buf: Vec::with_capacity(sockets::DATAGRAM_LIMIT_BYTES),
             format: PhantomData,
@@ -226,6 +232,7 @@
         self.request_connect_check();
         self.send_heartbeats();
         self.log_knowledge();
+        self.show_capacity();
         Ok(())
     }
 
@@ -277,6 +284,21 @@
         }
     }
 
+    /// Updates the metrics of the server's capacity, and logs changes of its limit.
+    fn show_capacity(&mut self) {
+        let view = self.view.as_deref();
+        let now = self.traffic.clock.now();
+        let report = self.agent.capacity_report(view, now);
+        if report == self.shown_capacity {
+            return;
+        }
+        self.shown_capacity = report;
+        self.telemetry.capacity(report);
+        if let Some(change) = self.agent.take_limit_change(view, now) {
+            self.telemetry.limit_changed(&change);
+        }
+    }
+
     /// Sends heartbeats to the balancers while the platform does not list the server,
     /// and for a while afterwards.
     fn send_heartbeats(&mut self) {
@@ -344,6 +366,11 @@
     }
 
     fn send_datagram(&mut self, to: SocketAddrV4, frame: &Frame, body: &[u8]) {
+        let now = self.traffic.clock.now();
+        let view = self.view.as_deref();
+        let capacity = carries_capacity_report(frame.kind)
+            .then(|| write_capacity_report(self.agent.capacity_report(view, now)));
+        let body = capacity.as_ref().map_or(body, |bytes| bytes.as_slice());
         frame.write(body, &mut self.send_buf);
         if let Err(err) = self.traffic.data.send_to(&self.send_buf, to) {
             self.telemetry.send_failed(to, &err);
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -15,7 +15,9 @@
 use ramp_coordination::passthrough::agent::UnansweredRequest;
 use ramp_coordination::passthrough::search_relay::FinishedQuery;
 use ramp_coordination::passthrough::search_relay::PeerQuery;
+use ramp_coordination::passthrough::server_capacity::LimitChange;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::format::RequestId;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::Refusal;
@@ -36,6 +38,9 @@
     relay_unanswered: Counter,
     answer_s: Histogram,
     queue_length: Gauge,
+    capacity_limit: Gauge,
+    capacity_request_s: Gauge,
+    capacity_age_s: Gauge,
 }
 
 impl Default for Telemetry {
@@ -52,6 +57,9 @@
             relay_unanswered: counter!("passthrough_agent_relay_unanswered_total"),
             answer_s: histogram!("passthrough_agent_answer_seconds"),
             queue_length: gauge!("passthrough_agent_queue_length"),
+            capacity_limit: gauge!("passthrough_agent_capacity_limit"),
+            capacity_request_s: gauge!("passthrough_agent_capacity_request_seconds"),
+            capacity_age_s: gauge!("passthrough_agent_capacity_age_seconds"),
         }
     }
 }
@@ -64,6 +72,26 @@
         log::info!(complete, born_ms:?, started_ms; "what is known of the server's flows");
     }
 
+    /// The estimated capacity of the server; none: unknown.
+    pub fn capacity(&self, report: Option<CapacityReport>) {
+        let (limit, request_time, age) = report.map_or_else(Default::default, |report| {
+            (report.limit, report.request_time, report.age)
+        });
+        self.capacity_limit.set(f64::from(limit));
+        self.capacity_request_s.set(request_time.as_secs_f64());
+        self.capacity_age_s.set(age.as_secs_f64());
+    }
+
+    /// The server's limit has changed by a quarter or more.
+    pub fn limit_changed(&self, change: &LimitChange) {
+        log::info!(
+            limit_before = change.before,
+            limit = change.after,
+            request_ms = change.request_time.as_millis() as u64;
+            "estimated capacity of the server changed"
+        );
+    }
+
     /// A datagram is not a valid frame or packet.
     pub fn unreadable(&self) {
         self.unreadable.increment(1);
