Age of a load: from the load's report, not from a relayed answer

A relayed answer refreshes when an agent was last heard, but carries no load; the projection of loads took that time for the load's age. Found by reading the merged code, no test shows it yet.

--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -218,7 +218,7 @@
         report.map_or_else(RecentLoad::default, |report| RecentLoad {
             last: f64::from(report.in_progress) + f64::from(report.sent_since),
             mean: report.mean_in_progress,
-            age: now.since(report.heard_at),
+            age: now.since(report.load_at),
         })
     }
 
