Agents: exit with the proof that the server has ended

Cause: in a release, a server and its agent are stopped at the same moment. The agent exited after 100 ms, before refused connections could show that the server had ended, so it told balancers nothing.

Change: an agent whose server refuses connections goes on for up to 1.3 s, until it counts the server as ended. When it may exit is decided in the coordination layer now. The test fails without the rule: exit at 100 ms with no one told.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -133,7 +133,7 @@
     /// Refuses new flows while the server takes none: its agent is shutting down,
     /// the server has ended or drains, or its data centre is evacuated.
     fn admit_by_state(&self, view: Option<&View>, now: Millis) -> Result<(), Refusal> {
-        if self.shutting_down {
+        if self.shutdown_since.is_some() {
             return Err(Refusal::Leaving);
         }
         if self.liveness.is_absent() {
--- a/crates/coordination/src/passthrough/agent/knowledge.rs
+++ b/crates/coordination/src/passthrough/agent/knowledge.rs
@@ -104,7 +104,7 @@
         // Balancers may learn later than this agent that the server is listed again.
         let needed = |at: Millis| now.since(at) < RELIST_LIMIT;
         let due = now.since(self.last_heartbeats_at) >= HEARTBEAT_INTERVAL;
-        if self.shutting_down || !due || !self.last_unlisted_at.is_some_and(needed) {
+        if self.shutdown_since.is_some() || !due || !self.last_unlisted_at.is_some_and(needed) {
             return Vec::new();
         }
         self.last_heartbeats_at = now;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -67,7 +67,8 @@
     /// Whether the server is older than this process, whatever the start time in
     /// its record says: it sent data on a flow that was open before.
     server_predates_agent: bool,
-    shutting_down: bool,
+    /// When this process was asked to exit.
+    shutdown_since: Option<Millis>,
     flows: IndexMap<FlowKey, Flow>,
     in_progress: u16,
     /// Flows whose first request is expected, oldest first, with the time at which
@@ -118,7 +119,7 @@
             last_tick_at: now,
             clock_behind: false,
             server_predates_agent: false,
-            shutting_down: false,
+            shutdown_since: None,
             flows: IndexMap::new(),
             in_progress: 0,
             expected_requests: VecDeque::new(),
@@ -141,11 +142,6 @@
         }
     }
 
-    /// Refuses new flows from now on, because this process is about to exit.
-    pub fn begin_shutdown(&mut self) {
-        self.shutting_down = true;
-    }
-
     /// Number of requests that occupy a slot of the server, or soon will.
     pub fn in_progress(&self) -> u16 {
         self.in_progress
--- a/crates/coordination/src/passthrough/agent/server_liveness.rs
+++ b/crates/coordination/src/passthrough/agent/server_liveness.rs
@@ -38,6 +38,16 @@
 /// server opens its listening socket.
 const MIN_CONSECUTIVE_REFUSALS: u32 = 2;
 
+/// Shortest time for which an agent that shuts down keeps running.
+const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(100);
+
+/// Longest time for which an agent that shuts down waits for requests in progress.
+const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(800);
+
+/// Longest time for which an agent that shuts down waits for the proof that its
+/// server has ended: it takes [`MIN_SILENCE`] and two checks.
+const MAX_PROOF_TIME: Duration = Duration::from_millis(1300);
+
 /// Evidence for and against a running server.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServerLiveness {
@@ -86,6 +96,11 @@
         }
     }
 
+    /// Whether the server refuses connections but does not yet count as ended.
+    fn is_proof_pending(&self) -> bool {
+        self.consecutive_refusals > 0 && !self.absent
+    }
+
     fn is_awaiting_reply_for(&self, now: Millis, limit: Duration) -> bool {
         self.awaiting_reply_since
             .is_some_and(|at| now.since(at) >= limit)
@@ -131,7 +146,7 @@
     /// Whether checks are due every `FAST_CHECK_INTERVAL`, so that the driver
     /// must not wait longer for packets.
     pub fn needs_frequent_connect_checks(&self) -> bool {
-        self.shutting_down || self.liveness.consecutive_refusals > 0
+        self.shutdown_since.is_some() || self.liveness.consecutive_refusals > 0
     }
 
     /// Records the result of a connection check. Returns the flows that are lost
@@ -155,6 +170,25 @@
         self.liveness.is_absent()
     }
 
+    /// Refuses new flows from now on, because this process is about to exit.
+    pub fn begin_shutdown(&mut self, now: Millis) {
+        self.shutdown_since.get_or_insert(now);
+    }
+
+    /// Whether this process may exit. Often the server and its agent are stopped
+    /// together; the agent then goes on until it can tell balancers that no server is
+    /// left, as they would otherwise expect it back for seconds.
+    pub fn may_exit(&self, now: Millis) -> bool {
+        let Some(since) = self.shutdown_since else {
+            return false;
+        };
+        let elapsed = now.since(since);
+        if self.liveness.is_proof_pending() {
+            return elapsed >= MAX_PROOF_TIME;
+        }
+        elapsed >= MAX_SHUTDOWN_TIME || (elapsed >= MIN_SHUTDOWN_TIME && self.in_progress == 0)
+    }
+
     /// Balancers to tell, as this process exits, that no server is left here;
     /// empty while one may be running.
     pub fn shutdown_notice_recipients(&self) -> &[Ipv4Addr] {
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -136,7 +136,7 @@
     catalog.apply(Millis(1), written(101, Record::Evacuation(EAST)));
     let view = catalog.view(Millis(1)).unwrap();
     let mut agent = agent(1);
-    agent.begin_shutdown();
+    agent.begin_shutdown(Millis(0));
     let from = balancer_ip(1);
     let inbound = agent.on_balancer_packet(
         Some(&view),
@@ -1002,7 +1002,7 @@
         "{late}"
     );
     assert!(agent.due_heartbeats(Some(&listed), Millis(4000)).is_empty());
-    agent.begin_shutdown();
+    agent.begin_shutdown(Millis(0));
     assert!(
         agent
             .due_heartbeats(Some(&unlisted), Millis(5000))
--- a/crates/coordination/tests/passthrough/server_liveness.rs
+++ b/crates/coordination/tests/passthrough/server_liveness.rs
@@ -270,7 +270,7 @@
     let view = view(&[2]);
     let mut agent = agent();
     agent.note_balancer(balancer_ip(4));
-    agent.begin_shutdown();
+    agent.begin_shutdown(Millis(2000));
     assert!(agent.shutdown_notice_recipients().is_empty());
     refuse_until_absent(&mut agent, &view, 0);
     assert_eq!(agent.shutdown_notice_recipients(), [balancer_ip(4)]);
@@ -290,3 +290,47 @@
     let action = balancer.on_returned(&view, Millis(201), ip(1), Refusal::Bounced, &returned, &seg);
     assert!(!matches!(action, Action::Reset(_)), "{action:?}");
 }
+
+// Guards against callers of lost flows that wait for seconds for the agent of a server
+// that was stopped together with it, as when servers are replaced one after the other:
+// the agent exited after 100 ms, so balancers expected it back.
+#[test]
+fn an_agent_that_is_stopped_with_its_server_exits_with_the_proof_that_it_has_ended() {
+    let mut agent = agent();
+    open(&mut agent, &view_without_1(), 0, 1);
+    forward(
+        &mut agent,
+        &view_without_1(),
+        100,
+        Inquiry::None,
+        &segment(flow(1)),
+    );
+    agent.on_server_packet(Some(&view_without_1()), Millis(100), &segment(flow(1)));
+    agent.begin_shutdown(Millis(150));
+    let exited_at = (150..3000).find(|now| {
+        if agent.connect_check_due(Some(&view_without_1()), Millis(*now)) {
+            let refused = ConnectResult::Refused;
+            agent.record_connect_check(Some(&view_without_1()), Millis(*now), refused);
+        }
+        agent.may_exit(Millis(*now))
+    });
+    assert!(exited_at.is_some_and(|at| at <= 1250), "{exited_at:?}");
+    assert_eq!(agent.shutdown_notice_recipients(), [balancer_ip(1)]);
+}
+
+// Guards against restarts of agents that take longer than needed: a server that takes
+// connections goes on without its agent.
+#[test]
+fn an_agent_that_is_stopped_beside_a_running_server_exits_at_once() {
+    let mut agent = agent();
+    agent.begin_shutdown(Millis(150));
+    let exited_at = (150..3000).find(|now| {
+        if agent.connect_check_due(Some(&view(&[1])), Millis(*now)) {
+            let running = ConnectResult::NotRefused;
+            agent.record_connect_check(Some(&view(&[1])), Millis(*now), running);
+        }
+        agent.may_exit(Millis(*now))
+    });
+    assert_eq!(exited_at, Some(250));
+    assert!(agent.shutdown_notice_recipients().is_empty());
+}
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -45,12 +45,6 @@
 use crate::clock::Clock;
 use crate::udp;
 
-/// Maximum time for which an agent that shuts down waits for requests in progress.
-const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(800);
-
-/// Minimum time for which an agent that shuts down keeps running.
-const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(100);
-
 /// Minimum wait for packets when the timeout of a queued flow is about to expire.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(1);
 
@@ -91,7 +85,6 @@
     queued_packets: IndexMap<FlowKey, Vec<u8>>,
     /// Newest revision that was reported to the control thread.
     reported_revision: Revision,
-    shutdown_since: Option<Millis>,
     /// Whether all flows of the server were known when this was last logged.
     knows_all_flows: Option<bool>,
     /// Length of the queue, and whether the server was overloaded, when last reported.
@@ -127,7 +120,6 @@
             relay,
             queued_packets: IndexMap::new(),
             reported_revision: Revision(0),
-            shutdown_since: None,
             knows_all_flows: None,
             reported_queue: (0, false),
             shown_capacity: None,
@@ -136,7 +128,7 @@
             format: PhantomData,
         };
         let mut buf = vec![0; sockets::DATAGRAM_LIMIT_BYTES];
-        while worker.handle_updates() && !worker.is_finished() {
+        while worker.handle_updates() && !worker.agent.may_exit(worker.traffic.clock.now()) {
             worker.run_once(&mut buf)?;
         }
         worker.send_shutdown_notices();
@@ -156,10 +148,7 @@
                     self.view = Some(view);
                 }
                 Ok(Update::ConnectChecked(result)) => self.on_connect_check(result),
-                Ok(Update::Shutdown) => {
-                    self.agent.begin_shutdown();
-                    self.shutdown_since = Some(self.traffic.clock.now());
-                }
+                Ok(Update::Shutdown) => self.agent.begin_shutdown(self.traffic.clock.now()),
                 Err(TryRecvError::Empty) => return true,
                 Err(TryRecvError::Disconnected) => return false,
             }
@@ -201,15 +190,6 @@
         }
     }
 
-    fn is_finished(&self) -> bool {
-        let Some(since) = self.shutdown_since else {
-            return false;
-        };
-        let elapsed = self.traffic.clock.now().since(since);
-        elapsed >= MAX_SHUTDOWN_TIME
-            || (elapsed >= MIN_SHUTDOWN_TIME && self.agent.in_progress() == 0)
-    }
-
     fn run_once(&mut self, buf: &mut [u8]) -> io::Result<()> {
         let sockets_to_poll = [&self.traffic.data, &self.traffic.outbound];
         let [data, outbound] = sockets::wait(sockets_to_poll, self.time_to_next())?;
