Loads: relayed answers renew neither a load nor its mean

Change: the time of the load is kept apart and is none until one was reported. The test fails with the code before: after relayed answers, flows are placed by means of 5 s ago.

--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -62,7 +62,7 @@
     gone: bool,
     heard_at: Millis,
     /// When the load was reported; a relayed answer carries none.
-    load_at: Millis,
+    load_at: Option<Millis>,
     /// Mean of the reported requests in progress over [`MEAN_LOAD_TIME`].
     mean_in_progress: f64,
     /// Last capacity report, and when it arrived. Most frames carry none.
@@ -97,10 +97,11 @@
     pub(super) fn update(&mut self, agent: Ipv4Addr, frame: &Frame, now: Millis) {
         let held = self.0.get(&agent);
         let in_progress = f64::from(frame.in_progress);
-        let mean_in_progress = held.map_or(in_progress, |held| {
-            let gap = now.since(held.heard_at).as_secs_f64();
+        let held_load = held.and_then(|held| Some((held.load_at?, held.mean_in_progress)));
+        let mean_in_progress = held_load.map_or(in_progress, |(load_at, mean)| {
+            let gap = now.since(load_at).as_secs_f64();
             let kept = (-gap / MEAN_LOAD_TIME.as_secs_f64()).exp();
-            in_progress + (held.mean_in_progress - in_progress) * kept
+            in_progress + (mean - in_progress) * kept
         });
         let report = AgentReport {
             in_progress: frame.in_progress,
@@ -109,7 +110,7 @@
             misses_servers: frame.misses_servers,
             gone: frame.kind == FrameKind::Shutdown,
             heard_at: now,
-            load_at: now,
+            load_at: Some(now),
             mean_in_progress,
             capacity: held.and_then(|held| held.capacity),
         };
@@ -133,7 +134,7 @@
             misses_servers: false,
             gone: false,
             heard_at: now,
-            load_at: now,
+            load_at: None,
             mean_in_progress: 0.0,
             capacity: None,
         });
@@ -215,18 +216,20 @@
     /// What is known of the requests in progress at an agent's server.
     fn recent_load(&self, agent: Ipv4Addr, now: Millis) -> RecentLoad {
         let report = self.0.get(&agent);
-        report.map_or_else(RecentLoad::default, |report| RecentLoad {
+        let reported = report.and_then(|report| Some((report, report.load_at?)));
+        reported.map_or_else(RecentLoad::default, |(report, load_at)| RecentLoad {
             last: f64::from(report.in_progress) + f64::from(report.sent_since),
             mean: report.mean_in_progress,
-            age: now.since(report.load_at),
+            age: now.since(load_at),
         })
     }
 
     /// Requests in progress and new flows sent since; zero if the report is too
     /// old.
     fn load_of(&self, agent: Ipv4Addr, now: Millis) -> u16 {
-        let fresh = |report: &&AgentReport| now.since(report.load_at) < LOAD_MAX_AGE;
-        let report = self.0.get(&agent).filter(fresh);
+        let is_fresh = |at: Millis| now.since(at) < LOAD_MAX_AGE;
+        let report = self.0.get(&agent);
+        let report = report.filter(|report| report.load_at.is_some_and(is_fresh));
         report.map_or(0, |report| {
             report.in_progress.saturating_add(report.sent_since)
         })
--- a/crates/coordination/tests/passthrough/server_capacity/choice.rs
+++ b/crates/coordination/tests/passthrough/server_capacity/choice.rs
@@ -9,6 +9,7 @@
 use ramp_protocol::capacity_report::CapacityReport;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
+use ramp_protocol::frame::Knowledge;
 use ramp_state::time::Millis;
 
 use crate::fixture::*;
@@ -39,8 +40,12 @@
 
 /// Agents to which a balancer sends one new flow each from these ports.
 fn agents(balancer: &mut Balancer, ports: impl Iterator<Item = u16>) -> Vec<Ipv4Addr> {
+    agents_at(balancer, 1, ports)
+}
+
+fn agents_at(balancer: &mut Balancer, now: u64, ports: impl Iterator<Item = u16>) -> Vec<Ipv4Addr> {
     let view = view(&SERVERS);
-    let place = |port| match balancer.on_packet(&view, Millis(1), &opening(flow(port), 0)) {
+    let place = |port| match balancer.on_packet(&view, Millis(now), &opening(flow(port), 0)) {
         Action::Forward { agent, .. } => agent,
         action => panic!("{action:?}"),
     };
@@ -90,3 +95,27 @@
     assert!(taken[&ip(1)] > 500 / 9 && taken[&ip(1)] <= 500 * 4 / 9);
     assert!(taken.len() >= 8, "{taken:?}");
 }
+
+// Guards against loads that look fresh because another message of the agent arrived
+// through a relay: the mean then stays at what was reported before.
+#[test]
+fn relayed_answers_do_not_renew_a_load() {
+    let reports =
+        || std::array::from_fn(|n| (LOADS[n], Some(report(40 + n as u64 * 20, Duration::ZERO))));
+    let later = |relayed: bool| {
+        let mut balancer = balancer(reports());
+        if relayed {
+            let reply = frame(FrameKind::RelayReply(Knowledge::Unsure), flow(1));
+            let agents = SERVERS.map(ip);
+            balancer.on_relay_reply(Millis(4999), ip(20), &reply, Knowledge::Unsure, &agents);
+        }
+        for (n, last) in SERVERS.into_iter().enumerate() {
+            let heartbeat = frame(FrameKind::Heartbeat, flow(1));
+            balancer.on_heartbeat(Millis(5000), ip(last), &heartbeat);
+            let report = report(40 + n as u64 * 20, Duration::ZERO);
+            balancer.on_capacity_report(Millis(5000), ip(last), Some(report));
+        }
+        agents_at(&mut balancer, 5300, 1..400)
+    };
+    assert_eq!(later(true), later(false));
+}
