Relayed answers: none counts of an agent that has just ended

Cause: an agent that exits tells balancers that no server is left. An answer that it gave before may arrive later through a relay and made it a holder again, which searches then waited for.

Change: for one second after such a message, relayed answers show nothing of the agent. The test fails with the code before: the last denial does not reset the caller.

--- a/crates/coordination/src/passthrough/choice.rs
+++ b/crates/coordination/src/passthrough/choice.rs
@@ -40,6 +40,9 @@
 /// Time over which the reported loads of an agent are averaged.
 const MEAN_LOAD_TIME: Duration = Duration::from_millis(1000);
 
+/// Longest time for which an answer may be under way through a relay.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1000);
+
 /// Number of members that may send a new flow back because they are busy.
 const MAX_BUSY_RETURNS: usize = 2;
 
@@ -119,7 +122,8 @@
 
     /// Stores what an answer that came through a relay shows of an agent.
     /// `knows_all_flows` is none if it shows nothing of that. The relay may have kept
-    /// the answer for a moment, so it does not clear `misses_servers`.
+    /// the answer for a moment, so it does not clear `misses_servers`, and shows nothing
+    /// of an agent that has just ended.
     pub(super) fn update_relayed(
         &mut self,
         agent: Ipv4Addr,
@@ -138,6 +142,9 @@
             mean_in_progress: 0.0,
             capacity: None,
         });
+        if report.gone && now.since(report.heard_at) < MAX_RELAYED_AGE {
+            return;
+        }
         report.heard_at = now;
         report.gone = false;
         report.misses_servers |= misses_servers;
--- a/crates/coordination/tests/passthrough/relayed_search.rs
+++ b/crates/coordination/tests/passthrough/relayed_search.rs
@@ -312,6 +312,28 @@
     assert!(matches!(at(500), Action::Reset(_)));
 }
 
+// Guards against searches that wait for seconds for an agent that has ended: an answer
+// that it gave before arrives after its last message.
+#[test]
+fn a_relayed_answer_does_not_bring_an_agent_back_that_has_just_ended() {
+    let seg = segment(flow(7));
+    let (view, mut balancer, relay) = relayed_search(&seg);
+    let ended = member(99);
+    balancer.on_agent_gone(
+        Millis(20),
+        ended,
+        &agent_frame(FrameKind::Shutdown, NO_FLOW),
+    );
+    let frame = reply_frame(balancer.next_relay_tag().unwrap(), Knowledge::Unsure);
+    relayed(&mut balancer, &view, 30, (relay, frame), &[ended], seg.key);
+    let denials = (1..=20).map(|n| {
+        let frame = agent_frame(FrameKind::Denied, seg.key);
+        balancer.on_denied(&view, Millis(40), member(n), &frame)
+    });
+    let last = denials.last();
+    assert!(matches!(last, Some(Action::Reset(_))), "{last:?}");
+}
+
 // Guards against a second copy of a packet, which would cost the narrow link a
 // thousand bytes.
 #[test]
