Balancer: its start is the process's, not its first packet

Cause: after a restart of everything with the platform away, the first view comes seconds after the start, and a balancer handles no packet before it.

Change: the driver gives the process's start. The test fails without it: the last denial leads to a drop as unsettled.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -104,7 +104,7 @@
     attempt_sweep: Sweep,
     search_sweep: Sweep,
     newest_agent_revision: Revision,
-    /// When this process handled its first packet or message.
+    /// When this process started; its first packet or message if that is not known.
     started_at: Option<Millis>,
     /// Whether an agent has been running for longer than this process, by more
     /// than [`FLEET_RESTART_SPREAD`].
@@ -130,6 +130,15 @@
         }
     }
 
+    /// The same balancer in a process that started at this moment. Without it, the first
+    /// packet or message counts as the start; a process handles none before its first view.
+    pub fn with_start(self, started_at: Millis) -> Balancer {
+        Balancer {
+            started_at: Some(started_at),
+            ..self
+        }
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/coordination/tests/passthrough/flow_safety.rs
+++ b/crates/coordination/tests/passthrough/flow_safety.rs
@@ -10,11 +10,13 @@
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::balancer::OWNER_REPLY_TIMEOUT;
+use ramp_coordination::passthrough::catalog::Catalog;
 use ramp_coordination::passthrough::published::Change;
 use ramp_coordination::passthrough::published::Record;
 use ramp_coordination::passthrough::published::RecordKey;
 use ramp_coordination::passthrough::published::ServerState;
 use ramp_coordination::passthrough::view::View;
+use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
 use ramp_protocol::frame::Knowledge;
@@ -633,3 +635,30 @@
     assert!(matches!(action, Some(Action::QueryOwner(_))), "{action:?}");
     assert_eq!(balancer.reply_time_left(Millis(600), &seg), None);
 }
+
+// Guards against callers of lost flows that wait for four seconds more after a restart of
+// everything in which the platform answers late: the balancer took the time before its
+// first packet for that of an older fleet.
+#[test]
+fn a_first_view_that_comes_late_does_not_make_the_fleet_older() {
+    let mut catalog = Catalog::new();
+    catalog.replace(Millis(3000), listing(&[1, 2, 3]));
+    let view = catalog.view(Millis(3000)).unwrap();
+    let mut balancer = Balancer::new().with_start(Millis(0));
+    let seg = segment(flow(7));
+    let first = forwarded(&balancer.on_packet(&view, Millis(3001), &seg));
+    let answer = |kind| Frame {
+        knows_all_flows: true,
+        uptime: Duration::from_millis(3000),
+        ..frame(kind, seg.key)
+    };
+    let bounced = answer(FrameKind::Returned(Refusal::Bounced));
+    balancer.on_returned(&view, Millis(3002), first, Refusal::Bounced, &bounced, &seg);
+    let others = (1..=3).map(ip).filter(|agent| *agent != first);
+    let denials = others.map(|agent| {
+        let denied = answer(FrameKind::Denied);
+        balancer.on_denied(&view, Millis(3010), agent, &denied)
+    });
+    let last = denials.last();
+    assert!(matches!(last, Some(Action::Reset(_))), "{last:?}");
+}
--- a/crates/transport/src/passthrough/balancer/mod.rs
+++ b/crates/transport/src/passthrough/balancer/mod.rs
@@ -120,6 +120,7 @@
         // at this address one after the other.
         let first_number = clock::incarnation().0 as u32;
         let balancer = Balancer::new()
+            .with_start(self.clock.now())
             .with_link_rate(self.settings.link_rate)
             .with_relay_client(self.settings.ip, first_number);
         let egress = Egress::for_link(self.settings.link_rate);
