--- a/crates/coordination/benches/search_messages.rs
+++ b/crates/coordination/benches/search_messages.rs
@@ -332,7 +332,6 @@
         address: ADDRESS,
         shares: vec![share],
         priority: None,
-        aim: None,
         time_limit: None,
     };
     let mut records = vec![Record::Configuration(Configuration {
--- a/crates/coordination/src/passthrough/published.rs
+++ b/crates/coordination/src/passthrough/published.rs
@@ -80,9 +80,6 @@
     /// Precedence of its new flows where servers are full; 0 is the highest.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<u8>,
-    /// Time within which its requests should be answered.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub aim: Option<Duration>,
     /// Time after which an answer to a request is of no use.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub time_limit: Option<Duration>,
--- a/crates/coordination/tests/passthrough/fixture.rs
+++ b/crates/coordination/tests/passthrough/fixture.rs
@@ -63,7 +63,6 @@
         address,
         shares: vec![Share { service, weight: 1 }],
         priority: None,
-        aim: None,
         time_limit: None,
     }
 }
