Agents: the decision to exit has a module of its own

Cause, found by reading the change once more: when an agent may exit stood among the evidence for a running server, and two tests held the same loop.

Change: shutdown.rs takes the three functions and their limits unchanged; the tests share one function, with the same assertions.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -16,6 +16,7 @@
 mod flow;
 mod knowledge;
 mod server_liveness;
+mod shutdown;
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
--- a/crates/coordination/src/passthrough/agent/server_liveness.rs
+++ b/crates/coordination/src/passthrough/agent/server_liveness.rs
@@ -10,7 +10,6 @@
 //! sent nothing on any flow for `MIN_SILENCE`: an unhealthy server may refuse
 //! connections and still serve open flows.
 
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use ramp_protocol::packet::Segment;
@@ -38,16 +37,6 @@
 /// server opens its listening socket.
 const MIN_CONSECUTIVE_REFUSALS: u32 = 2;
 
-/// Shortest time for which an agent that shuts down keeps running.
-const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(100);
-
-/// Longest time for which an agent that shuts down waits for requests in progress.
-const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(800);
-
-/// Longest time for which an agent that shuts down waits for the proof that its
-/// server has ended: it takes [`MIN_SILENCE`] and two checks.
-const MAX_PROOF_TIME: Duration = Duration::from_millis(1300);
-
 /// Evidence for and against a running server.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServerLiveness {
@@ -97,7 +86,7 @@
     }
 
     /// Whether the server refuses connections but does not yet count as ended.
-    fn is_proof_pending(&self) -> bool {
+    pub(super) fn is_proof_pending(&self) -> bool {
         self.consecutive_refusals > 0 && !self.absent
     }
 
@@ -170,35 +159,6 @@
         self.liveness.is_absent()
     }
 
-    /// Refuses new flows from now on, because this process is about to exit.
-    pub fn begin_shutdown(&mut self, now: Millis) {
-        self.shutdown_since.get_or_insert(now);
-    }
-
-    /// Whether this process may exit. Often the server and its agent are stopped
-    /// together; the agent then goes on until it can tell balancers that no server is
-    /// left, as they would otherwise expect it back for seconds.
-    pub fn may_exit(&self, now: Millis) -> bool {
-        let Some(since) = self.shutdown_since else {
-            return false;
-        };
-        let elapsed = now.since(since);
-        if self.liveness.is_proof_pending() {
-            return elapsed >= MAX_PROOF_TIME;
-        }
-        elapsed >= MAX_SHUTDOWN_TIME || (elapsed >= MIN_SHUTDOWN_TIME && self.in_progress == 0)
-    }
-
-    /// Balancers to tell, as this process exits, that no server is left here;
-    /// empty while one may be running.
-    pub fn shutdown_notice_recipients(&self) -> &[Ipv4Addr] {
-        if self.liveness.is_absent() {
-            self.senders.addresses()
-        } else {
-            &[]
-        }
-    }
-
     fn is_server_unlisted(&self, view: Option<&View>) -> bool {
         view.is_some_and(|v| v.member(self.server_ip).is_none())
     }
--- a/crates/coordination/tests/passthrough/server_liveness.rs
+++ b/crates/coordination/tests/passthrough/server_liveness.rs
@@ -291,6 +291,18 @@
     assert!(!matches!(action, Action::Reset(_)), "{action:?}");
 }
 
+/// Asks the agent to exit at 150 ms, with the same result of all connect checks; returns
+/// when it does, in milliseconds.
+fn stop(agent: &mut Agent, view: &View, result: ConnectResult) -> Option<u64> {
+    agent.begin_shutdown(Millis(150));
+    (150..3000).find(|now| {
+        if agent.connect_check_due(Some(view), Millis(*now)) {
+            agent.record_connect_check(Some(view), Millis(*now), result);
+        }
+        agent.may_exit(Millis(*now))
+    })
+}
+
 // Guards against callers of lost flows that wait for seconds for the agent of a server
 // that was stopped together with it, as when servers are replaced one after the other:
 // the agent exited after 100 ms, so balancers expected it back.
@@ -306,14 +318,7 @@
         &segment(flow(1)),
     );
     agent.on_server_packet(Some(&view_without_1()), Millis(100), &segment(flow(1)));
-    agent.begin_shutdown(Millis(150));
-    let exited_at = (150..3000).find(|now| {
-        if agent.connect_check_due(Some(&view_without_1()), Millis(*now)) {
-            let refused = ConnectResult::Refused;
-            agent.record_connect_check(Some(&view_without_1()), Millis(*now), refused);
-        }
-        agent.may_exit(Millis(*now))
-    });
+    let exited_at = stop(&mut agent, &view_without_1(), ConnectResult::Refused);
     assert!(exited_at.is_some_and(|at| at <= 1250), "{exited_at:?}");
     assert_eq!(agent.shutdown_notice_recipients(), [balancer_ip(1)]);
 }
@@ -323,14 +328,7 @@
 #[test]
 fn an_agent_that_is_stopped_beside_a_running_server_exits_at_once() {
     let mut agent = agent();
-    agent.begin_shutdown(Millis(150));
-    let exited_at = (150..3000).find(|now| {
-        if agent.connect_check_due(Some(&view(&[1])), Millis(*now)) {
-            let running = ConnectResult::NotRefused;
-            agent.record_connect_check(Some(&view(&[1])), Millis(*now), running);
-        }
-        agent.may_exit(Millis(*now))
-    });
+    let exited_at = stop(&mut agent, &view(&[1]), ConnectResult::NotRefused);
     assert_eq!(exited_at, Some(250));
     assert!(agent.shutdown_notice_recipients().is_empty());
 }
