Agents: a closed flow is not claimed, nor its port's next flow lost

The agent of the earlier flow claimed the later one, let its packet through, and reported the server's bounce as the loss of a flow, which a balancer believes without asking anybody else.

Change: agents know the range of sequence numbers of each flow, and when both ends have closed it. A packet of another flow is refused without asking the server, whose flow with that key is a different one; a closed flow is not claimed by key; only an open flow's own bounced packet shows that it is lost. An opening takes the place of an earlier flow once the server has accepted it. A line and a metric tell of refused packets.

The simulation's servers acknowledge what they answer, as real ones do: before, their packets acknowledged numbers of their own.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -24,7 +24,7 @@
 use super::Agent;
 use super::action::Dequeued;
 use super::action::Inbound;
-use super::flow::Flow;
+use super::flow::Opening;
 use super::flow::OwnerSubscriber;
 use crate::passthrough::opening_queue::Pace;
 use crate::passthrough::opening_queue::QueuedOpening;
@@ -283,16 +283,16 @@
         }
         self.queue.note_admitted(queued.rank);
         self.note_opening(now);
-        let mut flow = Flow::new(now, queued.seq);
-        flow.subscribe(OwnerSubscriber {
-            balancer: queued.from,
-            opening: true,
-        });
-        flow.request_since = Some(now);
-        self.in_progress = self.in_progress.saturating_add(1);
-        self.expected_requests.push_back((now, queued.flow));
-        self.remove_flow(&queued.flow);
-        self.flows.insert(queued.flow, flow);
+        let opening = Opening {
+            seq: queued.seq,
+            subscriber: Some(OwnerSubscriber {
+                balancer: queued.from,
+                opening: true,
+            }),
+        };
+        if !self.note_later_opening(&queued.flow, opening) {
+            self.begin_flow(now, queued.flow, opening);
+        }
         let mark = self.senders.mark(queued.from, false);
         Some(Dequeued::Forward(queued.flow, mark))
     }
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -14,6 +14,10 @@
 use super::Agent;
 use super::action::LostFlow;
 use super::action::UnansweredRequest;
+use super::closing::Closing;
+use crate::passthrough::flow_sequence::FlowSequence;
+use crate::passthrough::flow_sequence::SequenceRange;
+use crate::passthrough::flow_sequence::end_of;
 use crate::passthrough::view::View;
 
 /// Minimum time without a packet after which a flow is removed from the table.
@@ -48,6 +52,15 @@
     pub(super) opening: bool,
 }
 
+/// An opening packet that goes to the server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Opening {
+    /// Sequence number of the packet.
+    pub(super) seq: u32,
+    /// Balancer to tell once the server has answered, if it asked.
+    pub(super) subscriber: Option<OwnerSubscriber>,
+}
+
 /// A flow at the server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Flow {
@@ -56,9 +69,15 @@
     subscribers: [Option<OwnerSubscriber>; 2],
     /// Whether the server has sent a packet on the flow.
     pub(super) open: bool,
-    /// Sequence number of the server's SYN-ACK. Another server may have answered
-    /// a copy of the opening packet as well.
-    syn_ack_seq: Option<u32>,
+    /// Sequence numbers of the caller's packets.
+    pub(super) sequence: FlowSequence,
+    /// Sequence numbers of the server's packets from its SYN-ACK on, if this process
+    /// has seen that. Another server may have answered a copy of the opening packet as
+    /// well.
+    replies: Option<SequenceRange>,
+    closing: Closing,
+    /// Opening of a later flow with the same key that the server has not answered.
+    pub(super) later_opening: Option<Opening>,
     /// Whether the caller has accepted the SYN-ACK of this server.
     pub(super) owned: bool,
     /// Acknowledgement number of the caller's last packet.
@@ -77,17 +96,20 @@
 }
 
 impl Flow {
-    pub(super) fn new(now: Millis, next_seq: u32) -> Flow {
+    pub(super) fn new(now: Millis, sequence: FlowSequence) -> Flow {
         Flow {
             subscribers: [None; 2],
             open: false,
-            syn_ack_seq: None,
+            sequence,
+            replies: None,
+            closing: Closing::default(),
+            later_opening: None,
             owned: false,
             last_caller_ack: None,
             request_since: None,
             request_received: false,
             request_id: None,
-            next_seq,
+            next_seq: sequence.first(),
             last_packet_at: now,
         }
     }
@@ -95,16 +117,14 @@
     /// Records a packet of the caller. If it acknowledges this server's SYN-ACK,
     /// the server owns the flow.
     pub(super) fn note_caller_packet(&mut self, seg: &Segment) {
-        if !seg.opens && seg.has_ack {
-            self.last_caller_ack = Some(seg.ack);
-        }
-        let Some(syn_ack_seq) = self.syn_ack_seq else {
+        self.sequence.record(seg);
+        self.closing.on_caller_packet(seg);
+        if seg.opens || !seg.has_ack {
             return;
-        };
-        let acked = seg.ack.wrapping_sub(syn_ack_seq);
-        if !seg.opens && seg.has_ack && acked <= SYN_ACK_WINDOW_BYTES {
-            self.owned = true;
         }
+        self.last_caller_ack = Some(seg.ack);
+        let acked = self.replies.map(|r| seg.ack.wrapping_sub(r.first()));
+        self.owned |= acked.is_some_and(|bytes| bytes <= SYN_ACK_WINDOW_BYTES);
     }
 
     /// Records a packet of the server. Any packet but a SYN-ACK shows that it owns
@@ -112,22 +132,50 @@
     /// sends nothing else.
     pub(super) fn note_server_packet(&mut self, seg: &Segment) {
         self.open = true;
+        self.closing.on_server_packet(seg);
         if !seg.syn {
             self.owned = true;
+            if let Some(replies) = &mut self.replies {
+                replies.extend_to(end_of(seg));
+            }
             return;
         }
-        if self.syn_ack_seq.is_some_and(|held| held != seg.seq) {
-            // The caller has reused its port for a new flow.
+        if self.replies.is_none_or(|held| held.first() != seg.seq) {
+            // If there was another SYN-ACK, the server has opened the flow anew.
             self.owned = false;
+            self.replies = Some(SequenceRange::starting_at(seg.seq));
         }
-        self.syn_ack_seq = Some(seg.seq);
+    }
+
+    /// Whether a caller's packet may belong to this flow, and not to an earlier or
+    /// later one with the same key.
+    pub(super) fn includes(&self, seg: &Segment) -> bool {
+        let acknowledges = seg.has_ack && !seg.opens && !seg.rst;
+        let replies = self.replies.filter(|_| acknowledges);
+        self.sequence.includes(seg) && replies.is_none_or(|r| r.reaches(seg.ack))
+    }
+
+    /// Whether the server has accepted the opening of this flow from this process. All
+    /// openings pass here, so the server then has no other flow with this key.
+    pub(super) fn was_accepted_here(&self) -> bool {
+        self.replies.is_some()
+    }
+
+    /// Whether both ends have closed the flow.
+    pub(super) fn has_ended(&self) -> bool {
+        self.closing.is_complete()
+    }
+
+    /// Whether the flow is certainly open at the server.
+    pub(super) fn is_certainly_open(&self) -> bool {
+        self.owned && !self.has_ended() && self.later_opening.is_none()
     }
 
     /// Whether a packet of the server shows that the flow was open before this
     /// process started. An acknowledgement without data does not: the server sends
     /// it on an ended flow too.
     pub(super) fn shows_older_flow(&self, seg: &Segment) -> bool {
-        seg.len > 0 && self.syn_ack_seq.is_none()
+        seg.len > 0 && self.replies.is_none()
     }
 
     /// Adds a balancer to tell about the owner; keeps the last two.
--- a/crates/coordination/src/passthrough/agent/knowledge.rs
+++ b/crates/coordination/src/passthrough/agent/knowledge.rs
@@ -1,7 +1,8 @@
 //! Answers whether the backend server has a flow, without asking the server.
 //!
 //! The agent confirms a flow if the caller accepted the server's SYN-ACK or the
-//! server sent other packets on it. It denies a flow only if it knows all flows
+//! server sent other packets on it, until both ends have closed it: the caller may
+//! have a new flow with the same key elsewhere then, which only a packet shows. It denies a flow only if it knows all flows
 //! of its server: because it started no later than the server, or has observed
 //! all packets for longer than a flow may be idle. The first reason relies on the
 //! system clock, which may be behind, so it does not hold if the server's packets
@@ -19,6 +20,7 @@
 
 use super::Agent;
 use super::flow::CALLER_RETRANSMIT_TIMEOUT;
+use super::flow::Flow;
 use crate::passthrough::published::RELIST_LIMIT;
 use crate::passthrough::view::View;
 
@@ -125,7 +127,7 @@
     /// Whether the server has a flow, as far as its packets have shown. The server is
     /// not asked.
     pub fn knowledge(&self, view: Option<&View>, now: Millis, flow: &FlowKey) -> Knowledge {
-        if self.flows.get(flow).is_some_and(|f| f.owned) {
+        if self.flows.get(flow).is_some_and(Flow::is_certainly_open) {
             return Knowledge::Has;
         }
         if self.flows.contains_key(flow) || self.queue.contains(flow) {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -13,8 +13,10 @@
 mod action;
 mod admission;
 mod capacity;
+mod closing;
 mod flow;
 mod knowledge;
+mod port_reuse;
 mod server_liveness;
 mod shutdown;
 
@@ -32,8 +34,10 @@
 use ramp_state::time::Millis;
 
 use self::flow::Flow;
+use self::flow::Opening;
 use self::flow::OwnerSubscriber;
 use self::server_liveness::ServerLiveness;
+use super::flow_sequence::FlowSequence;
 use super::mark::Mark;
 use super::mark::Senders;
 use super::mean_time::MeanTime;
@@ -170,21 +174,33 @@
             return inbound;
         }
         if !seg.opens {
+            if self.is_of_other_flow(seg) {
+                return Inbound::Refuse(Refusal::Bounced);
+            }
             self.mark_superseded(&seg.key);
         }
         let asked = inquiry != Inquiry::None;
+        let subscriber = asked.then_some(OwnerSubscriber {
+            balancer: from,
+            opening: seg.opens,
+        });
+        let opening = Opening {
+            seq: seg.seq,
+            subscriber,
+        };
+        if seg.opens && self.note_later_opening(&seg.key, opening) {
+            return self.forward(now, from, inquiry, seg, false);
+        }
+        self.remove_earlier_flow(seg);
         let flow = self
             .flows
             .entry(seg.key)
-            .or_insert_with(|| Flow::new(now, seg.seq));
+            .or_insert_with(|| Flow::new(now, FlowSequence::of(seg)));
         flow.last_packet_at = now;
         flow.note_caller_packet(seg);
-        let owned = asked && flow.owned && !seg.opens;
-        if asked && !owned {
-            flow.subscribe(OwnerSubscriber {
-                balancer: from,
-                opening: seg.opens,
-            });
+        let owned = asked && flow.owned && flow.includes(seg) && !seg.opens;
+        if let Some(subscriber) = subscriber.filter(|_| !owned) {
+            flow.subscribe(subscriber);
         }
         let has_gap = flow.has_gap_before(seg);
         let starts_request = flow.starts_request(seg);
@@ -198,6 +214,17 @@
             flow.request_since = Some(now);
             self.in_progress = self.in_progress.saturating_add(1);
         }
+        self.forward(now, from, inquiry, seg, owned)
+    }
+
+    fn forward(
+        &mut self,
+        now: Millis,
+        from: Ipv4Addr,
+        inquiry: Inquiry,
+        seg: &Segment,
+        owned: bool,
+    ) -> Inbound {
         self.liveness.on_packet_forwarded(now, seg);
         let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
         Inbound::Forward { mark, owned }
@@ -224,10 +251,15 @@
                 ..Outbound::default()
             };
         }
+        self.accept_later_opening(now, seg);
         let flow = self
             .flows
             .entry(seg.key)
-            .or_insert_with(|| Flow::new(now, seg.ack));
+            .or_insert_with(|| Flow::new(now, FlowSequence::acknowledged_to(seg.ack)));
+        if !seg.syn && !flow.sequence.includes_reply(seg) {
+            // It is of an earlier flow with the same key.
+            return Outbound::default();
+        }
         flow.last_packet_at = now;
         flow.note_server_packet(seg);
         self.server_predates_agent |= flow.shows_older_flow(seg);
@@ -265,11 +297,15 @@
     ) -> Bounce {
         self.liveness.on_bounce();
         self.on_server_reply(view, now);
+        let held = self.flows.get_mut(&seg.key);
+        if let Some(flow) = held.filter(|_| seg.opens) {
+            flow.later_opening.take_if(|opening| opening.seq == seg.seq);
+        }
+        let held = self.flows.get(&seg.key).filter(|f| f.includes(seg));
         // The server may bounce a copy of the opening packet of a flow that it has.
-        let held = self.flows.get(&seg.key);
         let open = held.is_some_and(|f| f.open);
-        let owned = held.is_some_and(|f| f.owned);
-        if !seg.opens || !open {
+        let lost = held.is_some_and(|f| f.owned && !f.has_ended() && !seg.opens);
+        if held.is_some() && !(seg.opens && open) {
             self.remove_flow(&seg.key);
         }
         let Some((sender, copy)) = self.senders.sender_of(Mark(mark)) else {
@@ -278,7 +314,7 @@
         if seg.opens && !open && !copy {
             self.capacity.on_refusal(now, self.capacity.in_progress());
         }
-        if owned && !seg.opens {
+        if lost {
             Bounce::Lost(sender)
         } else if copy {
             Bounce::Deny(sender)
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -0,0 +1,79 @@
+//! Flows that follow each other with the same key, because the caller uses its port
+//! again.
+//!
+//! The table keeps a flow for a while after it has ended, or after its caller has given
+//! it up. A packet of a later flow must not be taken for one of that flow: the later
+//! flow may be at another server. All openings for the server pass here, so once the
+//! server has accepted one, it has no other flow with that key, and a packet that does
+//! not fit is refused without asking the server.
+//!
+//! The server decides whether an opening ends the flow before it: until it has answered
+//! the opening, the flow before it keeps its place.
+
+use ramp_protocol::packet::Segment;
+use ramp_state::key::FlowKey;
+use ramp_state::time::Millis;
+
+use super::Agent;
+use super::flow::Flow;
+use super::flow::Opening;
+use crate::passthrough::flow_sequence::FlowSequence;
+
+impl Agent {
+    /// Whether a packet of an open flow belongs to a flow that another server has: the
+    /// server here has a different one with the same key.
+    pub(super) fn is_of_other_flow(&self, seg: &Segment) -> bool {
+        let flow = self.flows.get(&seg.key);
+        let flow = flow.filter(|f| f.was_accepted_here());
+        // An acknowledgement alone may be of another server's answer to the same opening,
+        // which the server here bounces, unless it still remembers an ended flow.
+        flow.is_some_and(|f| !f.sequence.includes(seg) || (f.has_ended() && !f.includes(seg)))
+    }
+
+    /// Removes an earlier flow with the packet's key that has ended, or that was never
+    /// seen to open here, so that the packet's flow takes its place.
+    pub(super) fn remove_earlier_flow(&mut self, seg: &Segment) {
+        let flow = self.flows.get(&seg.key);
+        let replaced = |f: &Flow| !f.includes(seg) && (f.has_ended() || !seg.opens);
+        if flow.is_some_and(replaced) {
+            self.remove_flow(&seg.key);
+        }
+    }
+
+    /// Records an opening that goes to the server while the server may have an earlier
+    /// flow with its key; false if there is none.
+    pub(super) fn note_later_opening(&mut self, key: &FlowKey, opening: Opening) -> bool {
+        let flow = self.flows.get_mut(key);
+        let earlier = flow.filter(|f| !f.has_ended() && !f.sequence.includes_opening(opening.seq));
+        let Some(earlier) = earlier else {
+            return false;
+        };
+        earlier.later_opening = Some(opening);
+        true
+    }
+
+    /// Begins the flow of an opening that waited for the server's answer, if this packet
+    /// of the server accepts it.
+    pub(super) fn accept_later_opening(&mut self, now: Millis, seg: &Segment) {
+        let flow = self.flows.get(&seg.key);
+        let opening = flow.and_then(|f| f.later_opening).filter(|_| seg.syn);
+        let accepted = |o: &Opening| FlowSequence::opened_at(o.seq).includes_reply(seg);
+        if let Some(opening) = opening.filter(accepted) {
+            self.begin_flow(now, seg.key, opening);
+        }
+    }
+
+    /// Puts a flow into the table whose opening goes to the server, in place of an
+    /// earlier one.
+    pub(super) fn begin_flow(&mut self, now: Millis, key: FlowKey, opening: Opening) {
+        self.remove_flow(&key);
+        let mut flow = Flow::new(now, FlowSequence::opened_at(opening.seq));
+        if let Some(subscriber) = opening.subscriber {
+            flow.subscribe(subscriber);
+        }
+        flow.request_since = Some(now);
+        self.in_progress = self.in_progress.saturating_add(1);
+        self.expected_requests.push_back((now, key));
+        self.flows.insert(key, flow);
+    }
+}
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -28,6 +28,7 @@
 pub mod catalog;
 mod choice;
 pub mod egress;
+mod flow_sequence;
 mod link_load;
 pub mod link_rate;
 mod listed;
--- a/crates/coordination/tests/passthrough/main.rs
+++ b/crates/coordination/tests/passthrough/main.rs
@@ -12,6 +12,7 @@
 mod narrow_link;
 mod opening_queue;
 mod overload;
+mod port_reuse;
 mod reachability;
 mod readers;
 mod relayed_search;
--- /dev/null
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -0,0 +1,273 @@
+//! Tests of callers that use a port again: tables by flow key must not mix up the flows
+//! that follow each other.
+
+use std::net::Ipv4Addr;
+
+use ramp_coordination::passthrough::agent::Agent;
+use ramp_coordination::passthrough::agent::Bounce;
+use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::mark::Mark;
+use ramp_coordination::passthrough::view::View;
+use ramp_protocol::frame::FrameKind;
+use ramp_protocol::frame::Inquiry;
+use ramp_protocol::frame::Knowledge;
+use ramp_protocol::frame::Refusal;
+use ramp_protocol::packet::Segment;
+use ramp_state::time::Millis;
+
+use crate::fixture::*;
+
+const PORT: u16 = 9;
+
+/// One flow from [`PORT`], with the sequence numbers at which its ends start.
+#[derive(Clone, Copy)]
+struct Flow {
+    caller_start: u32,
+    server_start: u32,
+}
+
+const EARLIER: Flow = Flow {
+    caller_start: 1000,
+    server_start: 5000,
+};
+const LATER: Flow = Flow {
+    caller_start: 0x7000_0000,
+    server_start: 0x9000_0000,
+};
+
+impl Flow {
+    fn opening(self) -> Segment {
+        Segment {
+            seq: self.caller_start,
+            ..opening(flow(PORT), 0)
+        }
+    }
+
+    fn syn_ack(self) -> Segment {
+        Segment {
+            seq: self.server_start,
+            ack: self.caller_start + 1,
+            ..syn_ack(flow(PORT))
+        }
+    }
+
+    /// The caller's first request.
+    fn request(self) -> Segment {
+        Segment {
+            seq: self.caller_start + 1,
+            ack: self.server_start + 1,
+            ..segment(flow(PORT))
+        }
+    }
+
+    fn response(self) -> Segment {
+        Segment {
+            seq: self.server_start + 1,
+            ack: self.caller_start + 101,
+            ..segment(flow(PORT))
+        }
+    }
+
+    fn caller_fin(self) -> Segment {
+        Segment {
+            seq: self.caller_start + 101,
+            ack: self.server_start + 101,
+            len: 0,
+            fin: true,
+            ..segment(flow(PORT))
+        }
+    }
+
+    fn server_fin(self) -> Segment {
+        Segment {
+            seq: self.server_start + 101,
+            ack: self.caller_start + 102,
+            len: 0,
+            fin: true,
+            ..segment(flow(PORT))
+        }
+    }
+
+    /// The caller's acknowledgement of the server's FIN.
+    fn last_ack(self) -> Segment {
+        Segment {
+            seq: self.caller_start + 102,
+            ack: self.server_start + 102,
+            len: 0,
+            ..segment(flow(PORT))
+        }
+    }
+}
+
+/// The agent of server 1 and what it does with packets, a millisecond each.
+struct Fixture {
+    view: View,
+    agent: Agent,
+    now: Millis,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        Fixture {
+            view: view(&[1, 2]),
+            agent: Agent::new(ip(1), FEEDS, 1, 1, Millis(0)),
+            now: Millis(0),
+        }
+    }
+
+    fn balancer_sends(&mut self, inquiry: Inquiry, seg: &Segment) -> Inbound {
+        self.now.0 += 1;
+        let from: Ipv4Addr = balancer_ip(1);
+        let frame = frame(FrameKind::Forward(inquiry), seg.key);
+        let view = Some(&self.view);
+        self.agent
+            .on_balancer_packet(view, self.now, from, &frame, inquiry, seg)
+    }
+
+    /// As [`Fixture::balancer_sends`], for a packet that goes to the server.
+    fn forwards(&mut self, inquiry: Inquiry, seg: &Segment) -> (Mark, bool) {
+        match self.balancer_sends(inquiry, seg) {
+            Inbound::Forward { mark, owned } => (mark, owned),
+            other => panic!("not forwarded: {other:?}"),
+        }
+    }
+
+    fn server_sends(&mut self, seg: &Segment) {
+        self.now.0 += 1;
+        self.agent.on_server_packet(Some(&self.view), self.now, seg);
+    }
+
+    fn serve(&mut self, flow: Flow) {
+        self.forwards(Inquiry::Owner, &flow.opening());
+        self.server_sends(&flow.syn_ack());
+        self.forwards(Inquiry::None, &flow.request());
+        self.server_sends(&flow.response());
+    }
+
+    fn close(&mut self, flow: Flow) {
+        self.forwards(Inquiry::None, &flow.caller_fin());
+        self.server_sends(&flow.server_fin());
+        self.forwards(Inquiry::None, &flow.last_ack());
+    }
+
+    fn knowledge(&self) -> Knowledge {
+        self.agent
+            .knowledge(Some(&self.view), self.now, &flow(PORT))
+    }
+}
+
+/// Guards against a claim to a flow that has ended, by which a balancer takes the
+/// caller's next flow for lost.
+#[test]
+fn a_flow_that_both_ends_have_closed_is_not_claimed() {
+    let mut fixture = Fixture::new();
+    fixture.serve(EARLIER);
+    fixture.forwards(Inquiry::None, &EARLIER.caller_fin());
+    assert_eq!(fixture.knowledge(), Knowledge::Has, "the server has data");
+    fixture.server_sends(&EARLIER.server_fin());
+    assert_eq!(fixture.knowledge(), Knowledge::Has, "its FIN may be lost");
+    fixture.forwards(Inquiry::None, &EARLIER.last_ack());
+    assert_eq!(fixture.knowledge(), Knowledge::Unsure);
+}
+
+/// Guards against a reset of a flow at another server: the agent claimed the flow, its
+/// server bounced the packet, and the agent reported the flow as lost.
+#[test]
+fn a_packet_of_a_later_flow_elsewhere_is_refused() {
+    for ended in [true, false] {
+        for inquiry in [Inquiry::Owner, Inquiry::None, Inquiry::OwnerOfCopy] {
+            let mut fixture = Fixture::new();
+            fixture.serve(EARLIER);
+            if ended {
+                fixture.close(EARLIER);
+            }
+            let inbound = fixture.balancer_sends(inquiry, &LATER.request());
+            let refused = Inbound::Refuse(Refusal::Bounced);
+            assert_eq!(inbound, refused, "ended: {ended}, {inquiry:?}");
+        }
+    }
+}
+
+/// As above, where the later flow starts near the end of the earlier one, so that only
+/// its acknowledgements tell it.
+#[test]
+fn a_packet_of_a_later_flow_with_near_sequence_numbers_is_refused() {
+    let mut fixture = Fixture::new();
+    fixture.serve(EARLIER);
+    fixture.close(EARLIER);
+    let later = Flow {
+        caller_start: EARLIER.caller_start + 2000,
+        ..LATER
+    };
+    let inbound = fixture.balancer_sends(Inquiry::Owner, &later.request());
+    assert_eq!(inbound, Inbound::Refuse(Refusal::Bounced));
+}
+
+/// Guards against a report that a flow is lost, by a bounced packet of another one with
+/// the same key.
+#[test]
+fn a_bounced_packet_of_another_flow_loses_none() {
+    let mut fixture = Fixture::new();
+    let (mark, _) = fixture.forwards(Inquiry::Owner, &LATER.request());
+    fixture.agent = Agent::new(ip(1), FEEDS, 1, 1, Millis(0));
+    fixture.serve(EARLIER);
+    let view = Some(&fixture.view);
+    let bounce = fixture
+        .agent
+        .on_bounce(view, fixture.now, mark.0, &LATER.request());
+    assert_eq!(bounce, Bounce::Return(balancer_ip(1)));
+    let (_, owned) = fixture.forwards(Inquiry::Owner, &EARLIER.caller_fin());
+    assert!(owned, "the earlier flow is open");
+}
+
+/// Guards against a flow that is mistaken for the earlier one at the same server, so
+/// that its packets are refused.
+#[test]
+fn a_later_flow_at_the_same_server_takes_the_place_of_the_earlier_one() {
+    for ended in [true, false] {
+        let mut fixture = Fixture::new();
+        fixture.serve(EARLIER);
+        if ended {
+            fixture.close(EARLIER);
+        }
+        fixture.serve(LATER);
+        assert_eq!(fixture.knowledge(), Knowledge::Has, "ended: {ended}");
+        let (_, owned) = fixture.forwards(Inquiry::Owner, &LATER.request());
+        assert!(owned, "ended: {ended}");
+        let inbound = fixture.balancer_sends(Inquiry::Owner, &EARLIER.request());
+        assert_eq!(inbound, Inbound::Refuse(Refusal::Bounced), "ended: {ended}");
+    }
+}
+
+/// Guards against an opening that arrives late, of a flow before the open one, and makes
+/// the agent refuse the packets of the open one.
+#[test]
+fn a_flow_keeps_its_place_until_its_server_accepts_another_opening() {
+    let mut fixture = Fixture::new();
+    fixture.serve(LATER);
+    let (mark, _) = fixture.forwards(Inquiry::Owner, &EARLIER.opening());
+    fixture.server_sends(&LATER.response());
+    let (_, owned) = fixture.forwards(Inquiry::Owner, &LATER.request());
+    assert!(owned, "the server has not answered the opening");
+    let bounce =
+        fixture
+            .agent
+            .on_bounce(Some(&fixture.view), fixture.now, mark.0, &EARLIER.opening());
+    assert_eq!(bounce, Bounce::Return(balancer_ip(1)));
+    assert_eq!(fixture.knowledge(), Knowledge::Has);
+}
+
+/// Guards against a slot that stays reserved, or is released twice, as flows take each
+/// other's place.
+#[test]
+fn flows_that_follow_each_other_occupy_one_slot() {
+    let mut fixture = Fixture::new();
+    for flow in [EARLIER, LATER, EARLIER] {
+        fixture.forwards(Inquiry::Owner, &flow.opening());
+        fixture.server_sends(&flow.syn_ack());
+        fixture.forwards(Inquiry::None, &flow.request());
+        assert_eq!(fixture.agent.in_progress(), 1);
+    }
+    fixture.server_sends(&EARLIER.response());
+    assert_eq!(fixture.agent.in_progress(), 0);
+}
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -340,7 +340,12 @@
 
     /// Acknowledges a copy of a request that is in progress.
     fn server_acknowledges(&mut self, at: Ipv4Addr, seg: &Segment) {
-        let answer = Segment { len: 0, ..*seg };
+        let answer = Segment {
+            seq: first_seq(at),
+            ack: seg.seq + seg.len,
+            len: 0,
+            ..*seg
+        };
         self.agent_sends(at, &answer, seg);
     }
 
@@ -370,7 +375,9 @@
         let answer = Segment {
             syn: seg.opens,
             opens: false,
-            seq: if seg.opens { first_seq(at) } else { seg.seq },
+            seq: first_seq(at),
+            ack: seg.seq + if seg.opens { 1 } else { seg.len },
+            has_ack: true,
             ..*seg
         };
         if self.agent_sends(at, &answer, seg) {
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -64,9 +64,13 @@
             }
             Inbound::AlreadyQueued => self.send_frame(from, FrameKind::Queued, segment.key, &[]),
             Inbound::Refuse(refusal) => {
-                let in_progress = self.agent.in_progress();
-                self.telemetry
-                    .refused(view, from, refusal, &frame, in_progress);
+                if segment.opens {
+                    let in_progress = self.agent.in_progress();
+                    self.telemetry
+                        .refused(view, from, refusal, &frame, in_progress);
+                } else {
+                    self.telemetry.other_flow(from, &segment.key);
+                }
                 let kind = match inquiry {
                     Inquiry::OwnerOfCopy => FrameKind::Denied,
                     _ => FrameKind::Returned(refusal),
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -30,6 +30,7 @@
     passed: Counter,
     unreadable: Counter,
     bounced: Counter,
+    other_flow: Counter,
     delivered: Counter,
     send_failed: Counter,
     lost: Counter,
@@ -49,6 +50,7 @@
             passed: counter!("passthrough_agent_passed_total"),
             unreadable: counter!("passthrough_agent_unreadable_total"),
             bounced: counter!("passthrough_agent_bounced_total"),
+            other_flow: counter!("passthrough_agent_other_flow_total"),
             delivered: counter!("passthrough_agent_delivered_total"),
             send_failed: counter!("passthrough_agent_send_failed_total"),
             lost: counter!("passthrough_agent_lost_total"),
@@ -112,7 +114,7 @@
         );
     }
 
-    /// A packet was refused.
+    /// A new flow was refused.
     pub fn refused(
         &self,
         view: Option<&View>,
@@ -137,6 +139,16 @@
         );
     }
 
+    /// A packet was refused because its flow is not at the server.
+    pub fn other_flow(&self, balancer: Ipv4Addr, flow: &FlowKey) {
+        self.other_flow.increment(1);
+        log::info!(
+            caller:% = flow.caller,
+            balancer:% = balancer;
+            "packet refused: its flow is not at the server"
+        );
+    }
+
     /// The server has started or stopped to accept connections; `lost_flows` is the
     /// number of flows that it has lost.
     pub fn server_presence(&self, present: bool, lost_flows: usize) {
