Agents: the end of a server resets no caller of a closed flow

What a caller could see: its next flow from the same port is reset while it opens elsewhere.

Change: only flows that were open are lost.

Result: a_server_that_ends_loses_no_flow_that_had_ended_before fails without the change (one flow lost, none expected) and passes with it.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -274,14 +274,14 @@
     }
 
     /// Removes all flows and requests in progress, because the server has ended.
-    /// Returns those that it owned.
+    /// Returns those that were open.
     pub(super) fn remove_all_flows(&mut self) -> Vec<LostFlow> {
         self.expected_requests.clear();
         self.capacity.reset();
         self.in_progress = 0;
         self.unanswered_opening_since = None;
         let flows = std::mem::take(&mut self.flows);
-        let lost = flows.into_iter().filter(|(_, flow)| flow.owned);
+        let lost = flows.into_iter().filter(|(_, f)| f.owned && !f.has_ended());
         lost.filter_map(|(key, flow)| {
             let seq = flow.last_caller_ack?;
             Some(LostFlow { flow: key, seq })
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -5,6 +5,7 @@
 
 use ramp_coordination::passthrough::agent::Agent;
 use ramp_coordination::passthrough::agent::Bounce;
+use ramp_coordination::passthrough::agent::ConnectResult;
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::mark::Mark;
 use ramp_coordination::passthrough::view::View;
@@ -271,3 +272,21 @@
     fixture.server_sends(&EARLIER.response());
     assert_eq!(fixture.agent.in_progress(), 0);
 }
+
+/// Guards against a reset of the caller's next flow by the agent of a server that has
+/// left: it reset the callers of ended flows too.
+#[test]
+fn a_server_that_ends_loses_no_flow_that_had_ended_before() {
+    let mut fixture = Fixture::new();
+    fixture.serve(EARLIER);
+    fixture.close(EARLIER);
+    let without_server = view(&[2]);
+    let mut lost = Vec::new();
+    for at in [3000, 3300] {
+        let refused = ConnectResult::Refused;
+        let agent = &mut fixture.agent;
+        lost.extend(agent.record_connect_check(Some(&without_server), Millis(at), refused));
+    }
+    assert!(fixture.agent.is_server_absent());
+    assert_eq!(lost, []);
+}
