Openings from a used port are placed and admitted like any other

Cause: balancer and agent took every opening whose flow key they knew for a copy of one that they had placed and admitted. Entries outlive their flows by up to 30 s, so the opening passed the checks for servers that drain, are evacuated, cold, or of another service.

Evidence: the balancer writes `new flow placed` with the agent that its own view, of the same revision, lists as draining; the agent writes no refusal.

Change: a copy of an opening has the sequence number of the first one. A balancer forgets a flow when a packet of another one with its key arrives; an agent admits an opening unless it is a copy of one that it let through and whose flow goes on.

Result: four of the six new tests fail without the change, for a drain, an evacuation, a route that moved and a cold start; two guard copies.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -168,7 +168,7 @@
             return Inbound::Refuse(refusal_without_server(seg));
         }
         if seg.opens
-            && !self.flows.contains_key(&seg.key)
+            && !self.has_admitted(seg)
             && let Some(inbound) = self.refuse_or_queue(view, now, from, frame, inquiry, seg)
         {
             return inbound;
--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -20,6 +20,15 @@
 use crate::passthrough::flow_sequence::FlowSequence;
 
 impl Agent {
+    /// Whether an opening is a copy of one that went to the server and whose flow has not
+    /// ended. Any other one must be admitted first.
+    pub(super) fn has_admitted(&self, seg: &Segment) -> bool {
+        self.flows.get(&seg.key).is_some_and(|flow| {
+            let waits = flow.later_opening.is_some_and(|o| o.seq == seg.seq);
+            waits || (flow.sequence.includes_opening(seg.seq) && !flow.has_ended())
+        })
+    }
+
     /// Whether a packet of an open flow belongs to a flow that another server has: the
     /// server here has a different one with the same key.
     pub(super) fn is_of_other_flow(&self, seg: &Segment) -> bool {
--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -14,6 +14,7 @@
 use ramp_state::time::Millis;
 
 use super::action::Action;
+use crate::passthrough::flow_sequence::FlowSequence;
 
 /// Timeout for an agent's reply whether its server has a flow.
 pub const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(70);
@@ -27,6 +28,8 @@
 pub(super) struct Flow {
     pub(super) agent: Ipv4Addr,
     pub(super) service: ServiceId,
+    /// Sequence numbers of the caller's packets; none before the first one here.
+    sequence: Option<FlowSequence>,
     /// Whether the agent has confirmed that its server has the flow.
     pub(super) confirmed: bool,
     /// Whether the caller has sent more than its opening packet, which shows that
@@ -56,6 +59,7 @@
         let mut flow = Flow {
             agent,
             service,
+            sequence: None,
             confirmed: false,
             past_opening: false,
             awaiting_reply_since: Some(now),
@@ -70,10 +74,16 @@
     }
 
     /// Flow that `agent` has confirmed; no reply is awaited.
-    pub(super) fn confirmed(now: Millis, agent: Ipv4Addr, service: ServiceId) -> Flow {
+    pub(super) fn confirmed(
+        now: Millis,
+        agent: Ipv4Addr,
+        service: ServiceId,
+        sequence: Option<FlowSequence>,
+    ) -> Flow {
         Flow {
             agent,
             service,
+            sequence,
             confirmed: true,
             past_opening: false,
             awaiting_reply_since: None,
@@ -90,6 +100,8 @@
     pub(super) fn record_packet(&mut self, now: Millis, seg: &Segment) {
         self.seen_at = now;
         self.finished |= seg.fin || seg.rst;
+        let sequence = self.sequence.get_or_insert_with(|| FlowSequence::of(seg));
+        sequence.record(seg);
         if seg.opens {
             return;
         }
@@ -99,6 +111,17 @@
         }
     }
 
+    /// Sequence numbers of the caller's packets, if any was seen here.
+    pub(super) fn sequence(&self) -> Option<FlowSequence> {
+        self.sequence
+    }
+
+    /// Whether a caller's packet may belong to this flow, and not to an earlier or
+    /// later one with the same key.
+    pub(super) fn includes(&self, seg: &Segment) -> bool {
+        self.sequence.is_none_or(|sequence| sequence.includes(seg))
+    }
+
     fn is_retransmission(&mut self, seg: &Segment) -> bool {
         if seg.len == 0 && !seg.fin {
             let ack = Some((seg.seq, seg.ack));
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -183,12 +183,22 @@
             self.flows.swap_remove(&seg.key);
             return self.handle_missing_route(view, now, seg);
         }
+        self.forget_other_flow(seg);
         if seg.opens {
             return self.route_opening(view, now, seg);
         }
         self.route_open_flow(view, now, seg)
     }
 
+    /// Forgets an earlier flow with the packet's key. The caller has used its port again,
+    /// and its new flow may be, or must go, elsewhere.
+    fn forget_other_flow(&mut self, seg: &Segment) {
+        let flow = self.flows.get(&seg.key);
+        if flow.is_some_and(|f| !f.includes(seg)) {
+            self.flows.swap_remove(&seg.key);
+        }
+    }
+
     /// Handles a packet that the agent `from` returned.
     pub fn on_returned(
         &mut self,
@@ -248,7 +258,8 @@
             return self.on_repeated_confirmation(from, flow, frame);
         }
         self.placement_attempts.swap_remove(&frame.flow);
-        let flow = Flow::confirmed(now, from, frame.service);
+        let sequence = before.and_then(|f| f.sequence());
+        let flow = Flow::confirmed(now, from, frame.service, sequence);
         self.flows.insert(frame.flow, flow);
         match before {
             _ if searched => OwnershipUpdate::FoundBySearch,
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -7,7 +7,12 @@
 use ramp_coordination::passthrough::agent::Bounce;
 use ramp_coordination::passthrough::agent::ConnectResult;
 use ramp_coordination::passthrough::agent::Inbound;
+use ramp_coordination::passthrough::balancer::Action;
+use ramp_coordination::passthrough::balancer::Balancer;
 use ramp_coordination::passthrough::mark::Mark;
+use ramp_coordination::passthrough::published::Change;
+use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::ServerState;
 use ramp_coordination::passthrough::view::View;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
@@ -290,3 +295,131 @@
     assert!(fixture.agent.is_server_absent());
     assert_eq!(lost, []);
 }
+
+/// Servers 1 and 2, of which server 1 takes no new flows for this reason.
+fn views_closed_to_new_flows() -> [(Refusal, View); 3] {
+    let mut draining = server(1, FEEDS);
+    draining.state = ServerState::Draining;
+    let mut moved = configuration(2);
+    moved.routes[0].shares[0].service = UPLOADS;
+    let changes_of = [
+        (Refusal::Draining, Record::Server(id(1), draining)),
+        (Refusal::Evacuated, Record::Evacuation(EAST)),
+        (Refusal::OtherService, Record::Configuration(moved)),
+    ];
+    changes_of.map(|(refusal, record)| {
+        let mut catalog = catalog(&[1, 2]);
+        catalog.apply(Millis(0), changes(101, vec![Change::Written(record)]));
+        (refusal, catalog.view(Millis(0)).unwrap())
+    })
+}
+
+/// Guards against an opening that passes the checks for new flows, because the table
+/// still has an earlier flow from its port.
+#[test]
+fn an_opening_from_a_used_port_is_admitted_like_any_other() {
+    for (refusal, view) in views_closed_to_new_flows() {
+        for ended in [true, false] {
+            let mut fixture = Fixture::new();
+            fixture.serve(EARLIER);
+            if ended {
+                fixture.close(EARLIER);
+            }
+            fixture.view = view.clone();
+            let inbound = fixture.balancer_sends(Inquiry::Owner, &LATER.opening());
+            assert_eq!(inbound, Inbound::Refuse(refusal), "ended: {ended}");
+        }
+    }
+}
+
+/// As above, where the server's rate in its cold start is used up.
+#[test]
+fn an_opening_from_a_used_port_counts_in_a_cold_start() {
+    let mut fixture = Fixture::new();
+    fixture.serve(EARLIER);
+    fixture.close(EARLIER);
+    fixture.view = view_with_priorities(2, 2, COLD_START, 1000);
+    let mut refused = 0;
+    for number in 1..=20 {
+        let opening = Segment {
+            seq: LATER.caller_start + number,
+            ..LATER.opening()
+        };
+        let inbound = fixture.balancer_sends(Inquiry::Owner, &opening);
+        refused += usize::from(inbound == Inbound::Refuse(Refusal::Cold));
+    }
+    assert!(refused >= 10, "{refused} refused, 10 new flows a second");
+}
+
+/// Guards against a copy of an opening that is taken for another flow's: its first copy
+/// was admitted.
+#[test]
+fn a_copy_of_an_admitted_opening_passes_though_the_server_drains_now() {
+    for (_, view) in views_closed_to_new_flows() {
+        let mut fixture = Fixture::new();
+        fixture.forwards(Inquiry::Owner, &EARLIER.opening());
+        fixture.view = view;
+        fixture.forwards(Inquiry::Owner, &EARLIER.opening());
+    }
+}
+
+/// The agent that gets the packet.
+fn forwarded(action: &Action) -> Ipv4Addr {
+    match action {
+        Action::Forward { agent, .. } => *agent,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+/// A balancer through which [`EARLIER`] was opened at server 1, and served.
+fn balancer_with_earlier_flow() -> Balancer {
+    let mut balancer = Balancer::new();
+    let only_first = view(&[1]);
+    balancer.on_packet(&only_first, Millis(0), &EARLIER.opening());
+    let owned = frame(FrameKind::Owned, flow(PORT));
+    balancer.on_owned(Millis(1), ip(1), &owned);
+    balancer.on_packet(&only_first, Millis(2), &EARLIER.request());
+    balancer
+}
+
+/// Guards against an opening that follows the earlier flow from its port to a server
+/// that takes no new flows.
+#[test]
+fn an_opening_from_a_used_port_is_placed_like_any_other() {
+    for (refusal, view) in views_closed_to_new_flows() {
+        if refusal == Refusal::OtherService {
+            continue;
+        }
+        for closed in [true, false] {
+            let mut balancer = balancer_with_earlier_flow();
+            if closed {
+                balancer.on_packet(&view, Millis(3), &EARLIER.caller_fin());
+            }
+            let action = balancer.on_packet(&view, Millis(4), &LATER.opening());
+            assert_eq!(forwarded(&action), ip(2), "{refusal:?}, closed: {closed}");
+        }
+    }
+}
+
+/// Guards against packets of an open flow that go to the server of the earlier one: its
+/// opening came through another balancer.
+#[test]
+fn packets_of_a_later_flow_are_not_sent_to_the_earlier_ones_server_unasked() {
+    let view = view(&[1, 2]);
+    let mut balancer = balancer_with_earlier_flow();
+    let action = balancer.on_packet(&view, Millis(4), &LATER.request());
+    let asks = matches!(&action, Action::Forward { inquiry, .. } if *inquiry == Inquiry::Owner);
+    assert!(asks, "{action:?}");
+}
+
+/// Guards against a copy of an opening that is placed again though its flow is open.
+#[test]
+fn a_copy_of_an_opening_goes_where_its_flow_is() {
+    for (refusal, view) in views_closed_to_new_flows() {
+        if refusal != Refusal::OtherService {
+            let mut balancer = balancer_with_earlier_flow();
+            let action = balancer.on_packet(&view, Millis(3), &EARLIER.opening());
+            assert_eq!(forwarded(&action), ip(1), "{refusal:?}");
+        }
+    }
+}
