Searches: denials of an earlier flow do not count for the next one

What a caller would see: its open flow is reset though its server has it.

Cause: the caller's next flow from a port took over the search for the one before, with its denials. An agent that had denied the earlier flow, before the new one opened at its server, was not asked again and counted as having denied the new one.

Change: a search ends when a packet of another flow with its key arrives, and hands its sequence numbers to the flow that it finds.

Result: denials_of_an_earlier_flow_do_not_count_for_a_later_one fails without the change (reset as unowned after two of three denials) and passes with it.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -197,6 +197,11 @@
         if flow.is_some_and(|f| !f.includes(seg)) {
             self.flows.swap_remove(&seg.key);
         }
+        // Denials of the earlier flow say nothing of the new one.
+        let search = self.searches.get(&seg.key);
+        if search.is_some_and(|s| !s.sequence.includes(seg)) {
+            self.searches.swap_remove(&seg.key);
+        }
     }
 
     /// Handles a packet that the agent `from` returned.
@@ -252,13 +257,15 @@
 
     /// As [`Balancer::on_owned`], without what the frame says of the agent itself.
     fn apply_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
-        let searched = self.searches.swap_remove(&frame.flow).is_some();
+        let search = self.searches.swap_remove(&frame.flow);
+        let searched = search.is_some();
         let before = self.flows.get(&frame.flow).copied();
         if let Some(flow) = before.filter(|f| f.confirmed && !searched) {
             return self.on_repeated_confirmation(from, flow, frame);
         }
         self.placement_attempts.swap_remove(&frame.flow);
         let sequence = before.and_then(|f| f.sequence());
+        let sequence = sequence.or(search.map(|s| s.sequence));
         let flow = Flow::confirmed(now, from, frame.service, sequence);
         self.flows.insert(frame.flow, flow);
         match before {
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -19,6 +19,7 @@
 use super::flow::OWNER_REPLY_TIMEOUT;
 use super::relayed::Relay;
 use super::relayed::RelayedQueries;
+use crate::passthrough::flow_sequence::FlowSequence;
 use crate::passthrough::published::RELIST_LIMIT;
 use crate::passthrough::view::rank;
 
@@ -76,6 +77,8 @@
     /// When the search was last reported as stalled.
     pub(super) reported_at: Option<Millis>,
     pub(super) seen_at: Millis,
+    /// Sequence numbers of the caller's packets.
+    pub(super) sequence: FlowSequence,
     /// Sequence number that the caller expects in a reset.
     pub(super) seq: u32,
 }
@@ -108,6 +111,7 @@
             relayed: RelayedQueries::default(),
             reported_at: None,
             seen_at: now,
+            sequence: FlowSequence::of(seg),
             seq: seg.ack,
         }
     }
@@ -115,6 +119,7 @@
     /// Records a packet of the caller.
     pub(super) fn record_packet(&mut self, now: Millis, seg: &Segment) {
         self.seen_at = now;
+        self.sequence.record(seg);
         self.seq = seg.ack;
     }
 
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -423,3 +423,33 @@
         }
     }
 }
+
+fn deny(balancer: &mut Balancer, view: &View, now: u64, last: u8) -> Action {
+    let denied = frame(FrameKind::Denied, flow(PORT));
+    balancer.on_denied(view, Millis(now), ip(last), &denied)
+}
+
+/// Guards against denials of an earlier flow that count for the next one from its port:
+/// its server was taken to have denied it, and the caller was reset.
+#[test]
+fn denials_of_an_earlier_flow_do_not_count_for_a_later_one() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = balancer_beside(1..=3);
+    balancer.on_packet(&view, Millis(0), &EARLIER.request());
+    balancer.on_reply_timeout(&view, Millis(70), &EARLIER.request());
+    for last in [1, 2] {
+        deny(&mut balancer, &view, 75, last);
+    }
+    // Meanwhile the caller has opened its next flow at server 1, by another balancer.
+    balancer.on_packet(&view, Millis(1000), &LATER.request());
+    balancer.on_reply_timeout(&view, Millis(1070), &LATER.request());
+    for last in [2, 3] {
+        let action = deny(&mut balancer, &view, 1075, last);
+        assert!(!matches!(action, Action::Reset(_)), "{action:?}");
+    }
+    let action = deny(&mut balancer, &view, 1080, 1);
+    assert!(
+        matches!(action, Action::Reset(_)),
+        "now all have: {action:?}"
+    );
+}
