Searches: an agent that has refused the flow's packet does not end them

What a caller would see: its open flow's packets go round, to no server at all, while an agent has an earlier flow from the same port that was given up, not closed.

Cause: that agent answers questions by key with the earlier flow, and refuses the packet. Each answer ended the search, also after the refusal, and another one began; with a relay, which asks all agents that it knows, the answer comes every time.

Change: what an agent says of a key after it has denied the open flow is about another flow (`OwnershipUpdate::Outdated`); the search goes on and the packet is kept.

Result: an_agent_that_has_refused_a_packet_is_not_the_owner fails without the change (the search ends) and passes with it.

--- a/crates/coordination/src/passthrough/balancer/action.rs
+++ b/crates/coordination/src/passthrough/balancer/action.rs
@@ -139,6 +139,9 @@
     FoundBySearch,
     /// Neither: the flow was confirmed before, or this agent was not asked.
     Known,
+    /// Nothing: the agent has denied the flow, so it means an earlier one with the same
+    /// key.
+    Outdated,
 }
 
 pub(super) fn reset_or_drop(seg: &Segment, reason: ResetReason) -> Action {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -257,6 +257,10 @@
 
     /// As [`Balancer::on_owned`], without what the frame says of the agent itself.
     fn apply_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
+        let search = self.searches.get(&frame.flow);
+        if search.is_some_and(|s| s.is_denied_by(from)) {
+            return OwnershipUpdate::Outdated;
+        }
         let search = self.searches.swap_remove(&frame.flow);
         let searched = search.is_some();
         let before = self.flows.get(&frame.flow).copied();
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -123,6 +123,12 @@
         self.seq = seg.ack;
     }
 
+    /// Whether the agent has denied an open flow. If it claims the flow's key later, it
+    /// means an earlier flow.
+    pub(super) fn is_denied_by(&self, agent: Ipv4Addr) -> bool {
+        !self.is_for_opening() && self.denied.contains(&agent)
+    }
+
     pub(super) fn record_denial(&mut self, agent: Ipv4Addr) {
         if !self.denied.contains(&agent) {
             self.denied.push(agent);
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -9,6 +9,7 @@
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::OwnershipUpdate;
 use ramp_coordination::passthrough::mark::Mark;
 use ramp_coordination::passthrough::published::Change;
 use ramp_coordination::passthrough::published::Record;
@@ -453,3 +454,29 @@
         "now all have: {action:?}"
     );
 }
+
+/// Guards against packets that go back again and again to an agent that still has the
+/// earlier flow from the port: it claims the key, but refuses the packet.
+#[test]
+fn an_agent_that_has_refused_a_packet_is_not_the_owner() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = balancer_beside(1..=3);
+    balancer.on_packet(&view, Millis(0), &LATER.request());
+    let returned = frame(FrameKind::Returned(Refusal::Bounced), flow(PORT));
+    let refusal = Refusal::Bounced;
+    balancer.on_returned(
+        &view,
+        Millis(1),
+        ip(1),
+        refusal,
+        &returned,
+        &LATER.request(),
+    );
+    let owned = frame(FrameKind::Owned, flow(PORT));
+    let update = balancer.on_owned(Millis(2), ip(1), &owned);
+    assert_eq!(update, OwnershipUpdate::Outdated);
+    let update = balancer.on_owned(Millis(3), ip(2), &owned);
+    assert_eq!(update, OwnershipUpdate::FoundBySearch);
+    let action = balancer.on_packet(&view, Millis(4), &LATER.request());
+    assert_eq!(forwarded(&action), ip(2));
+}
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -77,6 +77,9 @@
         update: OwnershipUpdate,
     ) {
         self.telemetry.owned(&frame.flow, from, update);
+        if update == OwnershipUpdate::Outdated {
+            return;
+        }
         if let Some(packet) = self.owner_queries.take_packet(&frame.flow) {
             let kind = FrameKind::Forward(Inquiry::None);
             self.send_frame(view, frame.flow, from, kind, frame.service, &packet);
--- a/crates/transport/src/passthrough/telemetry/balancer.rs
+++ b/crates/transport/src/passthrough/telemetry/balancer.rs
@@ -203,7 +203,7 @@
             OwnershipUpdate::FoundBySearch => {
                 log::info!(caller:% = flow.caller, agent:% = from; "owner of a flow found");
             }
-            OwnershipUpdate::Known => {}
+            OwnershipUpdate::Known | OwnershipUpdate::Outdated => {}
         }
     }
 
