Placement: refusals of an earlier opening do not count for the next one

What a caller would see: a new flow is refused, or goes to a worse member, because members refused, or left unanswered, the last opening from its port that came to nothing.

Change: an attempt belongs to one opening, by its sequence number.

Result: refusals_of_an_earlier_opening_do_not_count_for_a_later_one fails without the change (the member that refused the earlier one is left out) and passes with it.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -202,6 +202,10 @@
         if search.is_some_and(|s| !s.sequence.includes(seg)) {
             self.searches.swap_remove(&seg.key);
         }
+        let attempt = self.placement_attempts.get(&seg.key);
+        if attempt.is_some_and(|a| !a.includes(seg)) {
+            self.placement_attempts.swap_remove(&seg.key);
+        }
     }
 
     /// Handles a packet that the agent `from` returned.
--- a/crates/coordination/src/passthrough/balancer/placement.rs
+++ b/crates/coordination/src/passthrough/balancer/placement.rs
@@ -16,7 +16,6 @@
 use ramp_protocol::frame::Inquiry;
 use ramp_protocol::frame::Refusal;
 use ramp_protocol::packet::Segment;
-use ramp_state::key::FlowKey;
 use ramp_state::key::ServiceId;
 use ramp_state::time::Millis;
 
@@ -46,6 +45,8 @@
 /// Members that one new flow has been forwarded to without success.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PlacementAttempt {
+    /// Sequence number of the flow's opening packet.
+    opening_seq: u32,
     /// Members that refused the flow.
     refused: Vec<Ipv4Addr>,
     /// Members that did not reply in time and may have the flow all the same.
@@ -61,6 +62,11 @@
 }
 
 impl PlacementAttempt {
+    /// Whether the packet is a copy of the opening that is placed.
+    pub(super) fn includes(&self, seg: &Segment) -> bool {
+        !seg.opens || seg.seq == self.opening_seq
+    }
+
     fn may_try(&self, member: &Member) -> bool {
         self.may_wait_at(member) && !self.cold.contains(&member.address)
     }
@@ -99,7 +105,7 @@
         }
         let agent = flow.agent;
         self.suspects.add(agent, now);
-        self.placement_attempt(now, seg.key).silent.push(agent);
+        self.placement_attempt(now, seg).silent.push(agent);
         self.place(view, now, seg)
     }
 
@@ -132,7 +138,7 @@
             // The flow was placed before this process started, or was given up since.
             return Action::Drop(DropReason::PlacedElsewhere);
         }
-        let attempt = self.placement_attempt(now, seg.key);
+        let attempt = self.placement_attempt(now, seg);
         match refusal {
             Refusal::Busy => attempt.busy.push(from),
             Refusal::Cold => attempt.cold.push(from),
@@ -211,7 +217,7 @@
         seg: &Segment,
         service: ServiceId,
     ) -> Action {
-        let attempt = self.placement_attempt(now, seg.key);
+        let attempt = self.placement_attempt(now, seg);
         let waited = std::mem::replace(&mut attempt.waited_cold, true);
         let attempt = attempt.clone();
         let reachable = |m: &&Member| {
@@ -256,13 +262,10 @@
         self.query_owner(view, now, seg)
     }
 
-    pub(super) fn placement_attempt(
-        &mut self,
-        now: Millis,
-        flow: FlowKey,
-    ) -> &mut PlacementAttempt {
-        let attempt = self.placement_attempts.entry(flow);
+    fn placement_attempt(&mut self, now: Millis, seg: &Segment) -> &mut PlacementAttempt {
+        let attempt = self.placement_attempts.entry(seg.key);
         let attempt = attempt.or_insert_with(|| PlacementAttempt {
+            opening_seq: seg.seq,
             began_at: now,
             ..PlacementAttempt::default()
         });
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -480,3 +480,32 @@
     let action = balancer.on_packet(&view, Millis(4), &LATER.request());
     assert_eq!(forwarded(&action), ip(2));
 }
+
+/// Guards against a new flow that is refused because members refused the earlier one from
+/// its port.
+#[test]
+fn refusals_of_an_earlier_opening_do_not_count_for_a_later_one() {
+    let view = view(&[1, 2]);
+    let mut balancer = Balancer::new();
+    let first = forwarded(&balancer.on_packet(&view, Millis(0), &EARLIER.opening()));
+    let second = if first == ip(1) { ip(2) } else { ip(1) };
+    let refusal = Refusal::Draining;
+    let returned = frame(FrameKind::Returned(refusal), flow(PORT));
+    let opening = EARLIER.opening();
+    let action = balancer.on_returned(&view, Millis(1), first, refusal, &returned, &opening);
+    assert_eq!(forwarded(&action), second);
+    // The second member is silent, the caller gives up, and the first one takes flows again.
+    let action = balancer.on_packet(&view, Millis(2000), &LATER.opening());
+    assert_eq!(forwarded(&action), first);
+    let busy = Refusal::Busy;
+    let returned = frame(FrameKind::Returned(busy), flow(PORT));
+    let action = balancer.on_returned(
+        &view,
+        Millis(2001),
+        first,
+        busy,
+        &returned,
+        &LATER.opening(),
+    );
+    assert_eq!(forwarded(&action), second, "it is not left out either");
+}
