Balancers: late returns and timers of an earlier flow's packets do nothing

What a caller would see: its flow is searched for, and perhaps reset, because an agent returns a packet of the flow that it had from this port before; or that flow's opening reaches one more server after the next one has begun.

Cause: returned packets and packets whose replies are overdue were matched with the tables by flow key alone. A late return counted as a denial or as the loss of the next flow.

Change: both are compared with the flow in the tables, as packets of callers are. Returned ones are dropped with a reason of their own, `earlier_flow`.

Result: a_late_return_of_an_earlier_flows_packet_changes_nothing and timers_of_an_earlier_flows_packets_send_nothing fail without the change and pass with it.

--- a/crates/coordination/src/passthrough/balancer/action.rs
+++ b/crates/coordination/src/passthrough/balancer/action.rs
@@ -123,6 +123,8 @@
     /// The opening packet was returned late; the flow was placed elsewhere in the
     /// meantime.
     PlacedElsewhere,
+    /// The packet was returned late: it is of an earlier flow with the same key.
+    EarlierFlow,
     /// A SYN-ACK, which no caller sends.
     Forged,
 }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -191,23 +191,27 @@
     }
 
     /// Forgets an earlier flow with the packet's key. The caller has used its port again,
-    /// and its new flow may be, or must go, elsewhere.
+    /// and its new flow may be, or must go, elsewhere; what is known of the earlier one
+    /// says nothing of it.
     fn forget_other_flow(&mut self, seg: &Segment) {
-        let flow = self.flows.get(&seg.key);
-        if flow.is_some_and(|f| !f.includes(seg)) {
+        if self.is_of_other_flow(seg) {
             self.flows.swap_remove(&seg.key);
-        }
-        // Denials of the earlier flow say nothing of the new one.
-        let search = self.searches.get(&seg.key);
-        if search.is_some_and(|s| !s.sequence.includes(seg)) {
             self.searches.swap_remove(&seg.key);
-        }
-        let attempt = self.placement_attempts.get(&seg.key);
-        if attempt.is_some_and(|a| !a.includes(seg)) {
             self.placement_attempts.swap_remove(&seg.key);
         }
     }
 
+    /// Whether the tables have another flow with the packet's key: the caller has used
+    /// its port again.
+    pub fn is_of_other_flow(&self, seg: &Segment) -> bool {
+        let flow = self.flows.get(&seg.key);
+        let search = self.searches.get(&seg.key);
+        let attempt = self.placement_attempts.get(&seg.key);
+        flow.is_some_and(|f| !f.includes(seg))
+            || search.is_some_and(|s| !s.sequence.includes(seg))
+            || attempt.is_some_and(|a| !a.includes(seg))
+    }
+
     /// Handles a packet that the agent `from` returned.
     pub fn on_returned(
         &mut self,
@@ -222,6 +226,9 @@
         if refusal == Refusal::Silent {
             self.suspects.add(from, now);
         }
+        if self.is_of_other_flow(seg) {
+            return Action::Drop(DropReason::EarlierFlow);
+        }
         if refusal == Refusal::Lost {
             return self.on_flow_lost(seg);
         }
@@ -305,6 +312,9 @@
     /// and [`OWNER_QUERY_INTERVAL`] or later after a query. Returns what to do with
     /// the packet if the reply is still missing.
     pub fn on_reply_timeout(&mut self, view: &View, now: Millis, seg: &Segment) -> Option<Action> {
+        if self.is_of_other_flow(seg) {
+            return None;
+        }
         if seg.opens {
             return self.on_opening_reply_timeout(view, now, seg);
         }
@@ -316,7 +326,8 @@
     /// overdue already. An agent that has delivered the packet to its server may shut
     /// down before the server answers, so the reply may never come.
     pub fn reply_time_left(&self, now: Millis, seg: &Segment) -> Option<Duration> {
-        let flow = self.flows.get(&seg.key).filter(|_| !seg.opens)?;
+        let flow = self.flows.get(&seg.key);
+        let flow = flow.filter(|f| !seg.opens && f.includes(seg))?;
         flow.reply_time_left(now, self.link_delay(now))
             .filter(|remaining| !remaining.is_zero())
     }
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -9,6 +9,7 @@
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::Balancer;
+use ramp_coordination::passthrough::balancer::DropReason;
 use ramp_coordination::passthrough::balancer::OwnershipUpdate;
 use ramp_coordination::passthrough::mark::Mark;
 use ramp_coordination::passthrough::published::Change;
@@ -509,3 +510,50 @@
     );
     assert_eq!(forwarded(&action), second, "it is not left out either");
 }
+
+/// A balancer that does not know [`LATER`], whose packet it has sent to an agent.
+fn balancer_asking_for_later_flow(view: &View) -> Balancer {
+    let mut balancer = balancer_beside(1..=3);
+    balancer.on_packet(view, Millis(0), &EARLIER.request());
+    balancer.on_packet(view, Millis(100), &LATER.request());
+    balancer
+}
+
+/// Guards against a late return of an earlier flow's packet that counts as a denial, or
+/// as the loss, of the next flow from its port.
+#[test]
+fn a_late_return_of_an_earlier_flows_packet_changes_nothing() {
+    let view = view(&[1, 2, 3]);
+    for refusal in [Refusal::Bounced, Refusal::Lost] {
+        for late in [EARLIER.request(), EARLIER.opening()] {
+            let mut balancer = balancer_asking_for_later_flow(&view);
+            let returned = frame(FrameKind::Returned(refusal), flow(PORT));
+            let action = balancer.on_returned(&view, Millis(101), ip(1), refusal, &returned, &late);
+            assert_eq!(action, Action::Drop(DropReason::EarlierFlow), "{refusal:?}");
+        }
+    }
+}
+
+/// Guards against an opening that is placed again by a timer when the next flow from its
+/// port has begun.
+#[test]
+fn timers_of_an_earlier_flows_packets_send_nothing() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = Balancer::new();
+    balancer.on_packet(&view, Millis(0), &EARLIER.opening());
+    balancer.on_packet(&view, Millis(50), &LATER.opening());
+    let at = Millis(130);
+    assert_eq!(
+        balancer.on_reply_timeout(&view, at, &EARLIER.opening()),
+        None
+    );
+    assert_eq!(
+        balancer.on_reply_timeout(&view, at, &EARLIER.request()),
+        None
+    );
+    assert!(
+        balancer
+            .on_reply_timeout(&view, at, &LATER.opening())
+            .is_some()
+    );
+}
--- a/crates/transport/src/passthrough/telemetry/mod.rs
+++ b/crates/transport/src/passthrough/telemetry/mod.rs
@@ -50,6 +50,7 @@
         DropReason::OwnerFound => "owner_found",
         DropReason::Unanswered => "unanswered",
         DropReason::PlacedElsewhere => "placed_elsewhere",
+        DropReason::EarlierFlow => "earlier_flow",
         DropReason::Forged => "forged",
     }
 }
