Agents: a server's reset of an earlier flow does not reach the caller

What a caller would see: a reset of its open flow by another server, which remembers the flow that it had closed from this port a moment before.

Cause: an agent that has restarted does not know that earlier flow. It gives the packet of the later one to its server, as only the server can tell; the server answers data on a flow that has ended with a reset, and the agent sent that to the caller.

Change: a reset that acknowledges numbers of another flow, on a flow that the server never showed to have, is held back, and the balancers that asked are told that the flow is not there. Resets of flows that the server has had go to the caller as before.

--- a/crates/coordination/src/passthrough/agent/action.rs
+++ b/crates/coordination/src/passthrough/agent/action.rs
@@ -67,6 +67,11 @@
     pub completed: Option<CompletedRequest>,
     /// Whether the server reset the flow.
     pub reset: bool,
+    /// Whether the packet resets an earlier flow with the same key. The server does not
+    /// have the caller's flow, so the packet must not reach the caller.
+    pub resets_earlier_flow: bool,
+    /// Balancers to tell then that the server does not have the flow.
+    pub denied_to: [Option<Ipv4Addr>; 2],
 }
 
 /// An open flow whose server has ended.
--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -198,6 +198,12 @@
         Some(subscriber.balancer)
     }
 
+    /// Takes out all balancers that wait for a report of the flow's owner.
+    pub(super) fn take_subscribers(&mut self) -> [Option<Ipv4Addr>; 2] {
+        let subscribers = std::mem::take(&mut self.subscribers);
+        subscribers.map(|subscriber| subscriber.map(|s| s.balancer))
+    }
+
     /// Whether data is missing before that of a caller's packet. The opening packet
     /// counts as one byte.
     pub(super) fn has_gap_before(&self, seg: &Segment) -> bool {
--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -10,6 +10,8 @@
 //! The server decides whether an opening ends the flow before it: until it has answered
 //! the opening, the flow before it keeps its place.
 
+use std::net::Ipv4Addr;
+
 use ramp_protocol::packet::Segment;
 use ramp_state::key::FlowKey;
 use ramp_state::time::Millis;
@@ -72,6 +74,20 @@
         }
     }
 
+    /// If the server's reset is not of the flow in the table, which it has never shown to
+    /// have, returns the balancers that asked for that flow. The server remembers an
+    /// earlier flow with this key, which this process has not seen, and got a packet of
+    /// the later one as nobody knew its server.
+    pub(super) fn deny_for_earlier_flow(&mut self, seg: &Segment) -> Option<[Option<Ipv4Addr>; 2]> {
+        let flow = self.flows.get_mut(&seg.key)?;
+        if flow.owned || !seg.has_ack || flow.sequence.acknowledged_by(seg) {
+            return None;
+        }
+        let denied_to = flow.take_subscribers();
+        self.remove_flow(&seg.key);
+        Some(denied_to)
+    }
+
     /// Puts a flow into the table whose opening goes to the server, in place of an
     /// earlier one.
     pub(super) fn begin_flow(&mut self, now: Millis, key: FlowKey, opening: Opening) {
--- a/crates/coordination/src/passthrough/flow_sequence.rs
+++ b/crates/coordination/src/passthrough/flow_sequence.rs
@@ -119,7 +119,12 @@
 
     /// Whether a server's packet may belong to the flow, by what it acknowledges.
     pub(super) fn includes_reply(&self, seg: &Segment) -> bool {
-        seg.rst || !seg.has_ack || self.reaches(seg.ack)
+        seg.rst || !seg.has_ack || self.acknowledged_by(seg)
+    }
+
+    /// Whether a server's packet acknowledges packets of the flow.
+    pub(super) fn acknowledged_by(&self, seg: &Segment) -> bool {
+        self.reaches(seg.ack)
     }
 
     /// First sequence number that was seen here.
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -557,3 +557,38 @@
             .is_some()
     );
 }
+
+/// Guards against a reset of an open flow by a server that still remembers the earlier one
+/// from its port. Its agent has restarted since, so it can't tell them apart before.
+#[test]
+fn a_servers_reset_of_an_earlier_flow_is_held_back() {
+    let mut fixture = Fixture::new();
+    fixture.forwards(Inquiry::OwnerOfCopy, &LATER.request());
+    let reset = Segment {
+        rst: true,
+        ..EARLIER.server_fin()
+    };
+    let view = Some(&fixture.view);
+    let outbound = fixture.agent.on_server_packet(view, Millis(9), &reset);
+    assert!(outbound.resets_earlier_flow);
+    assert_eq!(outbound.denied_to, [None, Some(balancer_ip(1))]);
+}
+
+/// Guards against a server's reset of its own flow that does not reach the caller.
+#[test]
+fn a_servers_reset_of_its_own_flow_is_delivered() {
+    for is_known in [true, false] {
+        let mut fixture = Fixture::new();
+        if is_known {
+            fixture.serve(LATER);
+        }
+        fixture.forwards(Inquiry::Owner, &LATER.request());
+        let reset = Segment {
+            rst: true,
+            ..LATER.response()
+        };
+        let view = Some(&fixture.view);
+        let outbound = fixture.agent.on_server_packet(view, Millis(9), &reset);
+        assert!(!outbound.resets_earlier_flow && outbound.reset);
+    }
+}
--- a/crates/transport/src/passthrough/telemetry/agent.rs
+++ b/crates/transport/src/passthrough/telemetry/agent.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// The server's reset of an earlier flow with this key was not sent to the caller.
+    pub fn earlier_flow_reset(&self, flow: &FlowKey) {
+        self.other_flow.increment(1);
+        log::info!(
+            caller:% = flow.caller;
+            "reset of an earlier flow held back: the flow is not at the server"
+        );
+    }
+
     /// A balancer has asked this agent to relay an owner query; `query` is none if the
     /// query was dropped because too many flows are kept.
     pub fn relay_query(&self, balancer: Ipv4Addr, flows: usize, query: Option<&PeerQuery>) {
