A server that has another flow with the key is not asked for 0.6 s

What a caller would see: its open flow gets no answer for 0.6 s and, where the routers move it meanwhile, for longer, while its packets reach a server that still has the flow which the caller gave up before, from the same port.

Cause: the agent there has restarted and can't tell the flows apart. It says that it has delivered the packet, which gives its server 0.6 s; the server answers with an acknowledgement of the earlier flow, which nobody read as an answer, and a denial by key was dropped where no search had begun.

Change: a server's packet that acknowledges numbers of another flow, on a flow that it has never shown to have, denies the flow to the balancers that asked. The balancer then asks the others with the next timer, not the agent that has denied it.

Result: a_servers_acknowledgement_of_an_earlier_flow_denies_the_later_one and the_others_are_asked_soon_when_the_agent_asked_first_denies_the_flow fail without the change.

--- a/crates/coordination/src/passthrough/agent/action.rs
+++ b/crates/coordination/src/passthrough/agent/action.rs
@@ -70,7 +70,8 @@
     /// Whether the packet resets an earlier flow with the same key. The server does not
     /// have the caller's flow, so the packet must not reach the caller.
     pub resets_earlier_flow: bool,
-    /// Balancers to tell then that the server does not have the flow.
+    /// Balancers to tell that the server does not have the caller's flow, as the packet
+    /// is of an earlier one with the same key.
     pub denied_to: [Option<Ipv4Addr>; 2],
 }
 
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -240,14 +240,14 @@
         self.liveness.on_server_packet(now);
         self.on_server_reply(view, now);
         self.mark_superseded(&seg.key);
+        if let Some(denied_to) = self.deny_for_earlier_flow(seg) {
+            return Outbound {
+                resets_earlier_flow: seg.rst,
+                denied_to,
+                ..Outbound::default()
+            };
+        }
         if seg.rst {
-            if let Some(denied_to) = self.deny_for_earlier_flow(seg) {
-                return Outbound {
-                    resets_earlier_flow: true,
-                    denied_to,
-                    ..Outbound::default()
-                };
-            }
             if self.capacity.on_response(now, &seg.key).is_some() {
                 self.capacity
                     .on_refusal(now, self.capacity.in_progress() + 1);
--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -74,13 +74,13 @@
         }
     }
 
-    /// If the server's reset is not of the flow in the table, which it has never shown to
-    /// have, returns the balancers that asked for that flow. The server remembers an
-    /// earlier flow with this key, which this process has not seen, and got a packet of
-    /// the later one as nobody knew its server.
+    /// If a packet of the server is not of the flow in the table, which it has never shown
+    /// to have, returns the balancers that asked for that flow. The server has, or
+    /// remembers, an earlier flow with this key that this process has not seen, and got a
+    /// packet of the later one as nobody knew its server.
     pub(super) fn deny_for_earlier_flow(&mut self, seg: &Segment) -> Option<[Option<Ipv4Addr>; 2]> {
         let flow = self.flows.get_mut(&seg.key)?;
-        if flow.owned || !seg.has_ack || flow.sequence.acknowledged_by(seg) {
+        if flow.owned || seg.syn || !seg.has_ack || flow.sequence.acknowledged_by(seg) {
             return None;
         }
         let denied_to = flow.take_subscribers();
--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -40,6 +40,8 @@
     awaiting_reply_since: Option<Millis>,
     /// Whether the agent has delivered the packet and waits for its server.
     delivered_to_server: bool,
+    /// Whether the agent has replied that its server does not have the flow.
+    pub(super) denied: bool,
     /// Sequence number after the caller's newest data.
     next_seq: Option<u32>,
     /// Sequence and acknowledgement number of the last packet without data.
@@ -64,6 +66,7 @@
             past_opening: false,
             awaiting_reply_since: Some(now),
             delivered_to_server: false,
+            denied: false,
             next_seq: None,
             last_bare_ack: None,
             seen_at: now,
@@ -88,6 +91,7 @@
             past_opening: false,
             awaiting_reply_since: None,
             delivered_to_server: false,
+            denied: false,
             next_seq: None,
             last_bare_ack: None,
             seen_at: now,
@@ -155,6 +159,11 @@
         self.delivered_to_server = true;
     }
 
+    /// The agent has denied the flow that it was asked for.
+    pub(super) fn mark_denied(&mut self) {
+        self.denied = self.awaiting_reply_since.is_some();
+    }
+
     /// Time since the awaited reply was asked for; zero when none is awaited.
     pub(super) fn waited(&self, now: Millis) -> Duration {
         self.awaiting_reply_since
@@ -180,7 +189,9 @@
     }
 
     fn reply_timeout(&self) -> Duration {
-        if self.delivered_to_server {
+        if self.denied {
+            Duration::ZERO
+        } else if self.delivered_to_server {
             SERVER_REPLY_TIMEOUT
         } else {
             OWNER_REPLY_TIMEOUT
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -63,6 +63,10 @@
         flow: FlowKey,
     ) -> Action {
         let Some(search) = self.searches.get_mut(&flow) else {
+            // The others are asked with the packet whose reply was awaited.
+            if let Some(flow) = self.flows.get_mut(&flow).filter(|f| f.agent == from) {
+                flow.mark_denied();
+            }
             return Action::Drop(DropReason::OwnerFound);
         };
         search.record_denial(from);
@@ -179,6 +183,10 @@
     /// are forwarded to the likely owner.
     pub(super) fn query_owner(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
         self.search_entry(now, seg);
+        if let Some(flow) = self.flows.get(&seg.key).copied().filter(|f| f.denied) {
+            self.flows.swap_remove(&seg.key);
+            self.record_denial(now, seg, flow.agent);
+        }
         if let action @ Action::Reset(_) = self.finish_search_by_silence(view, now, seg.key) {
             return action;
         }
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -574,6 +574,24 @@
     assert_eq!(outbound.denied_to, [None, Some(balancer_ip(1))]);
 }
 
+/// Guards against packets of an open flow that go on to a server which has the earlier one
+/// from its port still open: the caller has given that flow up.
+#[test]
+fn a_servers_acknowledgement_of_an_earlier_flow_denies_the_later_one() {
+    let mut fixture = Fixture::new();
+    fixture.forwards(Inquiry::OwnerOfCopy, &LATER.request());
+    let acknowledgement = Segment {
+        len: 0,
+        ..EARLIER.response()
+    };
+    let view = Some(&fixture.view);
+    let agent = &mut fixture.agent;
+    let outbound = agent.on_server_packet(view, Millis(9), &acknowledgement);
+    assert!(!outbound.resets_earlier_flow);
+    assert_eq!(outbound.denied_to, [None, Some(balancer_ip(1))]);
+    assert_ne!(fixture.knowledge(), Knowledge::Has);
+}
+
 /// Guards against a server's reset of its own flow that does not reach the caller.
 #[test]
 fn a_servers_reset_of_its_own_flow_is_delivered() {
@@ -592,3 +610,21 @@
         assert!(!outbound.resets_earlier_flow && outbound.reset);
     }
 }
+
+/// Guards against a wait of 0.6 s for an agent whose server has answered already that it
+/// has another flow: it said first that it had delivered the packet.
+#[test]
+fn the_others_are_asked_soon_when_the_agent_asked_first_denies_the_flow() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = balancer_beside(1..=3);
+    let asked = forwarded(&balancer.on_packet(&view, Millis(0), &LATER.request()));
+    let delivered = frame(FrameKind::Heartbeat, flow(PORT));
+    balancer.on_heartbeat(Millis(2), asked, &delivered);
+    let denied = frame(FrameKind::Denied, flow(PORT));
+    balancer.on_denied(&view, Millis(3), asked, &denied);
+    let action = balancer.on_reply_timeout(&view, Millis(70), &LATER.request());
+    let Some(Action::QueryOwner(query)) = action else {
+        panic!("the others are not asked: {action:?}")
+    };
+    assert_eq!(query.agent_count(), 2, "all but the one that denied it");
+}
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -54,12 +54,11 @@
         let key = parsed.segment.key;
         let request = self.agent.last_request_id(&key);
         let outbound = self.agent.on_server_packet(view, now, &parsed.segment);
+        for to in outbound.denied_to.into_iter().flatten() {
+            self.send_frame(to, FrameKind::Denied, key, &[]);
+        }
         if outbound.resets_earlier_flow {
-            self.telemetry.earlier_flow_reset(&key);
-            for to in outbound.denied_to.into_iter().flatten() {
-                self.send_frame(to, FrameKind::Denied, key, &[]);
-            }
-            return;
+            return self.telemetry.earlier_flow_reset(&key);
         }
         self.send_to_caller(key, packet);
         let failure = F::error_status(packet);
