Searches: a late denial of an earlier flow's packet is not one of the next flow

What a caller would see: its open flow is reset though its server has it, while some links are slow.

Cause: an agent that was asked with a packet of the earlier flow refuses it, rightly, and the denial arrives when the balancer searches for the next flow from that port. Denials were matched by flow key alone, though this one carries the packet.

Change: the balancer compares the packet that a denial carries with the flow it searches for.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -54,6 +54,22 @@
         self.apply_denial(view, now, from, frame.flow)
     }
 
+    /// As [`Balancer::on_denied`], for an agent that returns the packet it was asked with.
+    pub fn on_denied_packet(
+        &mut self,
+        view: &View,
+        now: Millis,
+        from: Ipv4Addr,
+        frame: &Frame,
+        seg: &Segment,
+    ) -> Action {
+        if self.is_of_other_flow(seg) {
+            self.record_agent_frame(now, from, frame);
+            return Action::Drop(DropReason::EarlierFlow);
+        }
+        self.on_denied(view, now, from, frame)
+    }
+
     /// As [`Balancer::on_denied`], without what the frame says of the agent itself.
     pub(super) fn apply_denial(
         &mut self,
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -611,6 +611,29 @@
     }
 }
 
+/// Guards against a late denial, by an agent that was asked with a packet of the earlier
+/// flow, that counts as a denial of the next one from its port.
+#[test]
+fn a_late_denial_of_an_earlier_flows_packet_changes_nothing() {
+    let view = view(&[1, 2, 3]);
+    let mut balancer = balancer_beside(1..=3);
+    balancer.on_packet(&view, Millis(0), &LATER.request());
+    balancer.on_reply_timeout(&view, Millis(70), &LATER.request());
+    for last in [2, 3] {
+        deny(&mut balancer, &view, 75, last);
+    }
+    let denied = frame(FrameKind::Denied, flow(PORT));
+    let mut deny_packet =
+        |seg: &Segment| balancer.on_denied_packet(&view, Millis(76), ip(1), &denied, seg);
+    let action = deny_packet(&EARLIER.request());
+    assert_eq!(action, Action::Drop(DropReason::EarlierFlow));
+    let action = deny_packet(&LATER.request());
+    assert!(
+        matches!(action, Action::Reset(_)),
+        "now all have: {action:?}"
+    );
+}
+
 /// Guards against a wait of 0.6 s for an agent whose server has answered already that it
 /// has another flow: it said first that it had delivered the packet.
 #[test]
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -37,7 +37,7 @@
         let packet = &mut buf[FRAME_LEN_BYTES..];
         match frame.kind {
             FrameKind::Owned => self.handle_owned(&view, from, &frame),
-            FrameKind::Denied => self.handle_denied(&view, from, &frame),
+            FrameKind::Denied => self.handle_denied_packet(&view, from, &frame, packet),
             FrameKind::OwnerReply => self.handle_reply(&view, from, &frame, packet),
             FrameKind::Returned(refusal) => {
                 self.handle_returned(&view, from, refusal, &frame, packet);
@@ -93,6 +93,21 @@
         }
     }
 
+    /// Handles a denial that may carry the packet that the agent was asked with.
+    fn handle_denied_packet(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, packet: &[u8]) {
+        let Some(parsed) = F::read(packet) else {
+            return self.handle_denied(view, from, frame);
+        };
+        let now = self.traffic.clock.now();
+        let segment = &parsed.segment;
+        let denied = self
+            .balancer
+            .on_denied_packet(view, now, from, frame, segment);
+        if let Action::Reset(reset) = denied {
+            self.send_reset(reset);
+        }
+    }
+
     /// Handles what an agent knows of each flow of an owner query.
     pub(super) fn handle_reply(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, list: &[u8]) {
         let now = self.traffic.clock.now();
