Denials of bounced copies carry the packet's header

Cause: the denial of a bounced copy carried no packet, so it counted for the next flow from that port, and its owner was taken to have denied it.

--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -54,7 +54,8 @@
         self.apply_denial(view, now, from, frame.flow)
     }
 
-    /// As [`Balancer::on_denied`], for an agent that returns the packet it was asked with.
+    /// As [`Balancer::on_denied`], for an agent that returns the header of the packet it was
+    /// asked with.
     pub fn on_denied_packet(
         &mut self,
         view: &View,
--- a/crates/protocol/src/format.rs
+++ b/crates/protocol/src/format.rs
@@ -65,6 +65,13 @@
     /// Reads a packet that a caller sent, bounced or not; none if it is malformed.
     fn read(buf: &[u8]) -> Option<ParsedPacket>;
 
+    /// Reads the header of a packet that a caller sent, whose data may be missing; none if
+    /// it is malformed.
+    fn read_header(buf: &[u8]) -> Option<ParsedPacket>;
+
+    /// The header of a packet, without its data.
+    fn header(packet: &[u8]) -> &[u8];
+
     /// Reads a packet that came from a server: either a bounced packet, which a
     /// caller sent, or a packet of the server to a caller.
     fn read_from_server(buf: &[u8]) -> Option<ParsedPacket>;
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -57,8 +57,8 @@
     Forward(Inquiry),
     /// Agent to balancer: the packet was refused and is returned unchanged.
     Returned(Refusal),
-    /// Agent to balancer: the server does not have the flow. The packet that the agent was
-    /// asked with may follow the header.
+    /// Agent to balancer: the server does not have the flow. The header of the packet that
+    /// the agent was asked with may follow.
     Denied,
     /// Agent to balancer: the server has the flow. Contains no packet.
     Owned,
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -71,11 +71,11 @@
                 } else {
                     self.telemetry.other_flow(from, &segment.key);
                 }
-                let kind = match inquiry {
-                    Inquiry::OwnerOfCopy => FrameKind::Denied,
-                    _ => FrameKind::Returned(refusal),
+                let (kind, body) = match inquiry {
+                    Inquiry::OwnerOfCopy => (FrameKind::Denied, F::header(packet)),
+                    _ => (FrameKind::Returned(refusal), &*packet),
                 };
-                self.send_frame(from, kind, segment.key, packet);
+                self.send_frame(from, kind, segment.key, body);
             }
         }
     }
--- a/crates/transport/src/passthrough/agent/outbound.rs
+++ b/crates/transport/src/passthrough/agent/outbound.rs
@@ -88,7 +88,9 @@
             Bounce::Lost(to) => {
                 self.send_frame(to, FrameKind::Returned(Refusal::Lost), key, packet);
             }
-            Bounce::Deny(to) => self.send_frame(to, FrameKind::Denied, key, &[]),
+            Bounce::Deny(to) => {
+                self.send_frame(to, FrameKind::Denied, key, F::header(packet));
+            }
             Bounce::UnknownMark => {}
         }
     }
--- a/crates/transport/src/passthrough/balancer/peers.rs
+++ b/crates/transport/src/passthrough/balancer/peers.rs
@@ -93,9 +93,10 @@
         }
     }
 
-    /// Handles a denial that may carry the packet that the agent was asked with.
-    fn handle_denied_packet(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, packet: &[u8]) {
-        let Some(parsed) = F::read(packet) else {
+    /// Handles a denial that may carry the header of the packet that the agent was asked
+    /// with.
+    fn handle_denied_packet(&mut self, view: &View, from: Ipv4Addr, frame: &Frame, header: &[u8]) {
+        let Some(parsed) = F::read_header(header) else {
             return self.handle_denied(view, from, frame);
         };
         let now = self.traffic.clock.now();
