Agents report the newest revision that they have heard of

What a caller would see: its flow, opened at the new server a moment ago, is reset as unowned when its next packet comes through a balancer that does not know the server yet.

Cause: the balancer asks the agents that it knows; all deny.

Change: agents report the newest revision that they have or have heard of, from the balancers that send them packets. The balancer that placed the flow has the record, and so the one that searches learns that its view is old, waits, and asks another reader.

--- a/crates/coordination/src/passthrough/agent/knowledge.rs
+++ b/crates/coordination/src/passthrough/agent/knowledge.rs
@@ -22,6 +22,7 @@
 use super::flow::CALLER_RETRANSMIT_TIMEOUT;
 use super::flow::Flow;
 use crate::passthrough::published::RELIST_LIMIT;
+use crate::passthrough::published::Revision;
 use crate::passthrough::view::View;
 
 /// How much earlier than its agent a server may have started without having flows
@@ -113,6 +114,19 @@
         self.senders.addresses().to_vec()
     }
 
+    /// Records the revision of the platform's records that a balancer or another agent
+    /// has.
+    pub fn note_revision(&mut self, revision: Revision) {
+        self.newest_heard = self.newest_heard.max(revision);
+    }
+
+    /// Newest revision that this process has or has heard of. A balancer that lacks it
+    /// may not know the server of a flow yet, though this agent doesn't either.
+    pub fn newest_revision(&self, view: Option<&View>) -> Revision {
+        let own = view.map_or(Revision(0), |v| v.newest);
+        own.max(self.newest_heard)
+    }
+
     /// Time since this process started.
     pub fn uptime(&self, now: Millis) -> Duration {
         now.since(self.started_at)
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -42,6 +42,7 @@
 use super::mark::Senders;
 use super::mean_time::MeanTime;
 use super::opening_queue::OpeningQueue;
+use super::published::Revision;
 use super::rate_limit::RateLimiter;
 use super::server_capacity::ServerCapacity;
 use super::sweep::Sweep;
@@ -100,6 +101,8 @@
     /// When the server was last seen missing from the platform's listing.
     last_unlisted_at: Option<Millis>,
     last_heartbeats_at: Millis,
+    /// Newest revision of the platform's records that a balancer or another agent has.
+    newest_heard: Revision,
     liveness: ServerLiveness,
     capacity: ServerCapacity,
 }
@@ -142,6 +145,7 @@
             has_view: false,
             last_unlisted_at: None,
             last_heartbeats_at: Millis(0),
+            newest_heard: Revision(0),
             liveness: ServerLiveness::default(),
             capacity: ServerCapacity::default(),
         }
--- a/crates/coordination/tests/passthrough/agent.rs
+++ b/crates/coordination/tests/passthrough/agent.rs
@@ -9,6 +9,7 @@
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::published::Configuration;
 use ramp_coordination::passthrough::published::Record;
+use ramp_coordination::passthrough::published::Revision;
 use ramp_coordination::passthrough::published::Server;
 use ramp_coordination::passthrough::published::ServerState;
 use ramp_coordination::passthrough::view::View;
@@ -1009,3 +1010,16 @@
             .is_empty()
     );
 }
+
+// Guards against a reset of a flow at a server that was added a moment ago: neither the
+// balancer that searches nor any agent that it asks has its record yet, but another
+// balancer has, and has sent the agents packets.
+#[test]
+fn an_agent_reports_a_revision_that_it_has_only_heard_of() {
+    let view = view(&[1, 2]);
+    let mut agent = agent(1);
+    assert_eq!(agent.newest_revision(Some(&view)), Revision(100));
+    agent.note_revision(Revision(101));
+    agent.note_revision(Revision(99));
+    assert_eq!(agent.newest_revision(Some(&view)), Revision(101));
+}
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -118,9 +118,10 @@
         .collect()
     }
 
-    /// Notifies the control thread if a balancer has newer records than this
-    /// process.
+    /// Records the revision that another process has, and notifies the control thread
+    /// if that is newer than this process's.
     pub(super) fn report_newer_revision(&mut self, revision: Revision) {
+        self.agent.note_revision(revision);
         let known = self.view.as_ref().map(|v| v.cursor);
         if revision <= self.reported_revision || known.is_some_and(|known| revision <= known) {
             return;
--- a/crates/transport/src/passthrough/agent/mod.rs
+++ b/crates/transport/src/passthrough/agent/mod.rs
@@ -336,7 +336,7 @@
             flow,
             service: self.traffic.local_server.service,
             version: view.map_or(Version(0), |v| v.version),
-            revision: view.map_or(0, |v| v.newest.0),
+            revision: self.agent.newest_revision(view).0,
             in_progress: self.agent.in_progress(),
             knows_all_flows: self.agent.knows_all_flows(view, now),
             misses_servers: view.is_some_and(|v| v.misses_servers(now)),
