Queue: the next flow's opening is not mixed up with the one that waits

What a caller would see: no answer to its opening until it sends the next copy, 0.2 to 0.4 s later.

Cause: an opening from the same port as one that waits was dropped as a copy of it, though its caller had given that one up; and a late packet of the flow before, from the caller or the server, counted as the sign that the caller has an answer to its opening.

Change: openings in the queue are compared by their sequence numbers, as in the other tables. A later one takes the place of the one that waits.

Result: a_later_opening_takes_the_place_of_one_that_waits and packets_of_an_earlier_flow_do_not_answer_an_opening_that_waits fail without the change and pass with it.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -26,6 +26,7 @@
 use super::action::Inbound;
 use super::flow::Opening;
 use super::flow::OwnerSubscriber;
+use crate::passthrough::flow_sequence::FlowSequence;
 use crate::passthrough::opening_queue::Pace;
 use crate::passthrough::opening_queue::QueuedOpening;
 use crate::passthrough::opening_queue::RouteTerms;
@@ -86,8 +87,13 @@
         inquiry: Inquiry,
         seg: &Segment,
     ) -> Option<Inbound> {
-        if self.queue.contains(&seg.key) {
-            return Some(Inbound::AlreadyQueued);
+        if let Some(waiting) = self.queue.find(&seg.key) {
+            if waiting.seq == seg.seq {
+                return Some(Inbound::AlreadyQueued);
+            }
+            // The caller has given that opening up.
+            self.queue.remove(&seg.key);
+            self.superseded.swap_remove(&seg.key);
         }
         if let Err(refusal) = self.admit(view, now, frame, seg) {
             return Some(Inbound::Refuse(refusal));
@@ -346,9 +352,14 @@
     }
 
     /// Records that the caller of a queued flow has an answer to another copy of
-    /// the opening packet.
-    pub(super) fn mark_superseded(&mut self, flow: &FlowKey) {
-        if self.queue.contains(flow) {
+    /// the opening packet, if the packet of `flow` is of that flow.
+    pub(super) fn mark_superseded(
+        &mut self,
+        flow: &FlowKey,
+        is_of: impl FnOnce(FlowSequence) -> bool,
+    ) {
+        let waiting = self.queue.find(flow);
+        if waiting.is_some_and(|opening| is_of(FlowSequence::opened_at(opening.seq))) {
             self.superseded.insert(*flow);
         }
     }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -181,7 +181,7 @@
             if self.is_of_other_flow(seg) {
                 return Inbound::Refuse(Refusal::Bounced);
             }
-            self.mark_superseded(&seg.key);
+            self.mark_superseded(&seg.key, |queued| queued.includes(seg));
         }
         let asked = inquiry != Inquiry::None;
         let subscriber = asked.then_some(OwnerSubscriber {
@@ -243,7 +243,7 @@
     ) -> Outbound {
         self.liveness.on_server_packet(now);
         self.on_server_reply(view, now);
-        self.mark_superseded(&seg.key);
+        self.mark_superseded(&seg.key, |queued| queued.includes_reply(seg));
         if let Some(denied_to) = self.deny_for_earlier_flow(seg) {
             return Outbound {
                 resets_earlier_flow: seg.rst,
--- a/crates/coordination/src/passthrough/opening_queue.rs
+++ b/crates/coordination/src/passthrough/opening_queue.rs
@@ -268,8 +268,19 @@
     }
 
     pub(super) fn contains(&self, flow: &FlowKey) -> bool {
+        self.find(flow).is_some()
+    }
+
+    /// The opening of a flow that waits, or that was evicted and is still to be refused.
+    pub(super) fn find(&self, flow: &FlowKey) -> Option<&QueuedOpening> {
         let mut all = self.openings.iter().chain(&self.evicted);
-        all.any(|o| o.flow == *flow)
+        all.find(|o| o.flow == *flow)
+    }
+
+    /// Removes an opening whose caller has given it up.
+    pub(super) fn remove(&mut self, flow: &FlowKey) {
+        self.openings.retain(|o| o.flow != *flow);
+        self.evicted.retain(|o| o.flow != *flow);
     }
 
     /// Whether an opening that arrives now may be let in before those that wait.
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -6,6 +6,7 @@
 use ramp_coordination::passthrough::agent::Agent;
 use ramp_coordination::passthrough::agent::Bounce;
 use ramp_coordination::passthrough::agent::ConnectResult;
+use ramp_coordination::passthrough::agent::Dequeued;
 use ramp_coordination::passthrough::agent::Inbound;
 use ramp_coordination::passthrough::balancer::Action;
 use ramp_coordination::passthrough::balancer::Balancer;
@@ -651,3 +652,63 @@
     };
     assert_eq!(query.agent_count(), 2, "all but the one that denied it");
 }
+
+/// Fills the server, so that openings wait.
+fn fill_server(fixture: &mut Fixture) {
+    for port in 100..106 {
+        fixture.forwards(Inquiry::Owner, &opening(flow(port), 0));
+        fixture.server_sends(&syn_ack(flow(port)));
+        fixture.forwards(Inquiry::None, &segment(flow(port)));
+    }
+}
+
+/// What happens to the opening that waits once a slot is free.
+fn dequeue(fixture: &mut Fixture) -> Option<Dequeued> {
+    fixture.server_sends(&segment(flow(100)));
+    fixture.agent.poll_queue(Some(&fixture.view), fixture.now)
+}
+
+/// Guards against an opening that is taken for a copy of the one that waits, and is
+/// dropped, though its caller has given that one up.
+#[test]
+fn a_later_opening_takes_the_place_of_one_that_waits() {
+    let mut fixture = Fixture::new();
+    fill_server(&mut fixture);
+    let busy = Inquiry::OwnerEvenIfBusy;
+    let waits = fixture.balancer_sends(busy, &EARLIER.opening());
+    assert_eq!(waits, Inbound::Queue);
+    let copy = fixture.balancer_sends(busy, &EARLIER.opening());
+    assert_eq!(copy, Inbound::AlreadyQueued);
+    let later = fixture.balancer_sends(busy, &LATER.opening());
+    assert_eq!(later, Inbound::Queue);
+    assert_eq!(fixture.agent.queue_len(), 1);
+    let dequeued = dequeue(&mut fixture);
+    assert!(
+        matches!(dequeued, Some(Dequeued::Forward(..))),
+        "{dequeued:?}"
+    );
+    fixture.server_sends(&LATER.syn_ack());
+    fixture.forwards(Inquiry::None, &LATER.request());
+    assert_eq!(fixture.knowledge(), Knowledge::Has);
+}
+
+/// Guards against an opening that is dropped without a word, because a late packet of the
+/// earlier flow from its port seemed to show that the caller has an answer.
+#[test]
+fn packets_of_an_earlier_flow_do_not_answer_an_opening_that_waits() {
+    for of_server in [true, false] {
+        let mut fixture = Fixture::new();
+        fixture.serve(EARLIER);
+        fill_server(&mut fixture);
+        let waits = fixture.balancer_sends(Inquiry::OwnerEvenIfBusy, &LATER.opening());
+        assert_eq!(waits, Inbound::Queue);
+        if of_server {
+            fixture.server_sends(&EARLIER.response());
+        } else {
+            fixture.forwards(Inquiry::None, &EARLIER.caller_fin());
+        }
+        let dequeued = dequeue(&mut fixture);
+        let passes = matches!(dequeued, Some(Dequeued::Forward(..)));
+        assert!(passes, "{dequeued:?}, packet of the server: {of_server}");
+    }
+}
--- a/crates/transport/src/passthrough/agent/inbound.rs
+++ b/crates/transport/src/passthrough/agent/inbound.rs
@@ -48,6 +48,10 @@
         let inbound = self
             .agent
             .on_balancer_packet(view, now, from, &frame, inquiry, segment);
+        if segment.opens && inbound != Inbound::AlreadyQueued {
+            // That of an earlier flow with the same key no longer waits.
+            self.queued_packets.swap_remove(&segment.key);
+        }
         match inbound {
             Inbound::Forward { mark, owned } => {
                 self.forward_to_server(packet, segment, mark);
