Agents: a reserved slot expires by the time limit of its own flow

What a caller would see: at most a flow more than planned at a busy server.

Cause: the time limit of an earlier flow's first request released the slot that the next flow from that port had reserved later.

Change: the entry counts only for a reservation made at its own time.

Result: a_reserved_slot_has_the_time_limit_of_its_own_flow fails without the change (0 in progress at 100 ms, 1 expected) and passes with it.

--- a/crates/coordination/src/passthrough/agent/flow.rs
+++ b/crates/coordination/src/passthrough/agent/flow.rs
@@ -260,9 +260,10 @@
             if now.since(*since) < FIRST_REQUEST_TIMEOUT {
                 return;
             }
+            // A later flow with this key has a time of its own.
             if let Some(flow) = self.flows.get_mut(key)
                 && !flow.request_received
-                && flow.request_since.take().is_some()
+                && flow.request_since.take_if(|at| at == since).is_some()
             {
                 self.in_progress = self.in_progress.saturating_sub(1);
             }
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -712,3 +712,21 @@
         assert!(passes, "{dequeued:?}, packet of the server: {of_server}");
     }
 }
+
+/// Guards against a slot that is released too soon, by the time limit of an earlier flow's
+/// first request.
+#[test]
+fn a_reserved_slot_has_the_time_limit_of_its_own_flow() {
+    let mut fixture = Fixture::new();
+    let (mark, _) = fixture.forwards(Inquiry::Owner, &EARLIER.opening());
+    let view = Some(&fixture.view);
+    fixture
+        .agent
+        .on_bounce(view, fixture.now, mark.0, &EARLIER.opening());
+    fixture.now = Millis(50);
+    fixture.forwards(Inquiry::Owner, &LATER.opening());
+    for (at, in_progress) in [(100, 1), (120, 0)] {
+        fixture.agent.poll_queue(Some(&fixture.view), Millis(at));
+        assert_eq!(fixture.agent.in_progress(), in_progress, "at {at} ms");
+    }
+}
