--- a/bramleyramp/tests/on_platform/fixture.rs
+++ b/bramleyramp/tests/on_platform/fixture.rs
@@ -156,10 +156,14 @@
         fleet
     }
 
+    /// Address of the server beside an agent.
+    pub fn server_address(&self, agent: u8) -> String {
+        format!("{}:{}", self.agent_ip(agent), self.ports.server)
+    }
+
     /// Writes the record of the server beside an agent.
     pub fn write_server(&self, agent: u8, state: &str) {
-        let address = format!("{}:{}", self.agent_ip(agent), self.ports.server);
-        let entry = server_entry("voucher", &address, state);
+        let entry = server_entry("voucher", &self.server_address(agent), state);
         self.store.put(&format!("servers/i-{agent}"), &entry);
     }
 
--- a/bramleyramp/tests/on_platform/main.rs
+++ b/bramleyramp/tests/on_platform/main.rs
@@ -139,6 +139,48 @@
     assert_eq!(no_step_back, None);
 }
 
+/// Entries that another writer left among those of the servers, all at this address.
+fn odd_entries(address: &str) -> Vec<String> {
+    let whole = |version: &str, born: &str| {
+        format!(
+            r#"{{"Service":"voucher","Address":"{address}","Zone":"a","Version":{version},
+            "Slots":5,"State":"ready","ColdLeftMs":0,"Sequence":4,"born":{born}}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let host = address.split(':').next().unwrap();
+    vec![
+        nested.clone(),
+        whole(&nested, "1"),
+        whole("\"v1\"", "1e999"),
+        whole("\"v1\"", "18446744073709551615"),
+        whole("\"v1\"", "1").replace(address, &format!("{host}:70000")),
+    ]
+}
+
+// Guards against processes that end, or stop following the platform, because of an entry
+// that is nested deeply, or with a number or a port out of range.
+#[test]
+fn odd_entries_among_those_of_the_servers_end_no_process() {
+    let mut fleet = Fleet::start(2);
+    let mut flow = fleet.open(2401);
+    for (number, entry) in odd_entries(&fleet.server_address(1)).iter().enumerate() {
+        fleet.store.put(&format!("servers/odd-{number}"), entry);
+    }
+    fleet.write_server(2, "draining");
+    for process in ["balancer", "agent-1", "agent-2"] {
+        fleet.wait_for_log(process, &["backend server listed", "draining"]);
+    }
+    assert_eq!(flow.request("odd-1"), Answer::Status(200));
+    for process in ["balancer", "agent-1"] {
+        fleet.kill(process);
+    }
+    fleet.start_agent(1);
+    fleet.start_balancer();
+    assert_eq!(flow.request("odd-2"), Answer::Status(200));
+    assert_eq!(fleet.agents_of_new_flows(2410..2415), [1]);
+}
+
 #[test]
 fn a_balancer_asked_to_end_is_not_ready_and_goes_on_until_nobody_sends() {
     let mut fleet = Fleet::start(1);
