--- a/bramleyramp/tests/soak/callers.rs
+++ b/bramleyramp/tests/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers of the soak test. Some send many requests on one flow, some open a flow for
-//! each request. They record how each attempt ends and check every reset.
+//! each request. Every other new flow is opened from the port of the caller's last one.
+//! They record how each attempt ends and check every reset.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -41,6 +42,13 @@
 /// Maximum pause between two requests of one caller.
 const MAX_PAUSE_MS: u64 = 150;
 
+/// Time for which a caller that has sent its FIN waits for the server's.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How far the sequence number of a reset may be from what the caller expects on an open
+/// flow.
+const RESET_WINDOW_BYTES: u32 = 76_800;
+
 /// One in this many callers opens a new flow for each request.
 const FLOW_PER_REQUEST_ONE_IN: usize = 3;
 
@@ -60,12 +68,15 @@
     Opening,
     Idle,
     AwaitingResponse,
+    Closing,
 }
 
 struct Caller {
     flow_per_request: bool,
     service: SocketAddrV4,
     port: u16,
+    /// Port of the last flow; zero: there was none.
+    last_port: u16,
     state: FlowState,
     /// Initial sequence number of the server.
     isn: u32,
@@ -122,6 +133,7 @@
                 flow_per_request: n % FLOW_PER_REQUEST_ONE_IN == 0,
                 service,
                 port: 0,
+                last_port: 0,
                 state: FlowState::Idle,
                 isn: 0,
                 seq: 0,
@@ -165,6 +177,7 @@
                 self.close(index);
             }
             FlowState::AwaitingResponse => self.send_request(index),
+            FlowState::Closing => self.close(index),
         }
     }
 
@@ -174,9 +187,13 @@
         } else {
             1025
         };
+        let reuse = self.random.below(2) == 0;
+        let start = self.random.below(1 << 32) as u32;
         let caller = &mut self.callers[index];
-        caller.port = self.next_port;
-        caller.seq = 1;
+        let reused = Some(caller.last_port).filter(|port| reuse && *port != 0);
+        caller.port = reused.unwrap_or(self.next_port);
+        caller.last_port = caller.port;
+        caller.seq = start;
         caller.state = FlowState::Opening;
         caller.started_at = Instant::now();
         caller.attempts = 0;
@@ -222,7 +239,7 @@
             return self.add_violation("a caller got a packet of another flow");
         }
         if packet.has(RST) {
-            return self.on_reset(index);
+            return self.on_reset(index, packet);
         }
         let caller = &mut self.callers[index];
         let data = String::from_utf8_lossy(&packet.data).into_owned();
@@ -233,7 +250,16 @@
                 self.start_request(index);
             }
             FlowState::AwaitingResponse if data == caller.request => self.on_response(index),
-            FlowState::Idle | FlowState::Opening | FlowState::AwaitingResponse => {}
+            FlowState::Closing if packet.has(FIN) && packet.seq == caller.isn => {
+                caller.seq = caller.seq.wrapping_add(1);
+                let after_fin = caller.isn.wrapping_add(1);
+                self.send(index, ACK, after_fin, b"");
+                self.close(index);
+            }
+            FlowState::Idle
+            | FlowState::Opening
+            | FlowState::AwaitingResponse
+            | FlowState::Closing => {}
         }
     }
 
@@ -241,19 +267,25 @@
         self.record.lock().unwrap().outcomes.served += 1;
         let pause = Duration::from_millis(self.random.below(MAX_PAUSE_MS));
         let caller = &mut self.callers[index];
-        caller.seq += caller.request.len() as u32;
+        caller.seq = caller.seq.wrapping_add(caller.request.len() as u32);
         caller.state = FlowState::Idle;
         caller.next_at = Instant::now() + pause;
         if caller.flow_per_request {
             let isn = caller.isn;
+            caller.state = FlowState::Closing;
+            caller.next_at = Instant::now() + CLOSE_TIMEOUT;
             self.send(index, FIN | ACK, isn, b"");
-            self.close(index);
         }
     }
 
-    fn on_reset(&mut self, index: usize) {
+    fn on_reset(&mut self, index: usize, packet: &Packet) {
         let caller = &self.callers[index];
         let (port, isn) = (caller.port, caller.isn);
+        let distance = packet.seq.wrapping_sub(isn) as i32;
+        if caller.state != FlowState::Opening && distance.unsigned_abs() > RESET_WINDOW_BYTES {
+            // On an open flow such a reset has no effect.
+            return;
+        }
         if caller.state == FlowState::Opening {
             self.record.lock().unwrap().outcomes.refused += 1;
             return self.close(index);
--- a/bramleyramp/tests/soak/servers.rs
+++ b/bramleyramp/tests/soak/servers.rs
@@ -18,6 +18,7 @@
 use crate::harness::packet_codec::ACK;
 use crate::harness::packet_codec::FIN;
 use crate::harness::packet_codec::Packet;
+use crate::harness::packet_codec::RST;
 use crate::harness::packet_codec::SYN;
 use crate::record::Record;
 use crate::record::STORE;
@@ -31,9 +32,17 @@
 /// Time within which all undisturbed processes have read a record.
 const READ_TIME: Duration = Duration::from_millis(2000);
 
+/// Time for which a server remembers a flow that has ended.
+const ENDED_MEMORY: Duration = Duration::from_millis(2000);
+
+/// Distance between the initial sequence numbers of two flows of a server.
+const DISTANCE_OF_ISNS: u32 = 0x0123_4567;
+
 /// A flow at a server.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
+    /// Sequence number of the caller's opening.
+    start: u32,
     isn: u32,
     /// Whether the handshake is complete.
     open: bool,
@@ -49,6 +58,8 @@
     pub draining_since: Option<Instant>,
     pub evacuated_since: Option<Instant>,
     flows: HashMap<u16, Flow>,
+    /// Flows that both ends have closed, with the time at which they ended.
+    ended: HashMap<u16, (Instant, Flow)>,
     next_isn: u32,
     own_address: SocketAddrV4,
     /// Accepts the agent's connect checks; `None` while the server is not alive.
@@ -63,6 +74,7 @@
     pub fn restart(&mut self) {
         self.crash();
         self.flows.clear();
+        self.ended.clear();
         self._health = Some(listen(self.own_address));
         self.alive = true;
         self.draining_since = None;
@@ -114,6 +126,7 @@
         draining_since: None,
         evacuated_since: None,
         flows: HashMap::new(),
+        ended: HashMap::new(),
         next_isn: u32::from(ip) << 16,
         own_address: own,
         _health: Some(listen(own)),
@@ -134,6 +147,14 @@
     state
 }
 
+/// The server's own FIN in answer to a caller's.
+fn close_of(packet: &Packet) -> Packet {
+    Packet {
+        ack: packet.seq.wrapping_add(1),
+        ..packet.reply(FIN | ACK, packet.ack, b"")
+    }
+}
+
 /// Listens at an address. Retries, because a process that is being forked holds a copy
 /// of the closed listener for a moment.
 fn listen(address: SocketAddrV4) -> TcpListener {
@@ -160,18 +181,23 @@
             record.lock().unwrap().add_violation(&what);
             return None;
         }
+        let port = packet.from.port();
         if packet.opens() {
+            let held = self.flows.get(&port);
+            if held.is_some_and(|flow| flow.open && flow.start != packet.seq) {
+                return Some(packet_codec::as_bounced(buf));
+            }
             self.check_new_flow(&packet, &mut record.lock().unwrap());
             return Some(self.accept(&packet).encode());
         }
-        let port = packet.from.port();
         let Some(flow) = self.flows.get_mut(&port).filter(|h| h.isn == packet.ack) else {
-            return Some(packet_codec::as_bounced(buf));
+            return self.answer_without_flow(&packet, buf);
         };
         flow.open = true;
         if packet.has(FIN) {
+            self.ended.insert(port, (Instant::now(), *flow));
             self.flows.remove(&port);
-            return Some(packet.reply(ACK, packet.ack, b"").encode());
+            return Some(close_of(&packet).encode());
         }
         let id = String::from_utf8_lossy(&packet.data).into_owned();
         if !id.is_empty() && !record.lock().unwrap().sent_requests.contains(&id) {
@@ -181,12 +207,42 @@
         Some(packet.reply(ACK, packet.ack, &packet.data).encode())
     }
 
+    /// Answers a packet of a flow that the server does not have. While it remembers an
+    /// ended one from the same port, it answers data with a reset, a FIN of that flow
+    /// with another FIN, and nothing else.
+    fn answer_without_flow(&mut self, packet: &Packet, buf: &[u8]) -> Option<Vec<u8>> {
+        let remembered = self.ended.get(&packet.from.port());
+        let remembered = remembered.filter(|(at, _)| at.elapsed() < ENDED_MEMORY);
+        let Some((_, ended)) = remembered else {
+            return Some(packet_codec::as_bounced(buf));
+        };
+        if packet.has(FIN) && packet.ack == ended.isn {
+            return Some(close_of(packet).encode());
+        }
+        let reset = Packet {
+            ack: ended.start.wrapping_add(1),
+            ..packet.reply(RST | ACK, ended.isn, b"")
+        };
+        (!packet.data.is_empty()).then(|| reset.encode())
+    }
+
     fn accept(&mut self, packet: &Packet) -> Packet {
         let port = packet.from.port();
-        self.next_isn = self.next_isn.wrapping_add(7);
-        let isn = self.next_isn;
-        let flow = self.flows.entry(port).or_insert(Flow { isn, open: false });
-        packet.reply(SYN | ACK, flow.isn, b"")
+        self.next_isn = self.next_isn.wrapping_add(DISTANCE_OF_ISNS);
+        let new = Flow {
+            start: packet.seq,
+            isn: self.next_isn,
+            open: false,
+        };
+        self.ended.remove(&port);
+        let flow = self.flows.entry(port).or_insert(new);
+        if flow.start != packet.seq {
+            *flow = new;
+        }
+        Packet {
+            ack: packet.seq.wrapping_add(1),
+            ..packet.reply(SYN | ACK, flow.isn, b"")
+        }
     }
 
     fn check_new_flow(&self, packet: &Packet, record: &mut Record) {
--- a/crates/coordination/tests/passthrough/simulation/fleet.rs
+++ b/crates/coordination/tests/passthrough/simulation/fleet.rs
@@ -66,9 +66,11 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The caller sends a packet, or sends it again unless it has gone on to
-    /// another packet.
+    /// another packet. The first packet of its next flow opens that flow.
     Send {
         port: u16,
+        /// Number of the flow from this port.
+        flow: u32,
         packet: u32,
     },
     ToBalancer {
@@ -92,7 +94,10 @@
         to: usize,
         from: Ipv4Addr,
         frame: Frame,
+        /// The packet that the frame is about.
         seg: Segment,
+        /// Whether the frame carries the packet.
+        carries_packet: bool,
     },
     /// The reply to a balancer's inquiry may be overdue.
     ReplyTimeout(ReplyCheck),
@@ -163,6 +168,9 @@
     pub has_priority: bool,
     /// Whether all servers are cold, and get fewer new flows than there are.
     pub cold: bool,
+    /// Whether callers close their flows, or give them up, and open others from the
+    /// same ports.
+    pub reuses_ports: bool,
 }
 
 /// Counts and violations of one run.
@@ -179,6 +187,8 @@
     pub refused_late: usize,
     /// Openings that waited at an agent.
     pub waited: usize,
+    /// Flows that callers opened from a port that they had used before.
+    pub reopened: usize,
     /// Broken invariants; the first with the history of its flow.
     pub violations: Vec<String>,
 }
@@ -272,6 +282,7 @@
                 from,
                 frame,
                 seg,
+                ..
             } => format!("{from} to balancer {to}, {:?}, {}", frame.kind, name(seg)),
             Event::Done { at, seg } => format!("{at} is done, {}", name(seg)),
             Event::Send { .. }
@@ -402,7 +413,12 @@
         for port in 1..=FLOWS {
             self.callers.insert(port, Caller::default());
             let start = self.rng.below(RUN_MS / 2);
-            self.schedule(start, Event::Send { port, packet: 0 });
+            let first = Event::Send {
+                port,
+                flow: 0,
+                packet: 0,
+            };
+            self.schedule(start, first);
         }
         while let Some(Reverse((now, _, index))) = self.queue.pop() {
             if now > RUN_MS {
@@ -434,7 +450,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Send { port, packet } => self.caller_sends(port, packet),
+            Event::Send { port, flow, packet } => self.caller_sends(port, flow, packet),
             Event::ToBalancer { at, seg } => self.balancer_gets(at, &seg),
             Event::ToAgent {
                 at,
@@ -453,7 +469,8 @@
                 from,
                 frame,
                 seg,
-            } => self.balancer_receives(to, from, &frame, &seg),
+                carries_packet,
+            } => self.balancer_receives(to, from, &frame, &seg, carries_packet),
             Event::ReplyTimeout(check) => self.balancer_checks_reply(&check),
             Event::Done { at, seg } => self.server_answers(at, &seg),
             Event::Tick => {
--- a/crates/coordination/tests/passthrough/simulation/invariants.rs
+++ b/crates/coordination/tests/passthrough/simulation/invariants.rs
@@ -10,6 +10,7 @@
 use super::fleet::Event;
 use super::fleet::Fleet;
 use super::fleet::process_of;
+use super::traffic::reply_seq;
 use crate::fixture::*;
 
 /// Time after the start of a drain from which the server may get no new flow.
@@ -25,8 +26,19 @@
 /// Range of the random addition to that pause.
 const PAUSE_RANGE_MS: u64 = 600;
 
+/// Answers after which a caller may end its flow, where callers use ports again.
+const MIN_ANSWERS_PER_FLOW: u32 = 3;
+/// Range of the random pause of a caller before it uses its port again.
+const REOPEN_RANGE_MS: u64 = 2_000;
+/// Distance between the sequence numbers at which the flows of one port start.
+const START_DISTANCE: u32 = 0x2345_6789;
+
 #[derive(Default)]
 pub struct Caller {
+    /// Number of the flow from this port.
+    pub flow: u32,
+    /// Whether the caller closes the flow.
+    pub closing: bool,
     /// Server that answered the opening.
     pub owner: Option<Ipv4Addr>,
     pub ended: bool,
@@ -41,19 +53,47 @@
     misdirected: Option<(u64, u32)>,
 }
 
+impl Caller {
+    /// The caller at the start of its flow with this number.
+    pub fn with_flow(flow: u32) -> Caller {
+        Caller {
+            flow,
+            ..Caller::default()
+        }
+    }
+
+    /// Sequence number of the current flow's opening.
+    pub fn start(&self) -> u32 {
+        1000_u32.wrapping_add(self.flow.wrapping_mul(START_DISTANCE))
+    }
+
+    /// Sequence number of the current packet.
+    pub fn seq(&self) -> u32 {
+        self.start().wrapping_add(self.packet * 100)
+    }
+}
+
 impl Fleet {
     /// Whether a server has a flow from the caller's point of view: it must be
     /// the first that answered the opening.
     pub(super) fn has_flow(&self, at: Ipv4Addr, port: u16) -> bool {
-        let server = self.servers.get(&at);
-        let answered = server.is_some_and(|s| s.flows.contains(&flow(port)));
-        answered && self.callers[&port].owner == Some(at)
+        let caller = &self.callers[&port];
+        let held = self
+            .servers
+            .get(&at)
+            .and_then(|s| s.flow(self.now, &flow(port)));
+        let open = held.is_some_and(|f| f.start == caller.start() && f.ended_at.is_none());
+        open && caller.owner == Some(at)
     }
 
     pub(super) fn caller_is_reset(&mut self, from: usize, reset: Reset) {
         let port = reset.flow.caller.port();
         let caller = &mut self.callers[&port];
-        if caller.ended {
+        // An open flow is reset only by a number that the caller expects.
+        let expected = caller
+            .owner
+            .is_none_or(|owner| reset.seq == reply_seq(owner, caller));
+        if caller.ended || (self.scenario.reuses_ports && !expected) {
             return;
         }
         caller.ended = true;
@@ -94,7 +134,8 @@
     pub(super) fn check_misdirected(&mut self, at: Ipv4Addr, from: usize, seg: &Segment) {
         let port = seg.key.caller.port();
         let caller = &self.callers[&port];
-        let Some(owner) = caller.owner.filter(|_| !caller.ended) else {
+        let is_current = seg.seq.wrapping_sub(caller.start()) <= caller.packet * 100;
+        let Some(owner) = caller.owner.filter(|_| !caller.ended && is_current) else {
             return;
         };
         let owner_process = process_of(owner);
@@ -125,6 +166,14 @@
         self.outcome.late += self.callers.values().filter(waits).count();
     }
 
+    /// A server that is not the flow's resets it.
+    pub(super) fn caller_is_reset_by_server(&mut self, at: Ipv4Addr, port: u16) {
+        let owner = self.callers[&port].owner;
+        if owner.is_some_and(|owner| self.has_flow(owner, port)) {
+            self.record_violation(port, &format!("{at} reset it although {owner:?} has it"));
+        }
+    }
+
     fn record_violation(&mut self, port: u16, what: &str) {
         let mut violation = format!("flow {port} at {}: {what}", self.now);
         // Only the first violation gets a history, which is enough to debug.
@@ -141,21 +190,52 @@
         if caller.ended {
             return;
         }
+        let is_current = seg.seq == caller.seq() && seg.fin == caller.closing;
         if seg.opens {
             // The caller acknowledges only the first server that answers.
-            if caller.owner.is_some() {
+            if caller.owner.is_some() || !is_current {
                 return;
             }
             caller.owner = Some(at);
-        } else if caller.owner != Some(at) || seg.seq != 1000 + caller.packet * 100 {
+        } else if caller.owner != Some(at) || !is_current {
             return;
         }
         self.outcome.answered += 1;
         self.outcome.late += usize::from(self.now - caller.sent_at > LATE_ANSWER_MS);
+        if caller.closing {
+            self.caller_acknowledges_close(port);
+        }
+        let caller = &mut self.callers[&port];
         caller.packet += 1;
         caller.tries = 0;
-        let packet = caller.packet;
+        if caller.closing {
+            return self.reopen_later(port);
+        }
+        let (number, packet) = (caller.flow, caller.packet);
+        if self.scenario.reuses_ports && packet > MIN_ANSWERS_PER_FLOW && self.rng.below(3) == 0 {
+            let gives_up = self.rng.below(2) == 0;
+            if gives_up {
+                return self.reopen_later(port);
+            }
+            self.callers[&port].closing = true;
+        }
         let pause = PAUSE_MS + self.rng.below(PAUSE_RANGE_MS);
-        self.schedule(pause, Event::Send { port, packet });
+        let next = Event::Send {
+            port,
+            flow: number,
+            packet,
+        };
+        self.schedule(pause, next);
+    }
+
+    /// The caller opens its next flow from the same port after a pause.
+    fn reopen_later(&mut self, port: u16) {
+        let pause = self.rng.below(REOPEN_RANGE_MS);
+        let next = Event::Send {
+            port,
+            flow: self.callers[&port].flow + 1,
+            packet: 0,
+        };
+        self.schedule(pause, next);
     }
 }
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -511,3 +511,68 @@
         }
     });
 }
+
+/// Balancers and agents restart, a server drains and one is added while callers use
+/// their ports again.
+fn planned_work(seed: u64) -> Vec<(u64, Operation)> {
+    let mut operations = routing_changes();
+    operations.extend([
+        (1500, Operation::Drain(1 + (seed % 5) as u8)),
+        (2000, Operation::Add(6)),
+        (3000, Operation::RestartBalancer(0)),
+        (4500, Operation::RestartAgent(1 + ((seed + 2) % 5) as u8)),
+        (6000, Operation::RestartBalancer(1)),
+        (7500, Operation::RestartBalancer(2)),
+    ]);
+    operations
+}
+
+// Guards against tables by flow key that mix up the flows which follow each other from
+// one port.
+#[test]
+fn callers_that_use_their_ports_again_lose_no_open_flow_in_planned_work() {
+    let outcomes = run_all_seeds(|seed| Scenario {
+        operations: planned_work(seed),
+        reuses_ports: true,
+        ..Scenario::default()
+    });
+    assert!(
+        outcomes.iter().all(|o| o.reopened > 0),
+        "ports are used again"
+    );
+}
+
+// As the previous test, with servers so full that openings wait.
+#[test]
+fn callers_that_use_their_ports_again_lose_no_open_flow_beside_full_servers() {
+    run_all_seeds(|seed| Scenario {
+        operations: planned_work(seed),
+        work_ms: SLOW_WORK_MS,
+        reuses_ports: true,
+        ..Scenario::default()
+    });
+}
+
+// As the previous tests, with servers that end, one-way cuts, slow ways and freezes.
+#[test]
+fn callers_that_use_their_ports_again_lose_no_open_flow_in_faults() {
+    run_all_seeds(|seed| {
+        let (from, to) = cut_of(seed);
+        let for_ms = spread_ms(seed, 300, 2000);
+        let mut operations = planned_work(seed);
+        operations.extend(server_restarts(seed));
+        operations.extend([
+            (1000, Operation::SlowOneWay { from, to }),
+            (3500, Operation::FreezeBalancer { at: 1, for_ms }),
+            (5000, Operation::RepairNetwork),
+            (5200, Operation::CutOneWay { from: to, to: from }),
+            (6500, Operation::FreezeAgent { last: 3, for_ms }),
+            (8500, Operation::RepairNetwork),
+        ]);
+        Scenario {
+            operations,
+            reuses_ports: true,
+            ..Scenario::default()
+        }
+    });
+}
--- a/crates/coordination/tests/passthrough/simulation/traffic.rs
+++ b/crates/coordination/tests/passthrough/simulation/traffic.rs
@@ -13,8 +13,10 @@
 use ramp_coordination::passthrough::balancer::OWNER_QUERY_INTERVAL;
 use ramp_coordination::passthrough::balancer::OWNER_REPLY_TIMEOUT;
 use ramp_coordination::passthrough::balancer::OwnerQuery;
+use ramp_coordination::passthrough::balancer::OwnershipUpdate;
 use ramp_coordination::passthrough::balancer::Reset;
 use ramp_coordination::passthrough::balancer::ResetReason;
+use ramp_coordination::passthrough::published::Revision;
 use ramp_protocol::frame::Frame;
 use ramp_protocol::frame::FrameKind;
 use ramp_protocol::frame::Inquiry;
@@ -28,7 +30,10 @@
 use super::fleet::Fleet;
 use super::fleet::ReplyCheck;
 use super::fleet::process_of;
+use super::invariants::Caller;
 use super::network::Network;
+use super::server::FLOW_BYTES;
+use super::server::HeldFlow;
 use crate::fixture::*;
 
 /// Transmissions of an opening after which a caller gives up.
@@ -40,10 +45,33 @@
 /// How often that delay doubles.
 const MAX_RETRANSMIT_DOUBLINGS: u32 = 3;
 
-/// Sequence number of a server's SYN-ACKs. Those of two servers are far apart, so
-/// that an acknowledgement shows which server's SYN-ACK the caller accepted.
-fn first_seq(server: Ipv4Addr) -> u32 {
-    u32::from(server.octets()[3]) << 20
+/// Sequence number of a server's SYN-ACK for a flow that starts at `start`. Those of two
+/// servers are far apart, so that an acknowledgement shows which server's SYN-ACK the
+/// caller accepted.
+fn first_seq(server: Ipv4Addr, start: u32) -> u32 {
+    (u32::from(server.octets()[3]) << 24).wrapping_add(start / 3)
+}
+
+/// What the caller acknowledges on its flow at this server.
+pub(super) fn reply_seq(server: Ipv4Addr, caller: &Caller) -> u32 {
+    first_seq(server, caller.start())
+}
+
+/// The caller's current packet on its open flow.
+fn caller_segment(port: u16, caller: &Caller) -> Segment {
+    Segment {
+        seq: caller.seq(),
+        ack: caller.owner.map_or(0, |owner| reply_seq(owner, caller)),
+        len: if caller.closing { 0 } else { 100 },
+        fin: caller.closing,
+        ..segment(flow(port))
+    }
+}
+
+/// Sequence number after a packet of a caller.
+fn end_of(seg: &Segment) -> u32 {
+    let flags = u32::from(seg.opens) + u32::from(seg.fin);
+    seg.seq.wrapping_add(seg.len).wrapping_add(flags)
 }
 
 fn retransmit_pause_ms(tries: u32) -> u64 {
@@ -53,9 +81,16 @@
 impl Fleet {
     /// Sends a packet through the balancer that the routers pick now, and
     /// schedules its retransmission unless it is answered before.
-    pub(super) fn caller_sends(&mut self, port: u16, packet: u32) {
+    pub(super) fn caller_sends(&mut self, port: u16, number: u32, packet: u32) {
         let caller = &mut self.callers[&port];
-        if caller.ended || caller.packet != packet {
+        if caller.ended {
+            return;
+        }
+        if number == caller.flow + 1 {
+            self.outcome.reopened += 1;
+            *caller = Caller::with_flow(number);
+        }
+        if caller.flow != number || caller.packet != packet {
             return;
         }
         if packet == 0 && caller.tries == MAX_OPENINGS {
@@ -70,18 +105,39 @@
         let age_ms = (0..caller.tries).map(retransmit_pause_ms).sum();
         caller.tries += 1;
         let seg = if packet == 0 {
-            opening(flow(port), age_ms)
-        } else {
             Segment {
-                seq: 1000 + packet * 100,
-                ack: caller.owner.map_or(0, first_seq),
-                ..segment(flow(port))
+                seq: caller.seq(),
+                ..opening(flow(port), age_ms)
             }
+        } else {
+            caller_segment(port, caller)
+        };
+        let again_event = Event::Send {
+            port,
+            flow: number,
+            packet,
         };
-        let at = self.routed_to[usize::from(port) % self.routed_to.len()];
+        self.send_to_balancer(seg);
+        self.schedule(again, again_event);
+    }
+
+    /// The caller acknowledges the FIN of its flow's server.
+    pub(super) fn caller_acknowledges_close(&mut self, port: u16) {
+        let fin = caller_segment(port, &self.callers[&port]);
+        let last = Segment {
+            seq: fin.seq.wrapping_add(1),
+            ack: fin.ack.wrapping_add(1),
+            fin: false,
+            ..fin
+        };
+        self.send_to_balancer(last);
+    }
+
+    fn send_to_balancer(&mut self, seg: Segment) {
+        let port = usize::from(seg.key.caller.port());
+        let at = self.routed_to[port % self.routed_to.len()];
         let delay = Network::caller_delay_ms(&mut self.rng);
         self.send(delay, Event::ToBalancer { at, seg });
-        self.schedule(again, Event::Send { port, packet });
     }
 
     pub(super) fn balancer_gets(&mut self, at: usize, seg: &Segment) {
@@ -125,18 +181,24 @@
         from: Ipv4Addr,
         frame: &Frame,
         seg: &Segment,
+        carries_packet: bool,
     ) {
         let now = self.clock(to);
         let balancer = &mut self.balancers[to];
         let action = match frame.kind {
             FrameKind::Owned => {
-                balancer.on_owned(now, from, frame);
+                if balancer.on_owned(now, from, frame) == OwnershipUpdate::Outdated {
+                    return;
+                }
                 return self.forward_awaiting(to, from, frame.flow);
             }
             FrameKind::OwnerReply => {
                 balancer.on_unsure(now, from, frame);
                 return self.copy_awaiting(to, from, frame.flow);
             }
+            FrameKind::Denied if carries_packet => {
+                balancer.on_denied_packet(&self.views[&to], now, from, frame, seg)
+            }
             FrameKind::Denied => balancer.on_denied(&self.views[&to], now, from, frame),
             FrameKind::Returned(refusal) => {
                 balancer.on_returned(&self.views[&to], now, from, refusal, frame, seg)
@@ -259,6 +321,7 @@
         let view = &self.views[&process_of(at)];
         let sender = balancer_ip(from as u8);
         let agent = &mut server.agent;
+        agent.note_revision(Revision(frame.revision));
         match agent.on_balancer_packet(Some(view), now, sender, frame, inquiry, seg) {
             Inbound::Queue => {
                 server.waiting.insert(seg.key, (from, *seg));
@@ -271,7 +334,7 @@
                     Inquiry::OwnerOfCopy => FrameKind::Denied,
                     _ => FrameKind::Returned(refusal),
                 };
-                self.send_frame(at, from, kind, seg);
+                self.send_frame_with_packet(at, from, kind, seg);
             }
             Inbound::Forward { mark, owned } => {
                 if owned {
@@ -291,11 +354,12 @@
         frame: &Frame,
         seg: &Segment,
     ) {
-        let Some(server) = self.servers.get(&at) else {
+        let now = self.clock(process_of(at));
+        let Some(server) = self.servers.get_mut(&at) else {
             return;
         };
+        server.agent.note_revision(Revision(frame.revision));
         let view = &self.views[&process_of(at)];
-        let now = self.clock(process_of(at));
         let kind = match server.agent.answer_query(Some(view), now, &frame.flow) {
             Knowledge::Has => FrameKind::Owned,
             Knowledge::HasNot => FrameKind::Denied,
@@ -309,23 +373,87 @@
         if self.now < self.servers[&at].down_until {
             return;
         }
+        let held = self.servers[&at].flow(self.now, &seg.key);
         if seg.opens {
-            self.check_new_flow(at, seg.key.caller.port());
-            self.servers[&at].flows.insert(seg.key);
-            return self.server_answers(at, seg);
+            return self.server_gets_opening(at, mark, seg, held);
         }
         // Only packets of open flows are checked, since copies of an opening
         // may reach several servers.
         self.check_misdirected(at, from, seg);
-        if !self.has_flow(at, seg.key.caller.port()) {
+        let Some(held) = held else {
             return self.server_bounces(at, mark, seg);
+        };
+        let port = seg.key.caller.port();
+        if held.start == self.callers[&port].start() && held.ended_at.is_none() {
+            if !self.has_flow(at, port) {
+                return self.server_bounces(at, mark, seg);
+            }
+            self.callers[&port].opened = true;
+            return self.server_works(at, seg);
+        }
+        // On a flow that has ended, data is answered with a reset; else a packet that does
+        // not fit is answered with an acknowledgement of what the server has.
+        if held.ended_at.is_some() && seg.len > 0 {
+            self.server_resets(at, seg, held);
+        } else if seg.len > 0 || seg.fin {
+            let answer = Segment {
+                seq: first_seq(at, held.start),
+                ack: held.start.wrapping_add(1),
+                len: 0,
+                fin: false,
+                ..*seg
+            };
+            self.agent_sends(at, &answer, seg);
+        }
+    }
+
+    fn server_gets_opening(
+        &mut self,
+        at: Ipv4Addr,
+        mark: u32,
+        seg: &Segment,
+        held: Option<HeldFlow>,
+    ) {
+        let port = seg.key.caller.port();
+        let is_copy = held.is_some_and(|f| f.start == seg.seq);
+        let is_late = seg.seq != self.callers[&port].start();
+        if is_late && held.is_some() && !is_copy {
+            // A server keeps the flow that it has.
+            return self.server_bounces(at, mark, seg);
+        }
+        if is_copy && held.is_some_and(|f| f.ended_at.is_some()) {
+            return;
+        }
+        if !is_late {
+            self.check_new_flow(at, port);
+        }
+        if !is_copy {
+            self.servers[&at].open(seg);
+        }
+        self.server_answers(at, seg);
+    }
+
+    /// A server resets a flow that it had, and that has ended.
+    fn server_resets(&mut self, at: Ipv4Addr, seg: &Segment, held: HeldFlow) {
+        let port = seg.key.caller.port();
+        let reset = Segment {
+            seq: first_seq(at, held.start),
+            ack: held.start.wrapping_add(1),
+            len: 0,
+            rst: true,
+            ..*seg
+        };
+        let delivered = self.agent_sends(at, &reset, seg);
+        if delivered && seg.seq.wrapping_sub(self.callers[&port].start()) < FLOW_BYTES {
+            self.caller_is_reset_by_server(at, port);
         }
-        self.callers[&seg.key.caller.port()].opened = true;
-        self.server_works(at, seg);
     }
 
     fn server_works(&mut self, at: Ipv4Addr, seg: &Segment) {
-        if self.scenario.work_ms == 0 {
+        if seg.fin {
+            self.servers[&at].close(self.now, &seg.key);
+        }
+        if self.scenario.work_ms == 0 || seg.fin || seg.len == 0 {
             return self.server_answers(at, seg);
         }
         let work_ms = 1 + self.rng.below(2 * self.scenario.work_ms);
@@ -340,9 +468,10 @@
 
     /// Acknowledges a copy of a request that is in progress.
     fn server_acknowledges(&mut self, at: Ipv4Addr, seg: &Segment) {
+        let start = self.callers[&seg.key.caller.port()].start();
         let answer = Segment {
-            seq: first_seq(at),
-            ack: seg.seq + seg.len,
+            seq: first_seq(at, start),
+            ack: end_of(seg),
             len: 0,
             ..*seg
         };
@@ -359,24 +488,24 @@
             Bounce::Deny(to) => (FrameKind::Denied, to),
             Bounce::UnknownMark => return,
         };
-        self.send_frame(at, usize::from(to.octets()[3]), kind, seg);
+        self.send_frame_with_packet(at, usize::from(to.octets()[3]), kind, seg);
         self.poll_queue(at);
     }
 
     pub(super) fn server_answers(&mut self, at: Ipv4Addr, seg: &Segment) {
-        if !self
+        let held = self
             .servers
             .get(&at)
-            .is_some_and(|s| s.flows.contains(&seg.key))
-        {
-            // The server has ended since the request arrived.
+            .and_then(|s| s.flow(self.now, &seg.key));
+        let Some(held) = held.filter(|f| f.includes(seg)) else {
+            // The server or the flow has ended since the request arrived.
             return;
-        }
+        };
         let answer = Segment {
             syn: seg.opens,
             opens: false,
-            seq: first_seq(at),
-            ack: seg.seq + if seg.opens { 1 } else { seg.len },
+            seq: first_seq(at, held.start),
+            ack: end_of(seg),
             has_ack: true,
             ..*seg
         };
@@ -386,7 +515,7 @@
     }
 
     /// Passes a packet of the server through its agent to a caller; false: the
-    /// server has crashed.
+    /// server has crashed, or the agent holds the packet back.
     fn agent_sends(&mut self, at: Ipv4Addr, answer: &Segment, seg: &Segment) -> bool {
         let now = self.clock(process_of(at));
         let Some(server) = self.servers.get_mut(&at) else {
@@ -394,6 +523,12 @@
         };
         let view = &self.views[&process_of(at)];
         let outbound = server.agent.on_server_packet(Some(view), now, answer);
+        for to in outbound.denied_to.into_iter().flatten() {
+            self.send_frame(at, usize::from(to.octets()[3]), FrameKind::Denied, seg);
+        }
+        if outbound.resets_earlier_flow {
+            return false;
+        }
         if let Some(to) = outbound.notify {
             self.send_frame(at, usize::from(to.octets()[3]), FrameKind::Owned, seg);
         }
@@ -470,11 +605,32 @@
     }
 
     fn send_frame(&mut self, from: Ipv4Addr, to: usize, kind: FrameKind, seg: &Segment) {
+        self.send_from_agent(from, to, kind, seg, false);
+    }
+
+    fn send_frame_with_packet(
+        &mut self,
+        from: Ipv4Addr,
+        to: usize,
+        kind: FrameKind,
+        seg: &Segment,
+    ) {
+        self.send_from_agent(from, to, kind, seg, true);
+    }
+
+    fn send_from_agent(
+        &mut self,
+        from: Ipv4Addr,
+        to: usize,
+        kind: FrameKind,
+        seg: &Segment,
+        carries_packet: bool,
+    ) {
         let now = self.clock(process_of(from));
         let view = &self.views[&process_of(from)];
         let agent = &self.servers[&from].agent;
         let frame = Frame {
-            revision: view.newest.0,
+            revision: agent.newest_revision(Some(view)).0,
             in_progress: agent.in_progress(),
             knows_all_flows: agent.knows_all_flows(Some(view), now),
             misses_servers: view.misses_servers(now),
@@ -487,6 +643,7 @@
             from,
             frame,
             seg: *seg,
+            carries_packet,
         };
         let sender = process_of(from);
         let delay = match kind {
