Agent: cold start and flow table have modules of their own

Change: the limit of a cold server is in cold_start.rs, the table in flow_table.rs with the recording of a caller's packet split out; the simulation's servers answer in server_traffic.rs. No behaviour changes.

--- a/crates/coordination/src/passthrough/agent/knowledge.rs
+++ b/crates/coordination/src/passthrough/agent/knowledge.rs
@@ -19,8 +19,8 @@
 use ramp_state::time::Millis;
 
 use super::Agent;
-use super::flow::CALLER_RETRANSMIT_TIMEOUT;
 use super::flow::Flow;
+use super::flow_table::CALLER_RETRANSMIT_TIMEOUT;
 use crate::passthrough::published::RELIST_LIMIT;
 use crate::passthrough::published::Revision;
 use crate::passthrough::view::View;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -14,7 +14,9 @@
 mod admission;
 mod capacity;
 mod closing;
+mod cold_start;
 mod flow;
+mod flow_table;
 mod knowledge;
 mod port_reuse;
 mod server_liveness;
@@ -34,8 +36,6 @@
 use ramp_state::time::Millis;
 
 use self::flow::Flow;
-use self::flow::Opening;
-use self::flow::OwnerSubscriber;
 use self::server_liveness::ServerLiveness;
 use super::flow_sequence::FlowSequence;
 use super::mark::Mark;
@@ -183,52 +183,7 @@
             }
             self.mark_superseded(&seg.key, |queued| queued.includes(seg));
         }
-        let asked = inquiry != Inquiry::None;
-        let subscriber = asked.then_some(OwnerSubscriber {
-            balancer: from,
-            opening: seg.opens,
-        });
-        let opening = Opening {
-            seq: seg.seq,
-            subscriber,
-        };
-        if seg.opens && self.note_later_opening(&seg.key, opening) {
-            return self.forward(now, from, inquiry, seg, false);
-        }
-        self.remove_earlier_flow(seg);
-        let flow = self
-            .flows
-            .entry(seg.key)
-            .or_insert_with(|| Flow::new(now, FlowSequence::of(seg)));
-        flow.last_packet_at = now;
-        flow.note_caller_packet(seg);
-        let owned = asked && flow.owned && flow.includes(seg) && !seg.opens;
-        if let Some(subscriber) = subscriber.filter(|_| !owned) {
-            flow.subscribe(subscriber);
-        }
-        let has_gap = flow.has_gap_before(seg);
-        let starts_request = flow.starts_request(seg);
-        if starts_request && !seg.opens {
-            self.capacity.on_request_data(now, seg.key, has_gap);
-        }
-        if starts_request && flow.request_since.is_none() {
-            if seg.opens {
-                self.expected_requests.push_back((now, seg.key));
-            }
-            flow.request_since = Some(now);
-            self.in_progress = self.in_progress.saturating_add(1);
-        }
-        self.forward(now, from, inquiry, seg, owned)
-    }
-
-    fn forward(
-        &mut self,
-        now: Millis,
-        from: Ipv4Addr,
-        inquiry: Inquiry,
-        seg: &Segment,
-        owned: bool,
-    ) -> Inbound {
+        let owned = self.record_caller_packet(now, from, inquiry, seg);
         self.liveness.on_packet_forwarded(now, seg);
         let mark = self.senders.mark(from, inquiry == Inquiry::OwnerOfCopy);
         Inbound::Forward { mark, owned }
--- a/crates/coordination/tests/passthrough/simulation/invariants.rs
+++ b/crates/coordination/tests/passthrough/simulation/invariants.rs
@@ -10,7 +10,7 @@
 use super::fleet::Event;
 use super::fleet::Fleet;
 use super::fleet::process_of;
-use super::traffic::reply_seq;
+use super::server_traffic::reply_seq;
 use crate::fixture::*;
 
 /// Time after the start of a drain from which the server may get no new flow.
--- a/crates/coordination/tests/passthrough/simulation/mod.rs
+++ b/crates/coordination/tests/passthrough/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod invariants;
 mod network;
 mod server;
+mod server_traffic;
 mod traffic;
 
 use std::env;
