A denial without the packet takes no owner away, nor an opening back

What a caller would have seen: its open flow is reset, or its opening is placed a second time.

Cause: a denial by key, or one of an earlier question, marked the agent of a flow as not the owner even where the balancer had placed the flow there itself, and what that agent said later was not believed. An agent denied an opening that had just gone to its server because the server sent one more packet of the flow before.

Change: a denial by key only ends the wait for that agent's answer, and only where it was asked for the owner of an open flow; it is asked again with the others. An agent's claim is ignored only after it has refused a packet of the flow itself. For an opening that the server has not answered, packets of an earlier flow say nothing; a reset among them is held back.

--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -75,14 +75,18 @@
     }
 
     /// If a packet of the server is not of the flow in the table, which it has never shown
-    /// to have, returns the balancers that asked for that flow. The server has, or
-    /// remembers, an earlier flow with this key that this process has not seen, and got a
-    /// packet of the later one as nobody knew its server.
+    /// to have, but of an earlier one with this key, returns the balancers that can be told
+    /// so. If the flow was not opened through this process, the server does not have it: it
+    /// got the packet as nobody knew the flow's server.
     pub(super) fn deny_for_earlier_flow(&mut self, seg: &Segment) -> Option<[Option<Ipv4Addr>; 2]> {
         let flow = self.flows.get_mut(&seg.key)?;
         if flow.owned || seg.syn || !seg.has_ack || flow.sequence.acknowledged_by(seg) {
             return None;
         }
+        if flow.sequence.is_from_opening() {
+            // The server has not answered the opening yet.
+            return Some([None; 2]);
+        }
         let denied_to = flow.take_subscribers();
         self.remove_flow(&seg.key);
         Some(denied_to)
--- a/crates/coordination/src/passthrough/balancer/action.rs
+++ b/crates/coordination/src/passthrough/balancer/action.rs
@@ -141,8 +141,8 @@
     FoundBySearch,
     /// Neither: the flow was confirmed before, or this agent was not asked.
     Known,
-    /// Nothing: the agent has denied the flow, so it means an earlier one with the same
-    /// key.
+    /// Nothing: the agent has refused a packet of the flow, so it means an earlier one
+    /// with the same key.
     Outdated,
 }
 
--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -40,8 +40,9 @@
     awaiting_reply_since: Option<Millis>,
     /// Whether the agent has delivered the packet and waits for its server.
     delivered_to_server: bool,
-    /// Whether the agent has replied that its server does not have the flow.
-    pub(super) denied: bool,
+    /// Whether the agent has replied that its server does not have the flow, so that
+    /// no other reply of it is worth the wait.
+    denied: bool,
     /// Sequence number after the caller's newest data.
     next_seq: Option<u32>,
     /// Sequence and acknowledgement number of the last packet without data.
@@ -149,6 +150,7 @@
     /// The agent has confirmed the flow.
     pub(super) fn confirm(&mut self) {
         self.confirmed = true;
+        self.denied = false;
         self.awaiting_reply_since = None;
         self.delivered_to_server = false;
     }
@@ -159,9 +161,11 @@
         self.delivered_to_server = true;
     }
 
-    /// The agent has denied the flow that it was asked for.
+    /// The agent has denied the flow. That counts where it was asked for the owner of an
+    /// open flow; elsewhere the denial is of an earlier question.
     pub(super) fn mark_denied(&mut self) {
-        self.denied = self.awaiting_reply_since.is_some();
+        let placed_here = self.sequence.is_none_or(|s| s.is_from_opening());
+        self.denied = !self.confirmed && !placed_here;
     }
 
     /// Time since the awaited reply was asked for; zero when none is awaited.
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -243,7 +243,7 @@
         if seg.rst {
             return Action::Drop(DropReason::AlreadyEnded);
         }
-        self.record_denial(now, seg, from);
+        self.record_refusal(now, seg, from);
         self.query_owner(view, now, seg)
     }
 
@@ -269,7 +269,7 @@
     /// As [`Balancer::on_owned`], without what the frame says of the agent itself.
     fn apply_owned(&mut self, now: Millis, from: Ipv4Addr, frame: &Frame) -> OwnershipUpdate {
         let search = self.searches.get(&frame.flow);
-        if search.is_some_and(|s| s.is_denied_by(from)) {
+        if search.is_some_and(|s| s.is_refused_by(from)) {
             return OwnershipUpdate::Outdated;
         }
         let search = self.searches.swap_remove(&frame.flow);
--- a/crates/coordination/src/passthrough/balancer/owner.rs
+++ b/crates/coordination/src/passthrough/balancer/owner.rs
@@ -68,6 +68,9 @@
             self.record_agent_frame(now, from, frame);
             return Action::Drop(DropReason::EarlierFlow);
         }
+        if let Some(search) = self.searches.get_mut(&seg.key) {
+            search.record_refusal(from);
+        }
         self.on_denied(view, now, from, frame)
     }
 
@@ -200,10 +203,6 @@
     /// are forwarded to the likely owner.
     pub(super) fn query_owner(&mut self, view: &View, now: Millis, seg: &Segment) -> Action {
         self.search_entry(now, seg);
-        if let Some(flow) = self.flows.get(&seg.key).copied().filter(|f| f.denied) {
-            self.flows.swap_remove(&seg.key);
-            self.record_denial(now, seg, flow.agent);
-        }
         if let action @ Action::Reset(_) = self.finish_search_by_silence(view, now, seg.key) {
             return action;
         }
@@ -389,7 +388,7 @@
         search
     }
 
-    pub(super) fn record_denial(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
-        self.search_entry(now, seg).record_denial(agent);
+    pub(super) fn record_refusal(&mut self, now: Millis, seg: &Segment, agent: Ipv4Addr) {
+        self.search_entry(now, seg).record_refusal(agent);
     }
 }
--- a/crates/coordination/src/passthrough/balancer/search.rs
+++ b/crates/coordination/src/passthrough/balancer/search.rs
@@ -52,6 +52,8 @@
 pub(super) struct Search {
     /// Holders whose servers do not have the flow.
     pub(super) denied: Vec<Ipv4Addr>,
+    /// Those of them that were asked with a packet of the flow.
+    refused: Vec<Ipv4Addr>,
     /// Agents that have replied that only their servers can tell.
     unsure: Vec<Ipv4Addr>,
     /// Number of packet copies that each silent agent got.
@@ -99,6 +101,7 @@
     pub(super) fn new(now: Millis, seg: &Segment, reason: ResetReason) -> Search {
         Search {
             denied: Vec::new(),
+            refused: Vec::new(),
             unsure: Vec::new(),
             copies_sent: IndexMap::new(),
             reason,
@@ -123,10 +126,19 @@
         self.seq = seg.ack;
     }
 
-    /// Whether the agent has denied an open flow. If it claims the flow's key later, it
-    /// means an earlier flow.
-    pub(super) fn is_denied_by(&self, agent: Ipv4Addr) -> bool {
-        !self.is_for_opening() && self.denied.contains(&agent)
+    /// Records that the agent has refused a packet of the flow, or its server has bounced
+    /// one.
+    pub(super) fn record_refusal(&mut self, agent: Ipv4Addr) {
+        self.record_denial(agent);
+        if !self.refused.contains(&agent) {
+            self.refused.push(agent);
+        }
+    }
+
+    /// Whether the agent has refused a packet of an open flow. If it claims the flow's
+    /// key later, it means an earlier flow.
+    pub(super) fn is_refused_by(&self, agent: Ipv4Addr) -> bool {
+        !self.is_for_opening() && self.refused.contains(&agent)
     }
 
     pub(super) fn record_denial(&mut self, agent: Ipv4Addr) {
--- a/crates/coordination/src/passthrough/flow_sequence.rs
+++ b/crates/coordination/src/passthrough/flow_sequence.rs
@@ -127,6 +127,11 @@
         self.reaches(seg.ack)
     }
 
+    /// Whether the opening packet was seen here.
+    pub(super) fn is_from_opening(&self) -> bool {
+        self.from_opening
+    }
+
     /// First sequence number that was seen here.
     pub(super) fn first(&self) -> u32 {
         self.sent.first
