Agents: a server's answer to the opening before the last one begins its flow

What a caller would have seen: its open flow is reset, if a late copy of another opening from its port reached the server between its own and the server's answer.

Cause: an agent kept only the last opening that waited for the server's answer. The answer to the one before changed the entry of the earlier flow, whose sequence numbers stayed, so the packets of the new flow were refused.

Change: a SYN-ACK that is not of the flow in the table begins the flow whose opening it acknowledges, whichever that was.

--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -63,15 +63,23 @@
         true
     }
 
-    /// Begins the flow of an opening that waited for the server's answer, if this packet
-    /// of the server accepts it.
+    /// Begins the flow that the server accepts with this packet, if openings of later
+    /// flows went to it. The last one is known; the answer may be to one before it.
     pub(super) fn accept_later_opening(&mut self, now: Millis, seg: &Segment) {
         let flow = self.flows.get(&seg.key);
-        let opening = flow.and_then(|f| f.later_opening).filter(|_| seg.syn);
-        let accepted = |o: &Opening| FlowSequence::opened_at(o.seq).includes_reply(seg);
-        if let Some(opening) = opening.filter(accepted) {
-            self.begin_flow(now, seg.key, opening);
-        }
+        let flow = flow.filter(|f| seg.syn && seg.has_ack && !f.sequence.acknowledged_by(seg));
+        let Some(last) = flow.and_then(|f| f.later_opening) else {
+            return;
+        };
+        let accepted = if FlowSequence::opened_at(last.seq).acknowledged_by(seg) {
+            last
+        } else {
+            Opening {
+                seq: seg.ack.wrapping_sub(1),
+                subscriber: None,
+            }
+        };
+        self.begin_flow(now, seg.key, accepted);
     }
 
     /// If a packet of the server is not of the flow in the table, which it has never shown
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -784,3 +784,23 @@
         assert_eq!(fixture.agent.in_progress(), in_progress, "at {at} ms");
     }
 }
+
+/// Guards against an open flow whose packets are refused, because one more opening came
+/// between its own and the server's answer.
+#[test]
+fn an_answer_to_the_opening_before_the_last_one_begins_its_flow() {
+    let late = Flow {
+        caller_start: 0x3000_0000,
+        ..LATER
+    };
+    let mut fixture = Fixture::new();
+    fixture.serve(EARLIER);
+    fixture.forwards(Inquiry::Owner, &LATER.opening());
+    fixture.forwards(Inquiry::Owner, &late.opening());
+    fixture.server_sends(&LATER.syn_ack());
+    fixture.forwards(Inquiry::None, &LATER.request());
+    fixture.server_sends(&LATER.response());
+    assert_eq!(fixture.knowledge(), Knowledge::Has);
+    let inbound = fixture.balancer_sends(Inquiry::Owner, &EARLIER.request());
+    assert_eq!(inbound, Inbound::Refuse(Refusal::Bounced));
+}
