Tables: one look-up tells whether a packet is of another flow

Change: the balancer compares a packet with its flow, and looks at searches and placement attempts only where it has none; all three hold the same flow. The agent decides once how a packet fits its table (`Fit`), and counts a request without another look-up.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -225,7 +225,7 @@
                 opening: true,
             }),
         };
-        if !self.note_later_opening(&queued.flow, opening) {
+        if !self.takes_later_opening(&queued.flow, opening) {
             self.begin_flow(now, queued.flow, opening);
         }
         let mark = self.senders.mark(queued.from, false);
--- a/crates/coordination/src/passthrough/agent/flow_table.rs
+++ b/crates/coordination/src/passthrough/agent/flow_table.rs
@@ -98,10 +98,9 @@
             seq: seg.seq,
             subscriber,
         };
-        if seg.opens && self.note_later_opening(&seg.key, opening) {
+        if seg.opens && self.takes_later_opening(&seg.key, opening) {
             return false;
         }
-        self.remove_earlier_flow(seg);
         let flow = self.flows.entry(seg.key);
         let flow = flow.or_insert_with(|| Flow::new(now, FlowSequence::of(seg)));
         flow.last_packet_at = now;
@@ -110,29 +109,27 @@
         if let Some(subscriber) = subscriber.filter(|_| !owned) {
             flow.subscribe(subscriber);
         }
-        self.count_request(now, seg);
+        let has_gap = flow.has_gap_before(seg);
+        if flow.starts_request(seg) {
+            let is_new = flow.request_since.is_none();
+            flow.request_since.get_or_insert(now);
+            self.count_request(now, seg, is_new, has_gap);
+        }
         owned
     }
 
-    /// Counts the request that a packet of a flow in the table begins, if it does.
-    fn count_request(&mut self, now: Millis, seg: &Segment) {
-        let Some(flow) = self.flows.get_mut(&seg.key) else {
-            return;
-        };
-        let has_gap = flow.has_gap_before(seg);
-        if !flow.starts_request(seg) {
-            return;
-        }
+    /// Counts a request that a packet begins or continues.
+    fn count_request(&mut self, now: Millis, seg: &Segment, is_new: bool, has_gap: bool) {
         if !seg.opens {
             self.capacity.on_request_data(now, seg.key, has_gap);
         }
-        if flow.request_since.is_none() {
-            if seg.opens {
-                self.expected_requests.push_back((now, seg.key));
-            }
-            flow.request_since = Some(now);
-            self.in_progress = self.in_progress.saturating_add(1);
+        if !is_new {
+            return;
+        }
+        if seg.opens {
+            self.expected_requests.push_back((now, seg.key));
         }
+        self.in_progress = self.in_progress.saturating_add(1);
     }
 
     pub(super) fn remove_flow(&mut self, key: &FlowKey) {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -36,6 +36,7 @@
 use ramp_state::time::Millis;
 
 use self::flow::Flow;
+use self::port_reuse::Fit;
 use self::server_liveness::ServerLiveness;
 use super::flow_sequence::FlowSequence;
 use super::mark::Mark;
@@ -178,8 +179,10 @@
             return inbound;
         }
         if !seg.opens {
-            if self.is_of_other_flow(seg) {
-                return Inbound::Refuse(Refusal::Bounced);
+            match self.fit_of(seg) {
+                Fit::Same => {}
+                Fit::Elsewhere => return Inbound::Refuse(Refusal::Bounced),
+                Fit::Unknown => self.remove_flow(&seg.key),
             }
             self.mark_superseded(&seg.key, |queued| queued.includes(seg));
         }
--- a/crates/coordination/src/passthrough/agent/port_reuse.rs
+++ b/crates/coordination/src/passthrough/agent/port_reuse.rs
@@ -21,6 +21,17 @@
 use super::flow::Opening;
 use crate::passthrough::flow_sequence::FlowSequence;
 
+/// How a packet fits the flow with its key in the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fit {
+    /// It may be of this flow, or there is none.
+    Same,
+    /// It is of a flow that the server does not have.
+    Elsewhere,
+    /// It is of another flow; only the server can tell whether it has that.
+    Unknown,
+}
+
 impl Agent {
     /// Whether an opening is a copy of one that went to the server and whose flow has not
     /// ended. Any other one must be admitted first.
@@ -31,34 +42,32 @@
         })
     }
 
-    /// Whether a packet of an open flow belongs to a flow that another server has: the
-    /// server here has a different one with the same key.
-    pub(super) fn is_of_other_flow(&self, seg: &Segment) -> bool {
-        let flow = self.flows.get(&seg.key);
-        let flow = flow.filter(|f| f.was_accepted_here());
+    /// How a packet of an open flow fits the flow in the table.
+    pub(super) fn fit_of(&self, seg: &Segment) -> Fit {
+        let Some(flow) = self.flows.get(&seg.key).filter(|f| !f.includes(seg)) else {
+            return Fit::Same;
+        };
         // An acknowledgement alone may be of another server's answer to the same opening,
         // which the server here bounces, unless it still remembers an ended flow.
-        flow.is_some_and(|f| !f.sequence.includes(seg) || (f.has_ended() && !f.includes(seg)))
-    }
-
-    /// Removes an earlier flow with the packet's key that has ended, or that was never
-    /// seen to open here, so that the packet's flow takes its place.
-    pub(super) fn remove_earlier_flow(&mut self, seg: &Segment) {
-        let flow = self.flows.get(&seg.key);
-        let replaced = |f: &Flow| !f.includes(seg) && (f.has_ended() || !seg.opens);
-        if flow.is_some_and(replaced) {
-            self.remove_flow(&seg.key);
+        let certain = !flow.sequence.includes(seg) || flow.has_ended();
+        if flow.was_accepted_here() && certain {
+            Fit::Elsewhere
+        } else {
+            Fit::Unknown
         }
     }
 
-    /// Records an opening that goes to the server while the server may have an earlier
-    /// flow with its key; false if there is none.
-    pub(super) fn note_later_opening(&mut self, key: &FlowKey, opening: Opening) -> bool {
+    /// Prepares the table for an opening that goes to the server. True: the server may
+    /// have an earlier flow with its key, which keeps its place.
+    pub(super) fn takes_later_opening(&mut self, key: &FlowKey, opening: Opening) -> bool {
         let flow = self.flows.get_mut(key);
-        let earlier = flow.filter(|f| !f.has_ended() && !f.sequence.includes_opening(opening.seq));
-        let Some(earlier) = earlier else {
+        let Some(earlier) = flow.filter(|f| !f.sequence.includes_opening(opening.seq)) else {
             return false;
         };
+        if earlier.has_ended() {
+            self.remove_flow(key);
+            return false;
+        }
         earlier.later_opening = Some(opening);
         true
     }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -202,13 +202,14 @@
     }
 
     /// Whether the tables have another flow with the packet's key: the caller has used
-    /// its port again.
+    /// its port again. All three hold the same flow.
     pub fn is_of_other_flow(&self, seg: &Segment) -> bool {
-        let flow = self.flows.get(&seg.key);
+        if let Some(flow) = self.flows.get(&seg.key) {
+            return !flow.includes(seg);
+        }
         let search = self.searches.get(&seg.key);
         let attempt = self.placement_attempts.get(&seg.key);
-        flow.is_some_and(|f| !f.includes(seg))
-            || search.is_some_and(|s| !s.sequence.includes(seg))
+        search.is_some_and(|s| !s.sequence.includes(seg))
             || attempt.is_some_and(|a| !a.includes(seg))
     }
 
