--- a/crates/coordination/src/passthrough/balancer/flow.rs
+++ b/crates/coordination/src/passthrough/balancer/flow.rs
@@ -15,6 +15,7 @@
 
 use super::action::Action;
 use crate::passthrough::flow_sequence::FlowSequence;
+use crate::passthrough::flow_sequence::end_of;
 
 /// Timeout for an agent's reply whether its server has a flow.
 pub const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(70);
@@ -132,8 +133,7 @@
             let ack = Some((seg.seq, seg.ack));
             return std::mem::replace(&mut self.last_bare_ack, ack) == ack;
         }
-        let end = seg.seq.wrapping_add(seg.len);
-        let end = end.wrapping_add(u32::from(seg.fin));
+        let end = end_of(seg);
         let is_old = |next: u32| end.wrapping_sub(next) as i32 <= 0;
         let retransmitted = self.next_seq.is_some_and(is_old);
         if !retransmitted {
--- a/crates/coordination/tests/passthrough/port_reuse.rs
+++ b/crates/coordination/tests/passthrough/port_reuse.rs
@@ -62,52 +62,56 @@
 
     /// The caller's first request.
     fn request(self) -> Segment {
-        Segment {
-            seq: self.caller_start + 1,
-            ack: self.server_start + 1,
-            ..segment(flow(PORT))
-        }
+        self.of_caller(1, 1)
     }
 
     fn response(self) -> Segment {
-        Segment {
-            seq: self.server_start + 1,
-            ack: self.caller_start + 101,
-            ..segment(flow(PORT))
-        }
+        self.of_server(1, 101)
     }
 
     fn caller_fin(self) -> Segment {
+        fin(self.of_caller(101, 101))
+    }
+
+    fn server_fin(self) -> Segment {
+        fin(self.of_server(101, 102))
+    }
+
+    /// The caller's acknowledgement of the server's FIN.
+    fn last_ack(self) -> Segment {
         Segment {
-            seq: self.caller_start + 101,
-            ack: self.server_start + 101,
             len: 0,
-            fin: true,
-            ..segment(flow(PORT))
+            ..self.of_caller(102, 102)
         }
     }
 
-    fn server_fin(self) -> Segment {
+    /// A packet of the caller with data; numbers count from the starts of the flow.
+    fn of_caller(self, seq: u32, ack: u32) -> Segment {
         Segment {
-            seq: self.server_start + 101,
-            ack: self.caller_start + 102,
-            len: 0,
-            fin: true,
+            seq: self.caller_start + seq,
+            ack: self.server_start + ack,
             ..segment(flow(PORT))
         }
     }
 
-    /// The caller's acknowledgement of the server's FIN.
-    fn last_ack(self) -> Segment {
+    /// As [`Flow::of_caller`], of the server.
+    fn of_server(self, seq: u32, ack: u32) -> Segment {
         Segment {
-            seq: self.caller_start + 102,
-            ack: self.server_start + 102,
-            len: 0,
+            seq: self.server_start + seq,
+            ack: self.caller_start + ack,
             ..segment(flow(PORT))
         }
     }
 }
 
+fn fin(seg: Segment) -> Segment {
+    Segment {
+        len: 0,
+        fin: true,
+        ..seg
+    }
+}
+
 /// The agent of server 1 and what it does with packets, a millisecond each.
 struct Fixture {
     view: View,
@@ -427,6 +431,7 @@
     }
 }
 
+/// The agent of server `last` denies the flow by its key.
 fn deny(balancer: &mut Balancer, view: &View, now: u64, last: u8) -> Action {
     let denied = frame(FrameKind::Denied, flow(PORT));
     balancer.on_denied(view, Millis(now), ip(last), &denied)
