review: loopback addresses alone in cases 11 and 12

Cause: the routes of the scripts lay at 198.18.0.1 and 198.18.0.2, and ports were tried at 0.0.0.0; every address in a case has to be a loopback address.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -706,7 +706,7 @@
 
     @staticmethod
     def free_ports(count):
-        """Ports that nothing uses on any loopback address; the next one is free too."""
+        """Ports that nothing uses at 127.0.0.1 or at all addresses; the next one is free too."""
         start = random.randrange(11000, 28000)
         found = []
         while len(found) < count:
@@ -715,7 +715,7 @@
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     for port in (start, start + 1):
                         with socket.socket(socket.AF_INET, kind) as probe:
-                            probe.bind(("0.0.0.0", port))
+                            probe.bind(("127.0.0.1", port))
                 found.append(start)
             except OSError:
                 pass
@@ -895,7 +895,7 @@
         self.temporary.cleanup()
 
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.0.4.1", 443)
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
